--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,546 @@
+// Every decision of cherryrail. A front makes one Relay on its Host, names the backends with list_entry, hands
+// over each client with take, and reports what became of every setup; the Relay answers through the Host alone.
+// The interface is src/brain.hpp; why it is so is in docs/design.md.
+//
+// The ordinary path: landing by load-capped rendezvous hashing with warm-up, the next-ranked backend after a
+// failed setup, and a bounded pool of movers for what sits on a draining backend. Beside it stand:
+//   1. the sequential test that sets an ill backend aside, against its peers, with a trickle that doubles back;
+//   2. moving what is held by a backend that has gone silent, as if it drained;
+//   3. probing, for as much of the price as it is worth;
+//   4. strain: a backend whose messages take long gets nothing while others stand better;
+//   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend.
+#include "brain.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace cherryrail {
+namespace {
+
+constexpr Micros kSecond = 1'000'000;
+
+constexpr double kCapFactor = 1.25;      // of the mean load, as the design has it
+constexpr double kCapFloor = 2;          // tunnels; the design's floor
+constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
+constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
+constexpr double kAsideDoubt = 6.5;      // about 1 in 700 to set a healthy one aside
+constexpr unsigned kWinsToReturn = 3;    // the design's breaker: closed after 3 successes
+constexpr Micros kMoverTime = kSecond;   // a mover waits this long for its move at most
+constexpr Micros kQueueFullWait = kSecond / 10;
+constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
+constexpr double kProbeBudget = 0.005;   // of the result, spent on probes
+
+std::uint64_t mix(std::uint64_t x) {
+  x ^= x >> 30;
+  x *= 0xbf58476d1ce4e5b9ULL;
+  x ^= x >> 27;
+  x *= 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+// The lower the better; weights shift shares as the logarithm method of weighted rendezvous hashing does.
+double rank_of(std::uint64_t key, const Backend& ep, double weight) {
+  const double u = (static_cast<double>(mix(key ^ mix(ep.name + 0x9e3779b97f4a7c15ULL)) >> 11) + 0.5) * 0x1p-53;
+  return -std::log(u) / weight;
+}
+
+bool may_have_run(Result result) {
+  return result != Result::rejected && result != Result::connect_failed && result != Result::moot;
+}
+
+}  // namespace
+
+void TimeRing::add(Micros now, double amount) {
+  const std::int64_t turn = now / width_;
+  Bucket& bucket = buckets_[static_cast<std::size_t>(turn) % buckets_.size()];
+  if (bucket.turn != turn) bucket = {turn, 0};
+  bucket.amount += amount;
+}
+
+double TimeRing::sum(Micros now) const {
+  const std::int64_t oldest = now / width_ - static_cast<std::int64_t>(buckets_.size());
+  double total = 0;
+  for (const Bucket& bucket : buckets_) total += bucket.turn > oldest ? bucket.amount : 0;
+  return total;
+}
+
+Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
+    : host_(host), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))), profiles_(terms.profiles),
+      relays_(std::max(1u, terms.relays)), me_(terms.me), max_setups_(terms.max_setups),
+      list_on_request_(terms.list_on_request), may_probe_(terms.may_probe), may_abandon_(terms.may_abandon),
+      may_advise_(terms.may_advise), longest_advice_(terms.longest_advice), ask_within_(terms.ask_within),
+      fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
+      answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
+      shortest_goal_(10 * kSecond), born_(host.now()),
+      cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
+      probe_price_(terms.probe_price), arrivals_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
+  double least = 1e300;
+  for (const Profile& profile : profiles_) {
+    shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
+    if (profile.payoff > 0) least = std::min(least, profile.payoff);
+  }
+  // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom the lightest.
+  for (const Profile& profile : profiles_) profile_load_.push_back(std::max(1.0, profile.payoff / least));
+  profile_told_.assign(profiles_.size(), 0);
+  if (list_on_request_) host_.follow_list();
+  if (may_probe_) look_around();
+}
+
+// ---- The list -------------------------------------------------------------------------------------------
+
+void Relay::list_entry(const std::shared_ptr<Backend>& ep, Standing standing, double size, Micros since) {
+  const bool known = std::find(fleet_.begin(), fleet_.end(), ep) != fleet_.end();
+  if (!known && standing != Standing::gone) fleet_.push_back(ep);
+  if (known && since > ep->since) {
+    // A restart: what was learned of the process before it no longer holds; the cold budget takes over.
+    ep->doubt = 0;
+    ep->aside = false;
+    ep->told_at = 0;
+  }
+  ep->size = size > 0 ? size : 0;
+  ep->since = since;
+  ep->standing = standing;
+  if (standing != Standing::ready) queue_moves(*ep, standing == Standing::draining ? "drains" : "is gone");
+  if (standing == Standing::gone && ep->held.empty()) std::erase(fleet_, ep);
+}
+
+void Relay::list_read() { list_failures_ = 0; }
+
+void Relay::list_failed() {
+  if (!list_on_request_) return;
+  // Relays that lost the list together must not ask for it together; and none may come late against ask_within.
+  const Micros longest = ask_within_ > 0 ? ask_within_ / 4 : 2 * kSecond;
+  const Micros wait = std::min(longest, (kSecond / 4) << std::min(list_failures_++, 6u));
+  const double jitter = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
+  host_.wake_at(host_.now() + static_cast<Micros>(static_cast<double>(wait) * jitter), [this] { host_.follow_list(); });
+}
+
+// ---- Landing --------------------------------------------------------------------------------------------
+
+void Relay::take(const std::shared_ptr<Tunnel>& tun) {
+  arrivals_.add(host_.now(), 1);
+  tun->hash_key = tun->group_key ? tun->group_key : tun->client_key;
+  if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
+  // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
+  host_.wake_at(tun->expires_at - answer_margin_, [this, weak = tun->weak_from_this()] {
+    const auto late = weak.lock();
+    if (!late || late->answered) return;
+    if (late->ep && may_abandon_) host_.abandon_setup(*late);
+    give_up(*late);
+  });
+  place(*tun);
+}
+
+void Relay::place(Tunnel& tun) {
+  while (tun.setups < max_setups_ && tun.expires_at - host_.now() > 3 * answer_margin_) {
+    Backend* ep = choose(tun);
+    if (!ep) break;
+    tun.tried.push_back(ep);
+    if (launch(tun, *ep)) return;
+  }
+  give_up(tun);
+}
+
+// Rendezvous order over the ready backends; each looser than the last: under the cap, over it, set aside.
+Backend* Relay::choose(Tunnel& tun) {
+  const Micros now = host_.now();
+  Backend* best[3] = {};
+  double best_rank[3] = {};
+  const Caps caps = caps_now();
+  for (const auto& ep : fleet_) {
+    if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
+    if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
+    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep);
+    const double rank = rank_of(tun.hash_key, *ep, weight);
+    const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
+    if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
+  }
+  return best[0] ? best[0] : best[1] ? best[1] : best[2];
+}
+
+// How much of its full capacity a backend surely has: from the cold share up, evenly over the warm-up.
+double Relay::warm_share(const Backend& ep) const {
+  if (ep.since <= 0) return 1;
+  const double age = static_cast<double>(host_.now() - ep.since) / static_cast<double>(warm_up_);
+  return std::clamp(cold_from_ + (1 - cold_from_) * age, cold_from_, 1.0);
+}
+
+Relay::Caps Relay::caps_now() const {
+  const Micros now = host_.now();
+  Caps caps;
+  double load = 0, told = 0, ready = 0, fresh = 0, strained = 0;
+  for (const auto& ep : fleet_) {
+    if (ep->standing != Standing::ready || ep->aside) continue;
+    ++ready;
+    caps.size += ep->size * warm_share(*ep);
+    caps.mean_size += ep->size;
+    load += ep->load;
+    caps.tunnels += static_cast<double>(ep->held.size());
+    strained += ep->strained_until > now;
+    if (is_told(*ep)) ++fresh, told += utilisation(*ep);
+  }
+  caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
+  caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
+  caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
+  caps.by_report = fresh > ready / 2;
+  caps.told = fresh > 0 ? told / fresh : 0;
+  caps.heed_strain = strained <= ready / 2;  // all strained at once share a cause: then strain tells nothing
+  return caps;
+}
+
+bool Relay::is_told(const Backend& ep) const { return ep.told_at > 0 && host_.now() - ep.told_at < 8 * kSecond; }
+
+// Its own word on its load, with what this relay has added since; the other relays are taken to add as much.
+double Relay::utilisation(const Backend& ep) const {
+  return ep.load_when_told > 0 ? ep.told_load * std::max(1.0, ep.load / ep.load_when_told) : ep.told_load;
+}
+
+bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
+  if (caps.heed_strain && ep.strained_until > host_.now()) return true;
+  if (caps.by_report && is_told(ep)) return utilisation(ep) > std::max(kCalmLoad, kCapFactor * caps.told);
+  const double mean = caps.load_by_size * ep.size * warm_share(ep);
+  return ep.load >= std::max(kCapFactor * mean, kCapFloor * caps.tunnel_load);
+}
+
+// Danger: each relay sends a fresh backend a little, and together they push it over. They take turns, one
+// window each, counted from the backend's start, so that no window holds more than two relays' budgets. A
+// relay that has itself just started sits out a turn that began before it did: it may have sent already.
+bool Relay::cold_budget_allows(const Backend& ep) const {
+  const double warm = warm_share(ep);
+  if (warm >= 1) return true;
+  const std::int64_t turn = cold_turn(ep);
+  if (turn % relays_ != me_ % relays_ || ep.since + turn * fall_window_ < born_) return false;
+  const double sent = ep.cold_turn == turn ? ep.cold_sent : 0;
+  double size = 0;
+  for (const auto& other : fleet_) size += other->standing == Standing::ready ? other->size : 0;
+  const double span = static_cast<double>(std::min(arrivals_.span(), std::max<Micros>(host_.now() - born_, kSecond)));
+  const double fair = arrivals_.sum(host_.now()) / span * relays_ * (size > 0 ? ep.size / size : 0);
+  return sent + 1 <= std::max(1.0, cold_multiple_ / 2 * warm * fair * static_cast<double>(fall_window_));
+}
+
+std::int64_t Relay::cold_turn(const Backend& ep) const {
+  return std::max<Micros>(0, host_.now() - ep.since) / fall_window_;
+}
+
+// Rule 2: an effect that may have happened is repeated only where the repeat is known, while it is known.
+bool Relay::effect_allows(const Tunnel& tun, const Backend& ep) const {
+  if (!tun.may_have_run_at || tun.profile->effect == Effect::repeatable) return true;
+  if (tun.profile->effect == Effect::once_only) return false;
+  if (host_.now() + answer_margin_ >= tun.may_have_run_since + tun.profile->window) return false;
+  switch (tun.profile->scope) {
+    case RepeatScope::all: return true;
+    case RepeatScope::zone: return ep.zone == tun.may_have_run_at->zone;
+    case RepeatScope::cell: return ep.cell == tun.may_have_run_at->cell;
+  }
+  return false;
+}
+
+// The one place where a setup leaves.
+bool Relay::launch(Tunnel& tun, Backend& ep) {
+  if (tun.answered || tun.ep || tun.setups >= max_setups_) return false;   // never two out, nothing after the answer
+  if (ep.standing != Standing::ready) return false;                         // rule 3
+  if (!effect_allows(tun, ep) || !cold_budget_allows(ep)) return false;     // rules 2 and 4
+  if (ep.since > 0) {
+    const std::int64_t turn = cold_turn(ep);
+    ep.cold_sent = ep.cold_turn == turn ? ep.cold_sent + 1 : 1;
+    ep.cold_turn = turn;
+  }
+  const Micros now = host_.now();
+  if (ep.aside) ep.next_trickle = now + ep.trickle_gap;
+  ++tun.setups;
+  tun.sent_at = now;
+  hold(tun, ep);
+  tun.next = [this, &tun, &ep](const Ending& ending) { after_setup(tun, ep, ending); };
+  host_.send_setup(tun, ep, setup_limit(tun));
+  return true;
+}
+
+// Half the setup goal, so that another try fits; longer while setups everywhere take longer, for a time-out
+// that strikes healthy backends turns a slow spell into a storm (the source's relaxed time-outs).
+Micros Relay::setup_limit(const Tunnel& tun) const {
+  const double made = setups_made_.sum(host_.now());
+  const Micros usual = made > 0 ? static_cast<Micros>(4 * setup_time_.sum(host_.now()) / made) : 0;
+  const Micros left = tun.expires_at - host_.now() - 2 * answer_margin_;
+  return std::min(std::max(tun.profile->setup_goal / 2, usual), left);
+}
+
+void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
+  if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
+  if (may_have_run(ending.result) && !tun.may_have_run_at) {
+    tun.may_have_run_at = &ep;
+    tun.may_have_run_since = tun.sent_at;
+  }
+  if (!tun.answered) place(tun);
+}
+
+// ---- The final answer -----------------------------------------------------------------------------------
+
+// Not opened: declined where that tells the truth (nothing happened, or a repeat does no harm).
+void Relay::give_up(Tunnel& tun) {
+  const Profile& profile = *tun.profile;
+  const bool unsure = tun.may_have_run_at || tun.ep;  // a setup still out may run yet
+  const bool harmless = profile.effect == Effect::repeatable || !unsure ||
+                        (profile.effect == Effect::referenced && profile.scope == RepeatScope::all);
+  answer(tun, harmless ? Answer::declined : Answer::closed_with_error);
+}
+
+// The one place where a final answer leaves; it can happen once.
+void Relay::answer(Tunnel& tun, Answer how) {
+  if (tun.answered) return;
+  tun.answered = true;
+  if (how == Answer::declined) {
+    const double spread = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
+    host_.decline(tun, may_advise_ ? static_cast<Micros>(spread * static_cast<double>(longest_advice_) / 2) : 0);
+  } else if (how == Answer::closed_with_error) {
+    host_.close_with_error(tun);
+  }
+}
+
+void Relay::established(Tunnel& tun, Micros took) {
+  if (tun.answered || !tun.ep) return;
+  opened(tun);
+  setups_made_.add(host_.now(), 1);
+  setup_time_.add(host_.now(), static_cast<double>(took));
+  judge(*tun.ep, true);
+  if (tun.ep->standing != Standing::ready) queue_move(tun);
+}
+
+void Relay::adopt(const std::shared_ptr<Tunnel>& tun, const std::shared_ptr<Backend>& ep) {
+  hold(*tun, *ep);
+  opened(*tun);
+  if (ep->standing != Standing::ready) queue_move(*tun);
+}
+
+void Relay::opened(Tunnel& tun) {
+  answer(tun, Answer::opened);
+  tun.open = true;
+  ++open_;
+  tun.next = [this, ep = tun.ep.get()](const Ending& ending) {
+    // A backend that drops open tunnels is overdriven or dying; one that was told to leave may do as it likes.
+    if (ending.result == Result::reset && ep->standing == Standing::ready) judge(*ep, false);
+  };
+}
+
+void Relay::setup_ended(Tunnel& tun, const Ending& ending, bool finished, const LoadReport& report) {
+  if (!tun.ep) return;
+  const auto ep = tun.ep;
+  take_report(*tun.ep, report);
+  let_go(tun);
+  const auto next = std::move(tun.next);
+  tun.next = nullptr;
+  if (finished && !tun.answered) {
+    tun.answered = true;
+    if (ending.result == Result::opened) judge(*ep, true);
+    return;
+  }
+  if (next) next(ending);
+}
+
+void Relay::client_gone(Tunnel& tun) { tun.answered = true; }
+
+// ---- What a backend holds -------------------------------------------------------------------------------
+
+double Relay::expected_load(const Tunnel& tun) const {
+  if (tun.hinted_load) return *tun.hinted_load;
+  const std::size_t index = tun.profile->index;
+  return profile_load_[index] * (profile_told_[index] ? 1 : load_unit_);
+}
+
+void Relay::hold(Tunnel& tun, Backend& ep) {
+  tun.ep = ep.shared_from_this();
+  tun.load = expected_load(tun);
+  tun.place = ep.held.size();
+  ep.held.push_back(&tun);
+  ep.load += tun.load;
+}
+
+void Relay::let_go(Tunnel& tun) {
+  Backend& ep = *tun.ep;
+  ep.held[tun.place] = ep.held.back();
+  ep.held[tun.place]->place = tun.place;
+  ep.held.pop_back();
+  ep.load = ep.held.empty() ? 0 : ep.load - tun.load;
+  if (tun.open) --open_;
+  if (tun.queued) --queued_;
+  tun.open = tun.queued = false;
+  const auto keep = std::move(tun.ep);
+  if (keep->standing == Standing::gone && keep->held.empty()) std::erase(fleet_, keep);
+}
+
+void Relay::load_told(Tunnel& tun, double load) {
+  if (!tun.ep || load <= 0) return;
+  const std::size_t index = tun.profile->index;
+  const bool first = std::all_of(profile_told_.begin(), profile_told_.end(), [](unsigned n) { return n == 0; });
+  if (!profile_told_[index]) load_unit_ = load / profile_load_[index], profile_load_[index] = load;
+  const double part = 1.0 / std::min(64u, ++profile_told_[index]);
+  profile_load_[index] += part * (load - profile_load_[index]);
+  if (first) {  // what was counted in shares of payoff is counted in work from here on
+    for (const auto& ep : fleet_) {
+      ep->load = 0;
+      for (Tunnel* other : ep->held) ep->load += other->load = expected_load(*other);
+    }
+  }
+  tun.ep->load += load - tun.load;
+  tun.load = load;
+  tun.ep->heard_at = host_.now();
+}
+
+// ---- Health ---------------------------------------------------------------------------------------------
+
+// Wald's sequential test of "fails as its peers do" against "is ill". The peers are the measure: when all
+// fail together the cause is shared, and setting the unlucky ones aside would drown the rest.
+void Relay::judge(Backend& ep, bool good) {
+  const Micros now = host_.now();
+  double failed = 0.04, seen = 2;
+  for (const auto& peer : fleet_) {
+    if (peer.get() == &ep) continue;
+    const double bad = peer->bad.sum(now);
+    failed += bad;
+    seen += bad + peer->good.sum(now);
+  }
+  const double usual = std::clamp(failed / seen, 0.02, 0.5);
+  (good ? ep.good : ep.bad).add(now, 1);
+  if (good) ep.heard_at = now;
+  const double step = good ? std::log((1 - kIllShare) / (1 - usual)) : std::log(kIllShare / usual);
+  ep.doubt = std::clamp(ep.doubt + step, 0.0, 2.2 * kAsideDoubt);
+  if (ep.aside) {
+    ep.trickle_gap = good ? ep.trickle_gap / 2 : std::min(2 * ep.trickle_gap, kTrickleLongest);
+    ep.next_trickle = now + ep.trickle_gap;
+    ep.wins = good ? ep.wins + 1 : 0;
+    if (ep.wins >= kWinsToReturn) {
+      ep.aside = false;
+      ep.doubt = 0;
+      host_.log("backend back in service");
+    }
+  } else if (ep.doubt >= kAsideDoubt) {
+    set_aside(ep);
+  }
+  // Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so.
+  if (ep.aside && !good && ep.doubt >= 2 * kAsideDoubt) queue_moves(ep, "is silent");
+}
+
+void Relay::set_aside(Backend& ep) {
+  unsigned ready = 0, aside = 0;
+  for (const auto& peer : fleet_) {
+    if (peer->standing != Standing::ready) continue;
+    ++ready;
+    aside += peer->aside;
+  }
+  if (2 * (aside + 1) > ready && ep.doubt < 2 * kAsideDoubt) return;  // rather an ill one than the rest drowned
+  ep.aside = true;
+  ep.wins = 0;
+  ep.trickle_gap = kTrickleStart;
+  ep.next_trickle = host_.now() + ep.trickle_gap;
+  host_.log("backend set aside");
+}
+
+void Relay::delay_told(Tunnel& tun, Micros message_time) {
+  if (!tun.ep) return;
+  tun.ep->heard_at = host_.now();
+  // Told once a second while it lasts, and once more when it is over.
+  tun.ep->strained_until = message_time * 3 > shortest_goal_ ? host_.now() + 3 * kSecond / 2 : 0;
+}
+
+void Relay::take_report(Backend& ep, const LoadReport& report) {
+  if (!report.utilisation) return;
+  ep.told_load = *report.utilisation;
+  ep.told_at = host_.now();
+  ep.load_when_told = ep.load;
+}
+
+void Relay::look_around() {
+  const Micros now = host_.now();
+  const double span = static_cast<double>(std::min(arrivals_.span(), std::max<Micros>(now - born_, kSecond)));
+  const double rate = std::max(arrivals_.sum(now) / span, 0.2 / kSecond);
+  const double gap = static_cast<double>(fleet_.size()) * probe_price_ / (kProbeBudget * rate);
+  const Micros usual = std::clamp(static_cast<Micros>(gap), kSecond / 2, 4 * kSecond);
+  for (const auto& ep : fleet_) {
+    if (ep->standing != Standing::ready || ep->probe_out) continue;
+    const Micros due = ep->doubt > 0 ? ep->probed_at + shortest_goal_ : std::max(ep->probed_at, ep->heard_at) + usual;
+    if (now < due) continue;
+    ep->probe_out = true;
+    ep->probed_at = now;
+    host_.probe(*ep);
+  }
+  host_.wake_at(now + shortest_goal_ / 2, [this] { look_around(); });
+}
+
+void Relay::probe_ended(Backend& ep, const Ending& ending, const LoadReport& report) {
+  ep.probe_out = false;
+  take_report(ep, report);
+  if (ending.result == Result::rejected) return;  // too many probes there: says nothing
+  const bool good = ending.result == Result::opened;
+  // A good probe shows that the process can be reached, not that it serves: for one set aside it only opens
+  // the trickle.
+  if (good && ep.aside) ep.next_trickle = std::min(ep.next_trickle, host_.now());
+  else judge(ep, good);
+}
+
+// ---- Movers ---------------------------------------------------------------------------------------------
+
+// The design's sizes, with P the open tunnels that are not themselves waiting to move.
+std::size_t Relay::movers() const {
+  const std::size_t p = open_ - queued_;
+  return std::max<std::size_t>(1, std::min(p / 2, std::max<std::size_t>(10, p / 3)));
+}
+
+std::size_t Relay::queue_limit() const {
+  const std::size_t p = std::max<std::size_t>(1, open_ - queued_);
+  return std::min(std::max(20 * movers(), p), 5 * p);
+}
+
+void Relay::queue_moves(Backend& ep, const char* why) {
+  bool any = false;
+  for (std::size_t i = 0; i < ep.held.size(); ++i) {
+    if (!ep.held[i]->open || ep.held[i]->queued) continue;
+    any = true;
+    queue_move(*ep.held[i]);
+  }
+  if (any) host_.log(std::string("moving tunnels: backend ") + why);
+  run_movers();
+}
+
+void Relay::queue_move(Tunnel& tun) {
+  if (tun.queued) return;
+  const auto self = tun.shared_from_this();
+  if (queued_ < queue_limit()) {
+    tun.queued = true;
+    ++queued_;
+    to_move_.push_back(self);
+    return;
+  }
+  // Queue full: wait a little for space, then end the connection unqueued, as the source drops it from its pool.
+  tun.queued = true;
+  ++queued_;
+  host_.wake_at(host_.now() + kQueueFullWait, [this, weak = std::weak_ptr<Tunnel>(self)] {
+    const auto waiting = weak.lock();
+    if (!waiting || !waiting->open) return;
+    if (to_move_.size() < queue_limit()) {
+      to_move_.push_back(weak);
+      run_movers();
+    } else {
+      host_.move(*waiting);
+    }
+  });
+}
+
+void Relay::run_movers() {
+  while (moving_ < movers() && !to_move_.empty()) {
+    const auto tun = to_move_.front().lock();
+    to_move_.pop_front();
+    if (!tun || !tun->open) continue;
+    ++moving_;
+    const auto busy = std::make_shared<bool>(true);
+    const auto freed = [this, busy] {
+      if (!std::exchange(*busy, false)) return;
+      --moving_;
+      run_movers();
+    };
+    tun->next = [freed](const Ending&) { freed(); };
+    host_.wake_at(host_.now() + kMoverTime, freed);
+    host_.move(*tun);
+  }
+}
+
+}  // namespace cherryrail
--- /dev/null
+++ b/src/brain.hpp
@@ -0,0 +1,214 @@
+// The interface of the decision module. A front (the bench's adapter today, a socket front later) owns a
+// Host, makes one Relay on it and calls the Relay as things happen; the Relay acts only through the Host.
+// Nothing here knows a wire. Times are whole microseconds on the front's clock.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cherryrail {
+
+using Micros = std::int64_t;
+
+enum class Effect : std::uint8_t { repeatable, referenced, once_only };
+enum class RepeatScope : std::uint8_t { all, zone, cell };  // which backends drop a repeat of a referenced tunnel
+enum class Standing : std::uint8_t { ready, draining, gone };
+enum class Result : std::uint8_t { opened, error, rejected, timed_out, connect_failed, reset, cancelled, moot };
+
+struct Profile {
+  Micros setup_goal = 0;
+  Micros client_timeout = 0;
+  double payoff = 1;
+  Effect effect = Effect::repeatable;
+  RepeatScope scope = RepeatScope::all;
+  Micros window = 0;  // how long a repeat of a referenced tunnel is known
+  Micros message_aim = 0;
+  std::size_t index = 0;
+};
+
+// What the site grants and demands, handed over once at start; the Relay keeps only figures derived from it.
+struct SiteTerms {
+  std::vector<Profile> profiles;
+  std::vector<double> tenant_rates;  // tunnels a second within each tenant's share, all relays together
+  unsigned relays = 1, me = 0, max_setups = 1;
+  bool list_on_request = false, may_probe = false, may_abandon = false, may_advise = false;
+  Micros longest_advice = 0, ask_within = 0, connect_timeout = 0, step = 0;
+  Micros fall_window = 0, warm_up = 0;
+  double fall_multiple = 1, cold_from = 1, probe_price = 0, surplus_payoff = 1;
+};
+
+// Fixed buckets of time, used again in a ring: what happened over the last `buckets x width`.
+class TimeRing {
+ public:
+  explicit TimeRing(Micros width) : width_(width > 0 ? width : 1) {}
+  void add(Micros now, double amount);
+  double sum(Micros now) const;
+  Micros span() const { return width_ * static_cast<Micros>(buckets_.size()); }
+
+ private:
+  struct Bucket {
+    std::int64_t turn = -1;
+    double amount = 0;
+  };
+  Micros width_;
+  std::array<Bucket, 8> buckets_{};
+};
+
+struct Tunnel;
+
+struct Backend : std::enable_shared_from_this<Backend> {
+  // Said at the door.
+  std::uint64_t name = 0;  // the same at every relay; hashed, never ordered by
+  unsigned zone = 0, model = 0, cell = 0;
+  Standing standing = Standing::ready;
+  double size = 1;     // to compare with other backends' sizes
+  Micros since = 0;    // its latest start; 0 = long ago
+
+  // Kept by the Relay.
+  std::vector<Tunnel*> held;  // tunnels on their way to it or open on it
+  double load = 0;            // what the held tunnels are taken to ask of it
+  double doubt = 0;           // the sequential test: log odds that it is ill
+  bool aside = false;
+  unsigned wins = 0;          // successes in a row since it was set aside
+  Micros next_trickle = 0, trickle_gap = 0;
+  Micros heard_at = 0, probed_at = 0, strained_until = 0;
+  bool probe_out = false;
+  TimeRing good{1'000'000}, bad{1'000'000};
+  double told_load = -1;      // its own report: load asked over what it can do
+  Micros told_at = 0;
+  double load_when_told = 0;
+  std::int64_t cold_turn = -1;
+  unsigned cold_sent = 0;
+};
+
+struct Ending {
+  Result result = Result::opened;
+  Micros took = 0;
+};
+
+struct LoadReport {
+  std::optional<double> utilisation;  // load asked over what it can do
+};
+
+struct Tunnel : std::enable_shared_from_this<Tunnel> {
+  // Said at the door.
+  const Profile* profile = nullptr;
+  std::uint64_t client_key = 0, group_key = 0;
+  std::size_t tenant = 0;
+  Micros expires_at = 0;
+  std::optional<double> hinted_load;  // work a second
+  bool mid_flow = false;
+
+  // Kept by the Relay.
+  std::shared_ptr<Backend> ep;             // holds the setup that is out, or the open tunnel
+  std::function<void(const Ending&)> next;  // what the result of the step under way leads to
+  std::vector<const Backend*> tried;
+  std::uint64_t hash_key = 0;
+  unsigned setups = 0;
+  double load = 0;
+  std::size_t place = 0;  // index in ep->held
+  bool answered = false, open = false, queued = false;
+  const Backend* may_have_run_at = nullptr;
+  Micros may_have_run_since = 0, sent_at = 0;
+};
+
+// The door through which the Relay acts. Timers cannot be taken back; the closures see to that themselves.
+class Host {
+ public:
+  virtual ~Host() = default;
+  virtual Micros now() const = 0;
+  virtual void send_setup(Tunnel&, Backend&, Micros time_limit) = 0;
+  virtual void abandon_setup(Tunnel&) = 0;
+  virtual void decline(Tunnel&, Micros hold_off) = 0;
+  virtual void close_with_error(Tunnel&) = 0;
+  virtual void move(Tunnel&) = 0;
+  virtual void probe(Backend&) = 0;
+  virtual void follow_list() = 0;
+  virtual void wake_at(Micros when, std::function<void()> then) = 0;
+  virtual void log(const std::string& line) = 0;
+};
+
+class Relay {
+ public:
+  Relay(Host& host, const SiteTerms& terms, std::uint64_t seed);
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  const std::vector<Profile>& profiles() const { return profiles_; }
+  // The list. The front makes a Backend once for each name and changes it only through list_entry.
+  void list_entry(const std::shared_ptr<Backend>& ep, Standing standing, double size, Micros since);
+  void list_read();
+  void list_failed();
+  // A tunnel's life.
+  void take(const std::shared_ptr<Tunnel>& tun);
+  void adopt(const std::shared_ptr<Tunnel>& tun, const std::shared_ptr<Backend>& ep);
+  void established(Tunnel& tun, Micros took);
+  void setup_ended(Tunnel& tun, const Ending& ending, bool finished, const LoadReport& report);
+  void client_gone(Tunnel& tun);
+  // What is heard on the side.
+  void probe_ended(Backend& ep, const Ending& ending, const LoadReport& report);
+  void load_told(Tunnel& tun, double load);
+  void delay_told(Tunnel& tun, Micros message_time);
+
+ private:
+  enum class Answer : std::uint8_t { opened, declined, closed_with_error };
+  // What the cap is measured against, over the backends that may be landed on.
+  struct Caps {
+    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, told = 0;
+    bool by_report = false, heed_strain = false;
+  };
+
+  void place(Tunnel& tun);
+  Backend* choose(Tunnel& tun);
+  double warm_share(const Backend& ep) const;
+  Caps caps_now() const;
+  bool is_told(const Backend& ep) const;
+  double utilisation(const Backend& ep) const;
+  bool over_cap(const Backend& ep, const Caps& caps) const;
+  bool cold_budget_allows(const Backend& ep) const;
+  std::int64_t cold_turn(const Backend& ep) const;
+  bool effect_allows(const Tunnel& tun, const Backend& ep) const;
+  bool launch(Tunnel& tun, Backend& ep);
+  Micros setup_limit(const Tunnel& tun) const;
+  void after_setup(Tunnel& tun, Backend& ep, const Ending& ending);
+  void give_up(Tunnel& tun);
+  void answer(Tunnel& tun, Answer how);
+  void opened(Tunnel& tun);
+  double expected_load(const Tunnel& tun) const;
+  void hold(Tunnel& tun, Backend& ep);
+  void let_go(Tunnel& tun);
+  void judge(Backend& ep, bool good);
+  void set_aside(Backend& ep);
+  void take_report(Backend& ep, const LoadReport& report);
+  void look_around();
+  std::size_t movers() const;
+  std::size_t queue_limit() const;
+  void queue_moves(Backend& ep, const char* why);
+  void queue_move(Tunnel& tun);
+  void run_movers();
+
+  Host& host_;
+  std::mt19937 chance_;
+  std::vector<Profile> profiles_;
+  std::vector<double> profile_load_;  // mean load told for each profile; its share of payoff until told
+  std::vector<unsigned> profile_told_;
+  double load_unit_ = 1;
+  std::vector<std::shared_ptr<Backend>> fleet_;  // in the order in which the list named them
+  std::size_t open_ = 0, queued_ = 0, moving_ = 0;
+  std::deque<std::weak_ptr<Tunnel>> to_move_;
+  unsigned relays_, me_, max_setups_, list_failures_ = 0;
+  bool list_on_request_, may_probe_, may_abandon_, may_advise_;
+  Micros longest_advice_, ask_within_, fall_window_, warm_up_, answer_margin_, shortest_goal_, born_;
+  double cold_multiple_, cold_from_, probe_price_;
+  TimeRing arrivals_, setups_made_, setup_time_;
+};
+
+}  // namespace cherryrail
