--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -65,6 +65,17 @@
   return total;
 }
 
+double TimeRing::median(Micros now) const {
+  const std::int64_t turn = now / width_;
+  std::array<double, std::tuple_size_v<decltype(buckets_)>> seen{};
+  for (std::size_t i = 0; i < buckets_.size(); ++i) {
+    if (buckets_[i].turn < turn && buckets_[i].turn > turn - std::ssize(buckets_)) seen[i] = buckets_[i].amount;
+  }
+  const auto middle = seen.begin() + seen.size() / 2;
+  std::nth_element(seen.begin(), middle, seen.end());
+  return *middle;
+}
+
 Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
     : host_(host), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))), profiles_(terms.profiles),
       relays_(std::max(1u, terms.relays)), me_(terms.me), max_setups_(terms.max_setups),
@@ -119,7 +130,7 @@
 // ---- Landing --------------------------------------------------------------------------------------------
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
-  arrivals_.add(host_.now(), 1);
+  if (!tun->returning) arrivals_.add(host_.now(), 1);
   tun->hash_key = tun->group_key ? tun->group_key : tun->client_key;
   if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
   // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
@@ -214,11 +225,14 @@
   const double sent = ep.cold_turn == turn ? ep.cold_sent : 0;
   double size = 0;
   for (const auto& other : fleet_) size += other->standing == Standing::ready ? other->size : 0;
-  const double span = static_cast<double>(std::min(arrivals_.span(), std::max<Micros>(host_.now() - born_, kSecond)));
-  const double fair = arrivals_.sum(host_.now()) / span * relays_ * (size > 0 ? ep.size / size : 0);
+  const double fair = calm_rate() * relays_ * (size > 0 ? ep.size / size : 0);
   return sent + 1 <= std::max(1.0, cold_multiple_ / 2 * warm * fair * static_cast<double>(fall_window_));
 }
 
+// New clients a microsecond on an ordinary day: the middle one of the last seconds, without those that come again, for
+// a budget that grew with a storm would let the storm through.
+double Relay::calm_rate() const { return arrivals_.median(host_.now()) / static_cast<double>(kSecond); }
+
 std::int64_t Relay::cold_turn(const Backend& ep) const {
   return std::max<Micros>(0, host_.now() - ep.since) / fall_window_;
 }
@@ -451,8 +465,7 @@
 
 void Relay::look_around() {
   const Micros now = host_.now();
-  const double span = static_cast<double>(std::min(arrivals_.span(), std::max<Micros>(now - born_, kSecond)));
-  const double rate = std::max(arrivals_.sum(now) / span, 0.2 / kSecond);
+  const double rate = std::max(calm_rate(), 0.2 / kSecond);
   const double gap = static_cast<double>(fleet_.size()) * probe_price_ / (kProbeBudget * rate);
   const Micros usual = std::clamp(static_cast<Micros>(gap), kSecond / 2, 4 * kSecond);
   for (const auto& ep : fleet_) {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -51,7 +51,8 @@
   explicit TimeRing(Micros width) : width_(width > 0 ? width : 1) {}
   void add(Micros now, double amount);
   double sum(Micros now) const;
-  Micros span() const { return width_ * static_cast<Micros>(buckets_.size()); }
+  double median(Micros now) const;  // of the buckets that are over
+
 
  private:
   struct Bucket {
@@ -105,7 +106,8 @@
   std::size_t tenant = 0;
   Micros expires_at = 0;
   std::optional<double> hinted_load;  // work a second
-  bool mid_flow = false;
+  bool mid_flow = false;   // its packets flowed elsewhere until now
+  bool returning = false;  // after a break, a move or a try before
 
   // Kept by the Relay.
   std::shared_ptr<Backend> ep;             // holds the setup that is out, or the open tunnel
@@ -173,6 +175,7 @@
   bool is_told(const Backend& ep) const;
   double utilisation(const Backend& ep) const;
   bool over_cap(const Backend& ep, const Caps& caps) const;
+  double calm_rate() const;
   bool cold_budget_allows(const Backend& ep) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
