--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,6 +26,7 @@
 constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
 constexpr double kAsideDoubt = 6.5;      // about 1 in 700 to set a healthy one aside
 constexpr unsigned kWinsToReturn = 3;    // the design's breaker: closed after 3 successes
+constexpr unsigned kSilentAfter = 4;     // setups and probes without any answer
 constexpr Micros kMoverTime = kSecond;   // a mover waits this long for its move at most
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
@@ -280,6 +281,8 @@
 }
 
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
+  if (ending.result == Result::timed_out || ending.result == Result::connect_failed) unheard(ep);
+  else if (ending.result != Result::moot && ending.result != Result::cancelled) heard_from(ep);
   if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
   if (may_have_run(ending.result) && !tun.may_have_run_at) {
     tun.may_have_run_at = &ep;
@@ -316,6 +319,7 @@
   opened(tun);
   setups_made_.add(host_.now(), 1);
   setup_time_.add(host_.now(), static_cast<double>(took));
+  heard_from(*tun.ep);
   judge(*tun.ep, true);
   if (tun.ep->standing != Standing::ready) queue_move(tun);
 }
@@ -397,7 +401,7 @@
   }
   tun.ep->load += load - tun.load;
   tun.load = load;
-  tun.ep->heard_at = host_.now();
+  heard_from(*tun.ep);
 }
 
 // ---- Health ---------------------------------------------------------------------------------------------
@@ -415,7 +419,6 @@
   }
   const double usual = std::clamp(failed / seen, 0.02, 0.5);
   (good ? ep.good : ep.bad).add(now, 1);
-  if (good) ep.heard_at = now;
   const double step = good ? std::log((1 - kIllShare) / (1 - usual)) : std::log(kIllShare / usual);
   ep.doubt = std::clamp(ep.doubt + step, 0.0, 2.2 * kAsideDoubt);
   if (ep.aside) {
@@ -430,8 +433,17 @@
   } else if (ep.doubt >= kAsideDoubt) {
     set_aside(ep);
   }
-  // Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so.
-  if (ep.aside && !good && ep.doubt >= 2 * kAsideDoubt) queue_moves(ep, "is silent");
+}
+
+void Relay::heard_from(Backend& ep) {
+  ep.heard_at = host_.now();
+  ep.unanswered = 0;
+}
+
+// Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so. One that
+// is slow or refuses still answers, and moving what it holds would only feed a storm.
+void Relay::unheard(Backend& ep) {
+  if (++ep.unanswered >= kSilentAfter && ep.aside) queue_moves(ep, "is silent");
 }
 
 void Relay::set_aside(Backend& ep) {
@@ -451,7 +463,7 @@
 
 void Relay::delay_told(Tunnel& tun, Micros message_time) {
   if (!tun.ep) return;
-  tun.ep->heard_at = host_.now();
+  heard_from(*tun.ep);
   // Told once a second while it lasts, and once more when it is over.
   tun.ep->strained_until = message_time * 3 > shortest_goal_ ? host_.now() + 3 * kSecond / 2 : 0;
 }
@@ -484,6 +496,7 @@
   take_report(ep, report);
   if (ending.result == Result::rejected) return;  // too many probes there: says nothing
   const bool good = ending.result == Result::opened;
+  good ? heard_from(ep) : unheard(ep);
   // A good probe shows that the process can be reached, not that it serves: for one set aside it only opens
   // the trickle.
   if (good && ep.aside) ep.next_trickle = std::min(ep.next_trickle, host_.now());
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -79,6 +79,7 @@
   double doubt = 0;           // the sequential test: log odds that it is ill
   bool aside = false;
   unsigned wins = 0;          // successes in a row since it was set aside
+  unsigned unanswered = 0;    // in a row: no word of any kind came back
   Micros next_trickle = 0, trickle_gap = 0;
   Micros heard_at = 0, probed_at = 0, strained_until = 0;
   bool probe_out = false;
@@ -188,6 +189,8 @@
   double expected_load(const Tunnel& tun) const;
   void hold(Tunnel& tun, Backend& ep);
   void let_go(Tunnel& tun);
+  void heard_from(Backend& ep);
+  void unheard(Backend& ep);
   void judge(Backend& ep, bool good);
   void set_aside(Backend& ep);
   void take_report(Backend& ep, const LoadReport& report);
