--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,12 +7,13 @@
 //   1. the sequential test that sets an ill backend aside, against its peers, with a trickle that doubles back;
 //   2. moving what is held by a backend that has gone silent, as if it drained;
 //   3. probing, for as much of the price as it is worth;
-//   4. strain: a backend whose messages take long gets nothing while others stand better;
+//   4. room: strain teaches how much a backend can carry; what is over moves, what fits nowhere is declined;
 //   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend.
 #include "brain.hpp"
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace cherryrail {
@@ -23,6 +24,9 @@
 constexpr double kCapFactor = 1.25;      // of the mean load, as the design has it
 constexpr double kCapFloor = 2;          // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
+constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
+constexpr double kDeepCut = 0.8, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
+constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
 constexpr double kAsideDoubt = 6.5;      // about 1 in 700 to set a healthy one aside
 constexpr unsigned kWinsToReturn = 3;    // the design's breaker: closed after 3 successes
@@ -163,6 +167,7 @@
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
+    if (ep->load + expected_load(tun) > room_now(*ep) && !tun.mid_flow) continue;
     const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep);
     const double rank = rank_of(tun.hash_key, *ep, weight);
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
@@ -179,9 +184,8 @@
 }
 
 Relay::Caps Relay::caps_now() const {
-  const Micros now = host_.now();
   Caps caps;
-  double load = 0, told = 0, ready = 0, fresh = 0, strained = 0;
+  double load = 0, told = 0, ready = 0, fresh = 0;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
     ++ready;
@@ -189,7 +193,6 @@
     caps.mean_size += ep->size;
     load += ep->load;
     caps.tunnels += static_cast<double>(ep->held.size());
-    strained += ep->strained_until > now;
     if (is_told(*ep)) ++fresh, told += utilisation(*ep);
   }
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
@@ -197,7 +200,6 @@
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
   caps.by_report = fresh > ready / 2;
   caps.told = fresh > 0 ? told / fresh : 0;
-  caps.heed_strain = strained <= ready / 2;  // all strained at once share a cause: then strain tells nothing
   return caps;
 }
 
@@ -209,7 +211,6 @@
 }
 
 bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
-  if (caps.heed_strain && ep.strained_until > host_.now()) return true;
   if (caps.by_report && is_told(ep)) return utilisation(ep) > std::max(kCalmLoad, kCapFactor * caps.told);
   const double mean = caps.load_by_size * ep.size * warm_share(ep);
   return ep.load >= std::max(kCapFactor * mean, kCapFloor * caps.tunnel_load);
@@ -336,7 +337,9 @@
   ++open_;
   tun.next = [this, ep = tun.ep.get()](const Ending& ending) {
     // A backend that drops open tunnels is overdriven or dying; one that was told to leave may do as it likes.
-    if (ending.result == Result::reset && ep->standing == Standing::ready) judge(*ep, false);
+    if (ending.result != Result::reset || ep->standing != Standing::ready) return;
+    cut_room(*ep, ep->load);
+    judge(*ep, false);
   };
 }
 
@@ -464,8 +467,44 @@
 void Relay::delay_told(Tunnel& tun, Micros message_time) {
   if (!tun.ep) return;
   heard_from(*tun.ep);
-  // Told once a second while it lasts, and once more when it is over.
-  tun.ep->strained_until = message_time * 3 > shortest_goal_ ? host_.now() + 3 * kSecond / 2 : 0;
+  if (message_time * 3 <= shortest_goal_) return;
+  cut_room(*tun.ep, tun.ep->load * (message_time > shortest_goal_ ? kDeepCut : kSlightCut));
+  relieve(*tun.ep);
+}
+
+// Danger: on an overdriven backend every message comes late and what it drops lands on its neighbours, until
+// all drop. So strain teaches how much this relay may put there, and what fits nowhere is declined.
+void Relay::cut_room(Backend& ep, double to) {
+  const Micros now = host_.now();
+  if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
+  ep.room = std::min(room_now(ep), to);
+  ep.room_cut_at = now;
+}
+
+double Relay::room_now(const Backend& ep) const {
+  const double calm = static_cast<double>(host_.now() - ep.room_cut_at - 2 * kCutEvery);
+  return ep.room * (1 + std::max(0.0, calm / static_cast<double>(warm_up_)));
+}
+
+// Moves what is over the room, the members of the smallest groups first: they cost the backend most each.
+void Relay::relieve(Backend& ep) {
+  std::map<std::uint64_t, std::size_t> members;
+  std::vector<Tunnel*> open;
+  double over = ep.load - room_now(ep);
+  for (Tunnel* tun : ep.held) {
+    ++members[tun->hash_key];
+    if (tun->queued) over -= tun->load;
+    else if (tun->open) open.push_back(tun);
+  }
+  std::stable_sort(open.begin(), open.end(), [&](const Tunnel* a, const Tunnel* b) {
+    return members[a->hash_key] < members[b->hash_key];
+  });
+  for (Tunnel* tun : open) {
+    if (over <= 0) break;
+    over -= tun->load;
+    queue_move(*tun);
+  }
+  run_movers();
 }
 
 void Relay::take_report(Backend& ep, const LoadReport& report) {
@@ -473,6 +512,9 @@
   ep.told_load = *report.utilisation;
   ep.told_at = host_.now();
   ep.load_when_told = ep.load;
+  if (ep.told_load <= kFullLoad) return;
+  cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / ep.told_load));
+  relieve(ep);
 }
 
 void Relay::look_around() {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -81,7 +81,9 @@
   unsigned wins = 0;          // successes in a row since it was set aside
   unsigned unanswered = 0;    // in a row: no word of any kind came back
   Micros next_trickle = 0, trickle_gap = 0;
-  Micros heard_at = 0, probed_at = 0, strained_until = 0;
+  Micros heard_at = 0, probed_at = 0;
+  double room = 1e300;        // the load that this relay may put there, as learned from strain
+  Micros room_cut_at = 0;
   bool probe_out = false;
   TimeRing good{1'000'000}, bad{1'000'000};
   double told_load = -1;      // its own report: load asked over what it can do
@@ -166,7 +168,7 @@
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
     double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, told = 0;
-    bool by_report = false, heed_strain = false;
+    bool by_report = false;
   };
 
   void place(Tunnel& tun);
@@ -194,6 +196,9 @@
   void judge(Backend& ep, bool good);
   void set_aside(Backend& ep);
   void take_report(Backend& ep, const LoadReport& report);
+  double room_now(const Backend& ep) const;
+  void cut_room(Backend& ep, double to);
+  void relieve(Backend& ep);
   void look_around();
   std::size_t movers() const;
   std::size_t queue_limit() const;
