--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,6 +26,7 @@
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
 constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.8, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
+constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
 constexpr double kAsideDoubt = 6.5;      // about 1 in 700 to set a healthy one aside
@@ -282,8 +283,11 @@
 }
 
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
-  if (ending.result == Result::timed_out || ending.result == Result::connect_failed) unheard(ep);
-  else if (ending.result != Result::moot && ending.result != Result::cancelled) heard_from(ep);
+  if (ending.result == Result::connect_failed) unheard(ep);
+  if (ending.result == Result::timed_out) {  // it would have taken longer, who knows how much
+    setups_made_.add(host_.now(), 1);
+    setup_time_.add(host_.now(), 2 * static_cast<double>(ending.took));
+  }
   if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
   if (may_have_run(ending.result) && !tun.may_have_run_at) {
     tun.may_have_run_at = &ep;
@@ -478,12 +482,13 @@
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
   ep.room = std::min(room_now(ep), to);
+  ep.full = std::max(ep.full, ep.load);
   ep.room_cut_at = now;
 }
 
 double Relay::room_now(const Backend& ep) const {
   const double calm = static_cast<double>(host_.now() - ep.room_cut_at - 2 * kCutEvery);
-  return ep.room * (1 + std::max(0.0, calm / static_cast<double>(warm_up_)));
+  return ep.room + ep.full * std::max(0.0, calm / static_cast<double>(warm_up_));
 }
 
 // Moves what is over the room, the members of the smallest groups first: they cost the backend most each.
@@ -512,6 +517,7 @@
   ep.told_load = *report.utilisation;
   ep.told_at = host_.now();
   ep.load_when_told = ep.load;
+  if (ep.told_load < kCalmLoad) ep.room = kNoLimit;
   if (ep.told_load <= kFullLoad) return;
   cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / ep.told_load));
   relieve(ep);
