--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -375,9 +375,11 @@
       throw;
     } catch (const std::exception& failure) {
       put_text(reply_, 1090, number, failure.what());
+      in.run(in.left(), "the rest");
       break;
     }
   }
+  if (in.left() > 0) in.fail(std::to_string(in.left()) + " bytes left over after the last record");
   const auto length = static_cast<std::uint32_t>(reply_.size());
   std::memcpy(reply_.data(), &length, sizeof(length));
   return reply_;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -424,10 +424,10 @@
     failed += bad;
     seen += bad + peer->good.sum(now);
   }
-  const double usual = std::clamp(failed / seen, 0.02, 0.5);
+  const double usual = std::clamp(failed / seen, 0.02, 0.95 * kIllShare);
   (good ? ep.good : ep.bad).add(now, 1);
   const double step = good ? std::log((1 - kIllShare) / (1 - usual)) : std::log(kIllShare / usual);
-  ep.doubt = std::clamp(ep.doubt + step, 0.0, 2.2 * kAsideDoubt);
+  ep.doubt = std::clamp(ep.doubt + step, 0.0, 2 * kAsideDoubt);
   if (ep.aside) {
     ep.trickle_gap = good ? ep.trickle_gap / 2 : std::min(2 * ep.trickle_gap, kTrickleLongest);
     ep.next_trickle = now + ep.trickle_gap;
@@ -438,7 +438,8 @@
       host_.log("backend back in service");
     }
   } else if (ep.doubt >= kAsideDoubt) {
-    set_aside(ep);
+    const auto aside = std::count_if(fleet_.begin(), fleet_.end(), [](const auto& peer) { return peer->aside; });
+    if (2 * (aside + 1) <= std::ssize(fleet_)) set_aside(ep);  // rather an ill one than the rest drowned
   }
 }
 
@@ -450,17 +451,16 @@
 // Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so. One that
 // is slow or refuses still answers, and moving what it holds would only feed a storm.
 void Relay::unheard(Backend& ep) {
-  if (++ep.unanswered >= kSilentAfter && ep.aside) queue_moves(ep, "is silent");
+  if (++ep.unanswered < kSilentAfter) return;
+  const bool others_heard = std::any_of(fleet_.begin(), fleet_.end(), [](const auto& peer) {
+    return peer->standing == Standing::ready && peer->unanswered == 0;
+  });
+  if (!others_heard) return;
+  if (!ep.aside) set_aside(ep);
+  queue_moves(ep, "is silent");
 }
 
 void Relay::set_aside(Backend& ep) {
-  unsigned ready = 0, aside = 0;
-  for (const auto& peer : fleet_) {
-    if (peer->standing != Standing::ready) continue;
-    ++ready;
-    aside += peer->aside;
-  }
-  if (2 * (aside + 1) > ready && ep.doubt < 2 * kAsideDoubt) return;  // rather an ill one than the rest drowned
   ep.aside = true;
   ep.wins = 0;
   ep.trickle_gap = kTrickleStart;
--- /dev/null
+++ b/tests/path_test.cpp
@@ -0,0 +1,173 @@
+// The ordinary path and each trouble met, one story each.
+#include <gtest/gtest.h>
+
+#include <set>
+
+#include "fake_host.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(Landing, OneKeyLandsOnOneBackendAtEveryRelayUntilTheCap) {
+  Story one(8), other(8);
+  for (std::uint64_t key = 1; key <= 8; ++key) {
+    EXPECT_EQ(one.open(key).ep->name, other.open(key).ep->name);
+  }
+  Story hot(8);
+  std::set<const Backend*> used;
+  for (int i = 0; i < 40; ++i) used.insert(hot.open(5).ep.get());
+  EXPECT_GT(used.size(), 4u);  // a hot key is spread once its first backends are full
+  for (const auto& ep : hot.eps) EXPECT_LE(ep->held.size(), 8u);
+}
+
+TEST(Landing, FailedSetupTriesTheNextRankedWhileSetupsRemain) {
+  Story story(6);
+  Tunnel& tun = story.arrive(3);
+  for (int i = 0; i < 4; ++i) story.fail(tun, Result::connect_failed);
+  ASSERT_EQ(story.host.sent.size(), 4u);
+  std::set<const Backend*> tried;
+  for (const auto& sent : story.host.sent) tried.insert(sent.ep);
+  EXPECT_EQ(tried.size(), 4u);
+  EXPECT_EQ(story.answers(tun), 1u);
+}
+
+TEST(Landing, SetupTimeoutLeavesRoomForAnotherWithinTheGoal) {
+  Story story(3);
+  story.arrive(1);
+  EXPECT_LE(story.host.sent[0].limit, 200 * kMs);
+}
+
+TEST(Landing, BackendThatWarmsUpGetsARisingShare) {
+  Story story(3);
+  Backend& young = story.add(story.host.clock - 2 * kS);
+  const auto share = [&] {
+    const std::size_t before = story.sent_to(young);
+    for (std::uint64_t i = 0; i < 200; ++i) {
+      Tunnel& tun = story.open(1000 + i * 7919);
+      story.host.pass(10 * kMs);
+      if (tun.ep) story.fail(tun, Result::opened, true);
+    }
+    return story.sent_to(young) - before;
+  };
+  const std::size_t early = share();  // the same keys, young and warm
+  story.host.pass(20 * kS);
+  const std::size_t late = share();
+  EXPECT_GT(early, 0u);
+  EXPECT_GT(late, 2 * early);
+}
+
+TEST(Movers, DrainingBackendIsEmptiedByABoundedPool) {
+  Story story(1);
+  for (std::uint64_t key = 1; key <= 30; ++key) story.open(key);
+  story.list(0, Standing::draining);
+  const std::size_t first = story.host.moved.size();
+  EXPECT_GE(first, 1u);
+  EXPECT_LT(first, 30u);
+  story.fail(*story.host.moved[0], Result::cancelled, true);  // its mover is free for the next
+  EXPECT_EQ(story.host.moved.size(), first + 1);
+  story.host.pass(60 * kS);  // outcomes that never come hold a mover for a second only
+  EXPECT_EQ(story.host.moved.size(), 30u);
+}
+
+TEST(Movers, TunnelsOpenAtTheStartMoveLikeTheOthers) {
+  Story story(1);
+  story.fresh(1);
+  story.relay.adopt(story.tuns[0], story.eps[0]);
+  story.list(0, Standing::draining);
+  ASSERT_EQ(story.host.moved.size(), 1u);
+  EXPECT_EQ(story.host.moved[0], story.tuns[0].get());
+}
+
+TEST(Movers, QueueFullWaitsALittleThenEndsTheConnection) {
+  Story story(1);
+  for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
+  story.list(0, Standing::draining);
+  const std::size_t at_once = story.host.moved.size();
+  story.host.pass(110 * kMs);
+  EXPECT_GT(story.host.moved.size(), at_once);
+}
+
+TEST(List, SubscribesAtTheStartAndAgainAfterFailure) {
+  SiteTerms terms = plain_terms();
+  terms.list_on_request = true;
+  Story story(1, terms);
+  ASSERT_EQ(story.host.followed.size(), 1u);
+  for (int i = 0; i < 12; ++i) {
+    story.relay.list_failed();
+    story.host.pass(terms.ask_within / 4 + kMs);
+  }
+  EXPECT_EQ(story.host.followed.size(), 13u);
+}
+
+TEST(Health, IllBackendIsSetAsideAndReturnsByATrickle) {
+  Story story(6);
+  Backend& ill = *story.eps[0];
+  const auto serve = [&](int tunnels, bool heals) {
+    for (int i = 0; i < tunnels; ++i) {
+      Tunnel& tun = story.arrive(story.host.sent.size() * 31 + 1);
+      while (tun.ep.get() == &ill && !heals) story.fail(tun, Result::error);
+      if (tun.ep) story.relay.established(tun, 20 * kMs);
+      if (tun.ep) story.fail(tun, Result::opened, true);
+      story.host.pass(50 * kMs);
+    }
+  };
+  serve(60, false);
+  EXPECT_TRUE(ill.aside);
+  const std::size_t while_ill = story.sent_to(ill);
+  serve(100, false);  // five seconds: no more than a trickle
+  EXPECT_LE(story.sent_to(ill) - while_ill, 5u);
+  serve(400, true);
+  EXPECT_FALSE(ill.aside);
+}
+
+// When all fail together the cause is shared: setting backends aside would drown the rest.
+TEST(Health, AllFailingTogetherSetsNobodyAside) {
+  Story story(6);
+  for (std::uint64_t key = 1; key <= 60; ++key) {
+    Tunnel& tun = story.arrive(key);
+    while (tun.ep) story.fail(tun, key % 3 ? Result::timed_out : Result::error);
+    story.host.pass(20 * kMs);
+  }
+  const auto aside = std::count_if(story.eps.begin(), story.eps.end(), [](const auto& ep) { return ep->aside; });
+  EXPECT_LE(aside, 3);
+}
+
+TEST(Health, SilentBackendIsEmptiedThoughTheListStillNamesIt) {
+  SiteTerms terms = plain_terms();
+  terms.may_probe = true;
+  Story story(4, terms);
+  for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
+  Backend& silent = *story.tuns[0]->ep;
+  const std::size_t held = silent.held.size();
+  for (int i = 0; i < 400; ++i) {
+    const auto probed = std::exchange(story.host.probed, {});
+    for (Backend* ep : probed)
+      story.relay.probe_ended(*ep, {ep == &silent ? Result::timed_out : Result::opened, 10 * kMs}, {});
+    story.host.pass(20 * kMs);
+  }
+  EXPECT_EQ(story.host.moved.size(), held);
+  for (const Tunnel* tun : story.host.moved) EXPECT_EQ(tun->ep.get(), &silent);
+}
+
+TEST(Room, StrainedBackendIsRelievedAndWhatFitsNowhereIsDeclined) {
+  Story story(1);
+  for (std::uint64_t key = 1; key <= 20; ++key) story.open(key);
+  story.relay.delay_told(*story.tuns[0], kS);
+  EXPECT_GE(story.host.moved.size(), 1u);
+  EXPECT_LE(story.host.moved.size(), 8u);
+  EXPECT_EQ(story.answers(story.arrive(99)), 1u);
+  story.host.pass(30 * kS);  // and calm gives the room back
+  EXPECT_EQ(story.answers(story.arrive(100)), 0u);
+}
+
+TEST(Room, SetupsThatAllTimeOutGetMoreTime) {
+  Story story(6);
+  for (std::uint64_t key = 1; key <= 10; ++key) {
+    Tunnel& tun = story.arrive(key);
+    story.relay.setup_ended(tun, {Result::timed_out, story.host.sent.back().limit}, false, {});
+  }
+  EXPECT_GT(story.host.sent.back().limit, 400 * kMs);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/rules_test.cpp
@@ -0,0 +1,146 @@
+// The four rules, each as a story in which a careless module would break it.
+#include <gtest/gtest.h>
+
+#include "fake_host.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(Rules, TunnelIsAnsweredOnceAndBeforeItsTimeout) {
+  Story story(3);
+  Tunnel& tun = story.arrive(1);
+  story.host.pass(kS * 19 / 10);
+  EXPECT_EQ(story.answers(tun), 0u);
+  story.host.pass(kS / 10 - 1);
+  EXPECT_EQ(story.answers(tun), 1u);
+  EXPECT_EQ(story.host.abandoned.size(), 1u);
+  const std::size_t sent = story.host.sent.size();
+  story.fail(tun, Result::timed_out);
+  story.host.pass(5 * kS);
+  EXPECT_EQ(story.answers(tun), 1u);
+  EXPECT_EQ(story.host.sent.size(), sent);
+}
+
+TEST(Rules, TunnelThatFitsNowhereIsDeclinedAtOnceWithAdvice) {
+  Story story(0);
+  Tunnel& tun = story.arrive(1);
+  ASSERT_EQ(story.answers(tun), 1u);
+  EXPECT_GT(story.host.declined[0].second, 0);
+  EXPECT_LE(story.host.declined[0].second, kS);
+}
+
+TEST(Rules, NothingIsSentForAClientThatHasGone) {
+  Story story(3);
+  Tunnel& tun = story.arrive(1);
+  story.relay.client_gone(tun);
+  story.fail(tun, Result::connect_failed, true);
+  EXPECT_EQ(story.host.sent.size(), 1u);
+  EXPECT_EQ(story.answers(tun), 0u);
+}
+
+TEST(Rules, OnceOnlyIsNeverSentAgainNorDeclinedOnceItMayHaveRun) {
+  Story story(3, plain_terms(Effect::once_only));
+  Tunnel& sure = story.arrive(1);
+  story.fail(sure, Result::rejected);
+  EXPECT_EQ(story.host.sent.size(), 2u);  // proven not to have run: the next backend may try
+  story.fail(sure, Result::reset);
+  EXPECT_EQ(story.host.sent.size(), 2u);
+  EXPECT_EQ(story.host.closed.size(), 1u);
+  EXPECT_TRUE(story.host.declined.empty());
+}
+
+TEST(Rules, OnceOnlyStillOutAtItsTimeoutIsClosedWithError) {
+  Story story(3, plain_terms(Effect::once_only));
+  story.arrive(1);
+  story.host.pass(2 * kS);
+  EXPECT_EQ(story.host.closed.size(), 1u);
+  EXPECT_TRUE(story.host.declined.empty());
+}
+
+TEST(Rules, ReferencedIsSentAgainOnlyInsideItsGroupAndWindow) {
+  SiteTerms terms = plain_terms(Effect::referenced);
+  terms.profiles[0].scope = RepeatScope::zone;
+  Story story(6, terms);
+  Tunnel& tun = story.arrive(1);
+  const unsigned zone = tun.ep->zone;
+  story.fail(tun, Result::error);
+  ASSERT_EQ(story.host.sent.size(), 2u);
+  EXPECT_EQ(story.host.sent[1].ep->zone, zone);
+  story.fail(tun, Result::error);
+  story.fail(tun, Result::error);
+  EXPECT_EQ(story.host.closed.size(), 1u);  // the zone's three are tried; a decline would be a lie
+
+  terms.profiles[0].window = 100 * kMs;
+  Story late(6, terms);
+  Tunnel& slow = late.arrive(1);
+  late.host.pass(150 * kMs);
+  late.fail(slow, Result::error);
+  EXPECT_EQ(late.host.sent.size(), 1u);
+}
+
+TEST(Rules, NeverTwoSetupsOutForOneTunnel) {
+  Story story(3);
+  Tunnel& tun = story.arrive(1);
+  story.host.pass(kS);
+  EXPECT_EQ(story.host.sent.size(), 1u);
+  story.fail(tun, Result::timed_out);
+  EXPECT_EQ(story.host.sent.size(), 2u);
+}
+
+TEST(Rules, NothingNewGoesToABackendThatDrainsOrIsGone) {
+  Story story(3);
+  story.list(0, Standing::draining);
+  story.list(1, Standing::gone);
+  for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
+  EXPECT_EQ(story.sent_to(*story.eps[0]) + story.sent_to(*story.eps[1]), 0u);
+  EXPECT_GT(story.sent_to(*story.eps[2]), 0u);
+}
+
+// All relays together must keep the budget though none knows of the others: in every window of the rule.
+TEST(Rules, ColdBackendGetsNoMoreThanItsBudgetFromAllRelaysTogether) {
+  SiteTerms terms = plain_terms();
+  terms.relays = 4;
+  std::vector<std::unique_ptr<Story>> relays;
+  for (terms.me = 0; terms.me < terms.relays; ++terms.me) {
+    relays.push_back(std::make_unique<Story>(0, terms));
+    relays.back()->add(relays.back()->host.clock);
+  }
+  std::vector<Micros> sends;
+  std::uint64_t key = 1;
+  for (int step = 0; step < 100; ++step) {  // ten seconds; a flood of clients that come again
+    for (auto& story : relays) {
+      const std::size_t before = story->host.sent.size();
+      story->fresh(++key).returning = true;
+      story->relay.take(story->tuns.back());
+      if (story->host.sent.size() > before) {
+        sends.push_back(story->host.clock);
+        story->relay.established(*story->tuns.back(), 20 * kMs);
+      }
+      story->host.pass(100 * kMs);
+    }
+  }
+  ASSERT_GE(sends.size(), 4u);
+  for (const Micros from : sends) {
+    const auto in_window = std::count_if(sends.begin(), sends.end(), [&](Micros at) { return at >= from && at < from + 2 * kS; });
+    EXPECT_LE(in_window, 2);
+  }
+}
+
+TEST(Rules, RelayThatHasJustStartedSitsOutTheTurnItMayHaveUsedBefore) {
+  Story story(0);
+  story.add(story.host.clock - kS);  // the turn began before this relay did
+  EXPECT_EQ(story.answers(story.arrive(1)), 1u);
+  story.host.pass(kS + kMs);
+  EXPECT_EQ(story.answers(story.arrive(2)), 0u);
+}
+
+TEST(Rules, BackendThatCameBackIsColdAgain) {
+  Story story(1);
+  story.open(1);
+  story.relay.list_entry(story.eps[0], Standing::ready, 1, story.host.clock);
+  story.open(2);
+  EXPECT_EQ(story.answers(story.arrive(3)), 1u);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
