Room regrows as CUBIC does; a group's first member needs three tunnels' room

Venlo's incident: service stood at 19% with no bad setups: rooms cut in the first storm crept back and what came again scattered groups over all backends.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -13,7 +13,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <utility>
 
 namespace cherryrail {
@@ -26,6 +25,7 @@
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
 constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.8, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
+constexpr double kStranger = 3;          // tunnels' worth of room for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
@@ -88,7 +88,7 @@
       list_on_request_(terms.list_on_request), may_probe_(terms.may_probe), may_abandon_(terms.may_abandon),
       may_advise_(terms.may_advise), longest_advice_(terms.longest_advice), ask_within_(terms.ask_within),
       fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
-      answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
+      regrowth_(warm_up_ / 4), answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
       shortest_goal_(10 * kSecond), born_(host.now()),
       cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
       probe_price_(terms.probe_price), arrivals_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
@@ -168,7 +168,9 @@
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
-    if (ep->load + expected_load(tun) > room_now(*ep) && !tun.mid_flow) continue;
+    // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
+    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
+    if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
     const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep);
     const double rank = rank_of(tun.hash_key, *ep, weight);
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
@@ -330,6 +332,7 @@
 }
 
 void Relay::adopt(const std::shared_ptr<Tunnel>& tun, const std::shared_ptr<Backend>& ep) {
+  tun->hash_key = tun->group_key ? tun->group_key : tun->client_key;
   hold(*tun, *ep);
   opened(*tun);
   if (ep->standing != Standing::ready) queue_move(*tun);
@@ -377,6 +380,7 @@
   tun.load = expected_load(tun);
   tun.place = ep.held.size();
   ep.held.push_back(&tun);
+  ++ep.groups[tun.hash_key];
   ep.load += tun.load;
 }
 
@@ -385,6 +389,7 @@
   ep.held[tun.place] = ep.held.back();
   ep.held[tun.place]->place = tun.place;
   ep.held.pop_back();
+  if (--ep.groups[tun.hash_key] == 0) ep.groups.erase(tun.hash_key);
   ep.load = ep.held.empty() ? 0 : ep.load - tun.load;
   if (tun.open) --open_;
   if (tun.queued) --queued_;
@@ -481,28 +486,29 @@
 void Relay::cut_room(Backend& ep, double to) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
+  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, ep.load) : ep.load;
   ep.room = std::min(room_now(ep), to);
-  ep.full = std::max(ep.full, ep.load);
   ep.room_cut_at = now;
 }
 
+// Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then further out.
 double Relay::room_now(const Backend& ep) const {
+  if (ep.room >= kNoLimit) return kNoLimit;
   const double calm = static_cast<double>(host_.now() - ep.room_cut_at - 2 * kCutEvery);
-  return ep.room + ep.full * std::max(0.0, calm / static_cast<double>(warm_up_));
+  const double bend = 1 - std::max(0.0, calm / static_cast<double>(regrowth_));
+  return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
 // Moves what is over the room, the members of the smallest groups first: they cost the backend most each.
 void Relay::relieve(Backend& ep) {
-  std::map<std::uint64_t, std::size_t> members;
   std::vector<Tunnel*> open;
   double over = ep.load - room_now(ep);
   for (Tunnel* tun : ep.held) {
-    ++members[tun->hash_key];
     if (tun->queued) over -= tun->load;
     else if (tun->open) open.push_back(tun);
   }
   std::stable_sort(open.begin(), open.end(), [&](const Tunnel* a, const Tunnel* b) {
-    return members[a->hash_key] < members[b->hash_key];
+    return ep.groups[a->hash_key] < ep.groups[b->hash_key];
   });
   for (Tunnel* tun : open) {
     if (over <= 0) break;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <random>
@@ -75,6 +76,7 @@
 
   // Kept by the Relay.
   std::vector<Tunnel*> held;  // tunnels on their way to it or open on it
+  std::map<std::uint64_t, unsigned> groups;  // how many of each hash key are held
   double load = 0;            // what the held tunnels are taken to ask of it
   double doubt = 0;           // the sequential test: log odds that it is ill
   bool aside = false;
@@ -83,7 +85,7 @@
   Micros next_trickle = 0, trickle_gap = 0;
   Micros heard_at = 0, probed_at = 0;
   double room = 1e300;        // the load that this relay may put there, as learned from strain
-  double full = 0;            // the most it held when room was cut
+  double full = 0;            // what it held when strain began
   Micros room_cut_at = 0;
   bool probe_out = false;
   TimeRing good{1'000'000}, bad{1'000'000};
@@ -218,7 +220,7 @@
   std::deque<std::weak_ptr<Tunnel>> to_move_;
   unsigned relays_, me_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
-  Micros longest_advice_, ask_within_, fall_window_, warm_up_, answer_margin_, shortest_goal_, born_;
+  Micros longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_, shortest_goal_, born_;
   double cold_multiple_, cold_from_, probe_price_;
   TimeRing arrivals_, setups_made_, setup_time_;
 };
