--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -112,6 +112,8 @@
     terms.tenant_rates.push_back(pairs.number("tenants." + std::to_string(i) + ".quota_rps", 0));
   terms.relays = pairs.whole("balancers", 1, 1, 65535);
   terms.me = pairs.whole("me", 0, 0, 65535);
+  terms.zone = pairs.whole("zone", 0, 0, 255);
+  terms.cross_price = pairs.number("prices.cross_zone", 0);
   terms.max_setups = pairs.whole("permissions.max_setups", 1, 1, 255);
   terms.list_on_request = pairs.choice<bool>("discovery", {{"pushed", false}, {"on_request", true}});
   terms.may_probe = pairs.flag("permissions.probing");
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -25,7 +25,8 @@
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
 constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.8, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
-constexpr double kStranger = 3;          // tunnels' worth of room for the first of a group
+constexpr double kHomeZone = 2;          // times the weight for a backend that is not across a zone
+constexpr double kStranger = 8;          // tunnels' worth of room for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
@@ -84,14 +85,14 @@
 
 Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
     : host_(host), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))), profiles_(terms.profiles),
-      relays_(std::max(1u, terms.relays)), me_(terms.me), max_setups_(terms.max_setups),
+      relays_(std::max(1u, terms.relays)), me_(terms.me), zone_(terms.zone), max_setups_(terms.max_setups),
       list_on_request_(terms.list_on_request), may_probe_(terms.may_probe), may_abandon_(terms.may_abandon),
       may_advise_(terms.may_advise), longest_advice_(terms.longest_advice), ask_within_(terms.ask_within),
       fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
-      regrowth_(warm_up_ / 4), answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
+      regrowth_(warm_up_ / 2), answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
       shortest_goal_(10 * kSecond), born_(host.now()),
       cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
-      probe_price_(terms.probe_price), arrivals_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
+      probe_price_(terms.probe_price), cross_price_(terms.cross_price), arrivals_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
   double least = 1e300;
   for (const Profile& profile : profiles_) {
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
@@ -171,7 +172,8 @@
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
     const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
     if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
-    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep);
+    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
+                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
     const double rank = rank_of(tun.hash_key, *ep, weight);
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
     if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -39,11 +39,11 @@
 struct SiteTerms {
   std::vector<Profile> profiles;
   std::vector<double> tenant_rates;  // tunnels a second within each tenant's share, all relays together
-  unsigned relays = 1, me = 0, max_setups = 1;
+  unsigned relays = 1, me = 0, zone = 0, max_setups = 1;
   bool list_on_request = false, may_probe = false, may_abandon = false, may_advise = false;
   Micros longest_advice = 0, ask_within = 0, connect_timeout = 0, step = 0;
   Micros fall_window = 0, warm_up = 0;
-  double fall_multiple = 1, cold_from = 1, probe_price = 0, surplus_payoff = 1;
+  double fall_multiple = 1, cold_from = 1, probe_price = 0, cross_price = 0, surplus_payoff = 1;
 };
 
 // Fixed buckets of time, used again in a ring: what happened over the last `buckets x width`.
@@ -218,10 +218,10 @@
   std::vector<std::shared_ptr<Backend>> fleet_;  // in the order in which the list named them
   std::size_t open_ = 0, queued_ = 0, moving_ = 0;
   std::deque<std::weak_ptr<Tunnel>> to_move_;
-  unsigned relays_, me_, max_setups_, list_failures_ = 0;
+  unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
   Micros longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_, shortest_goal_, born_;
-  double cold_multiple_, cold_from_, probe_price_;
+  double cold_multiple_, cold_from_, probe_price_, cross_price_;
   TimeRing arrivals_, setups_made_, setup_time_;
 };
 
