--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -25,7 +25,7 @@
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
 constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.8, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
-constexpr double kHomeZone = 2;          // times the weight for a backend that is not across a zone
+constexpr double kHomeZone = 8;          // times the weight for a backend that is not across a zone
 constexpr double kStranger = 8;          // tunnels' worth of room for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
