--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -288,6 +288,8 @@
 
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
   if (ending.result == Result::connect_failed) unheard(ep);
+  // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
+  if (ending.result == Result::timed_out || ending.result == Result::reset) cut_room(ep, ep.load);
   if (ending.result == Result::timed_out) {  // it would have taken longer, who knows how much
     setups_made_.add(host_.now(), 1);
     setup_time_.add(host_.now(), 2 * static_cast<double>(ending.took));
