--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -216,7 +216,7 @@
 }
 
 bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
-  if (caps.by_report && is_told(ep)) return utilisation(ep) > std::max(kCalmLoad, kCapFactor * caps.told);
+  if (caps.by_report && is_told(ep) && utilisation(ep) > std::max(kCalmLoad, kCapFactor * caps.told)) return true;
   const double mean = caps.load_by_size * ep.size * warm_share(ep);
   return ep.load >= std::max(kCapFactor * mean, kCapFloor * caps.tunnel_load);
 }
@@ -527,7 +527,9 @@
   ep.told_load = *report.utilisation;
   ep.told_at = host_.now();
   ep.load_when_told = ep.load;
-  if (ep.told_load < kCalmLoad) ep.room = kNoLimit;
+  // Danger: a backend that has just been emptied reports calm, and all that waits would rush to it: what it held
+  // before strain is the bound.
+  if (ep.told_load < kCalmLoad && ep.room < kNoLimit) ep.room = std::max(room_now(ep), ep.full);
   if (ep.told_load <= kFullLoad) return;
   cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / ep.told_load));
   relieve(ep);
