--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -151,7 +151,7 @@
 }
 
 void Relay::place(Tunnel& tun) {
-  while (tun.setups < (storming() ? std::min(1u, max_setups_) : max_setups_) && tun.expires_at - host_.now() > 3 * answer_margin_) {
+  while (tun.setups < max_setups_ && tun.expires_at - host_.now() > 3 * answer_margin_) {
     Backend* ep = choose(tun);
     if (!ep) break;
     tun.tried.push_back(ep);
@@ -160,13 +160,6 @@
   give_up(tun);
 }
 
-// Danger: while most setups fail, sending each on to the next backend multiplies the work that makes them fail.
-bool Relay::storming() const {
-  double good = 0, bad = 0;
-  for (const auto& ep : fleet_) good += ep->good.sum(host_.now()), bad += ep->bad.sum(host_.now());
-  return bad > good + std::sqrt(good + bad);
-}
-
 // Rendezvous order over the ready backends; each looser than the last: under the cap, over it, set aside.
 Backend* Relay::choose(Tunnel& tun) {
   const Micros now = host_.now();
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -175,7 +175,6 @@
   };
 
   void place(Tunnel& tun);
-  bool storming() const;
   Backend* choose(Tunnel& tun);
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
