--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -490,7 +490,10 @@
 void Relay::cut_room(Backend& ep, double to) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
-  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, ep.load) : ep.load;
+  // At least the mean: a backend that others filled would otherwise stay shut to this relay when they have left.
+  const Caps caps = caps_now();
+  const double held = std::max(ep.load, caps.load_by_size * ep.size * warm_share(ep));
+  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, held) : held;
   ep.room = std::min(room_now(ep), to);
   ep.room_cut_at = now;
 }
