--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,6 @@
 constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;          // times the weight for a backend that is not across a zone
-constexpr double kGroupCost = 2;         // tunnels' worth of load that a group costs beside its members
 constexpr double kStranger = 8;          // tunnels' worth of room for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
@@ -491,7 +490,10 @@
 void Relay::cut_room(Backend& ep, double to) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
-  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, ep.load) : ep.load;
+  // At least the mean: a backend that others filled would otherwise stay shut to this relay when they have left.
+  const Caps caps = caps_now();
+  const double held = std::max(ep.load, caps.load_by_size * ep.size * warm_share(ep));
+  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, held) : held;
   ep.room = std::min(room_now(ep), to);
   ep.room_cut_at = now;
 }
@@ -504,17 +506,18 @@
   return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
-// Moves what is over the room, first what pays least for its load and its share of what its group costs.
+// Moves what is over the room, the members of the smallest groups first: they cost the backend most each.
 void Relay::relieve(Backend& ep) {
-  std::vector<std::pair<double, Tunnel*>> open;
+  std::vector<Tunnel*> open;
   double over = ep.load - room_now(ep);
-  const double group_load = kGroupCost * ep.load / static_cast<double>(std::max<std::size_t>(1, ep.held.size()));
   for (Tunnel* tun : ep.held) {
     if (tun->queued) over -= tun->load;
-    else if (tun->open) open.emplace_back(tun->profile->payoff / (tun->load + group_load / ep.groups[tun->hash_key]), tun);
+    else if (tun->open) open.push_back(tun);
   }
-  std::stable_sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
-  for (const auto& [pays, tun] : open) {
+  std::stable_sort(open.begin(), open.end(), [&](const Tunnel* a, const Tunnel* b) {
+    return ep.groups[a->hash_key] < ep.groups[b->hash_key];
+  });
+  for (Tunnel* tun : open) {
     if (over <= 0) break;
     over -= tun->load;
     queue_move(*tun);
