--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -108,8 +108,11 @@
   if (profiles == 0) Pairs::fail("profiles.count", pairs.word("profiles.count"), "a count of at least one");
   for (std::size_t i = 0; i < profiles; ++i) terms.profiles.push_back(read_profile(pairs, i));
   const unsigned tenants = pairs.whole("tenants.count", 0, 0, 1e6);
-  for (std::size_t i = 0; i < tenants; ++i)
-    terms.tenant_rates.push_back(pairs.number("tenants." + std::to_string(i) + ".quota_rps", 0));
+  for (std::size_t i = 0; i < tenants; ++i) {
+    const std::string_view share = item_of(pairs.word("domain.tenant_quota_connections"), i);
+    terms.tenant_shares.push_back(
+        share.empty() ? 0 : Pairs::number_in("domain.tenant_quota_connections", share, 0, 1e12));
+  }
   terms.relays = pairs.whole("balancers", 1, 1, 65535);
   terms.me = pairs.whole("me", 0, 0, 65535);
   terms.zone = pairs.whole("zone", 0, 0, 255);
@@ -128,7 +131,6 @@
   terms.fall_multiple = pairs.number("invariants.fall_multiple", 1);
   terms.cold_from = pairs.number("invariants.cold_from", 1, 0, 1);
   terms.probe_price = pairs.number("prices.probe", 0);
-  terms.surplus_payoff = pairs.number("surplus_payoff", 1);
   const std::string_view fields = pairs.word("report.fields");
   for (const std::string_view wanted : {std::string_view("busy"), std::string_view("x0")}) {
     for (std::size_t i = 0; i < 4; ++i) {
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -101,6 +101,8 @@
   // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom the lightest.
   for (const Profile& profile : profiles_) profile_load_.push_back(std::max(1.0, profile.payoff / least));
   profile_told_.assign(profiles_.size(), 0);
+  for (const double share : terms.tenant_shares) tenant_part_.push_back(share / relays_);
+  tenant_held_.assign(tenant_part_.size(), 0);
   if (list_on_request_) host_.follow_list();
   if (may_probe_) look_around();
 }
@@ -166,11 +168,12 @@
   Backend* best[3] = {};
   double best_rank[3] = {};
   const Caps caps = caps_now();
+  const bool surplus = over_share(tun);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
+    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) && !surplus ? 1 : kStranger);
     if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
     const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
                           (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
@@ -373,6 +376,12 @@
 
 // ---- What a backend holds -------------------------------------------------------------------------------
 
+// Over its share a tenant's tunnels are worth little: where room is short they yield first.
+bool Relay::over_share(const Tunnel& tun) const {
+  return tun.tenant < tenant_part_.size() && tenant_part_[tun.tenant] > 0 &&
+         tenant_held_[tun.tenant] > tenant_part_[tun.tenant];
+}
+
 double Relay::expected_load(const Tunnel& tun) const {
   if (tun.hinted_load) return *tun.hinted_load;
   const std::size_t index = tun.profile->index;
@@ -385,6 +394,7 @@
   tun.place = ep.held.size();
   ep.held.push_back(&tun);
   ++ep.groups[tun.hash_key];
+  if (tun.tenant < tenant_held_.size()) ++tenant_held_[tun.tenant];
   ep.load += tun.load;
 }
 
@@ -393,6 +403,7 @@
   ep.held[tun.place] = ep.held.back();
   ep.held[tun.place]->place = tun.place;
   ep.held.pop_back();
+  if (tun.tenant < tenant_held_.size()) --tenant_held_[tun.tenant];
   if (--ep.groups[tun.hash_key] == 0) ep.groups.erase(tun.hash_key);
   ep.load = ep.held.empty() ? 0 : ep.load - tun.load;
   if (tun.open) --open_;
@@ -512,7 +523,7 @@
     else if (tun->open) open.push_back(tun);
   }
   std::stable_sort(open.begin(), open.end(), [&](const Tunnel* a, const Tunnel* b) {
-    return ep.groups[a->hash_key] < ep.groups[b->hash_key];
+    return std::pair(!over_share(*a), ep.groups[a->hash_key]) < std::pair(!over_share(*b), ep.groups[b->hash_key]);
   });
   for (Tunnel* tun : open) {
     if (over <= 0) break;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -38,12 +38,12 @@
 // What the site grants and demands, handed over once at start; the Relay keeps only figures derived from it.
 struct SiteTerms {
   std::vector<Profile> profiles;
-  std::vector<double> tenant_rates;  // tunnels a second within each tenant's share, all relays together
+  std::vector<double> tenant_shares;  // open tunnels within each tenant's share, all relays together
   unsigned relays = 1, me = 0, zone = 0, max_setups = 1;
   bool list_on_request = false, may_probe = false, may_abandon = false, may_advise = false;
   Micros longest_advice = 0, ask_within = 0, connect_timeout = 0, step = 0;
   Micros fall_window = 0, warm_up = 0;
-  double fall_multiple = 1, cold_from = 1, probe_price = 0, cross_price = 0, surplus_payoff = 1;
+  double fall_multiple = 1, cold_from = 1, probe_price = 0, cross_price = 0;
 };
 
 // Fixed buckets of time, used again in a ring: what happened over the last `buckets x width`.
@@ -191,6 +191,7 @@
   void give_up(Tunnel& tun);
   void answer(Tunnel& tun, Answer how);
   void opened(Tunnel& tun);
+  bool over_share(const Tunnel& tun) const;
   double expected_load(const Tunnel& tun) const;
   void hold(Tunnel& tun, Backend& ep);
   void let_go(Tunnel& tun);
@@ -214,6 +215,8 @@
   std::vector<Profile> profiles_;
   std::vector<double> profile_load_;  // mean load told for each profile; its share of payoff until told
   std::vector<unsigned> profile_told_;
+  std::vector<double> tenant_part_;  // of each tenant's share, what this relay may hold open
+  std::vector<double> tenant_held_;
   double load_unit_ = 1;
   std::vector<std::shared_ptr<Backend>> fleet_;  // in the order in which the list named them
   std::size_t open_ = 0, queued_ = 0, moving_ = 0;
