--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -168,12 +168,12 @@
   Backend* best[3] = {};
   double best_rank[3] = {};
   const Caps caps = caps_now();
-  const bool surplus = over_share(tun);
+  if (caps.strained && over_share(tun)) return nullptr;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) && !surplus ? 1 : kStranger);
+    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
     if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
     const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
                           (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
@@ -200,6 +200,7 @@
     caps.size += ep->size * warm_share(*ep);
     caps.mean_size += ep->size;
     load += ep->load;
+    caps.strained |= ep->room < kNoLimit && host_.now() - ep->room_cut_at < regrowth_;
     caps.tunnels += static_cast<double>(ep->held.size());
     if (is_told(*ep)) ++fresh, told += utilisation(*ep);
   }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -171,7 +171,7 @@
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
     double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, told = 0;
-    bool by_report = false;
+    bool by_report = false, strained = false;
   };
 
   void place(Tunnel& tun);
