--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,7 +23,7 @@
 constexpr double kCapFactor = 1.25;      // of the mean load, as the design has it
 constexpr double kCapFloor = 2;          // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
-constexpr double kFullLoad = 0.9;        // a backend that says it is loaded more is overdriven
+constexpr double kFullLoad = 0.8;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;          // times the weight for a backend that is not across a zone
 constexpr double kStranger = 8;          // tunnels' worth of room for the first of a group
