--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,7 +26,7 @@
 constexpr double kFullLoad = 0.8;        // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;          // times the weight for a backend that is not across a zone
-constexpr double kStranger = 8;          // tunnels' worth of room for the first of a group
+constexpr double kStranger = 12;          // tunnels' worth of room for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
@@ -169,17 +169,23 @@
   double best_rank[3] = {};
   const Caps caps = caps_now();
   if (caps.strained && over_share(tun)) return nullptr;
+  const auto rank = [&](const Backend& ep) {
+    const double size = ep.size > 0 ? ep.size : caps.mean_size * 0.01;
+    const double home = ep.zone == zone_ && cross_price_ > 0 ? kHomeZone : 1;
+    return rank_of(tun.hash_key, ep, size * warm_share(ep) * home);
+  };
+  const Backend* first = nullptr;
+  for (const auto& ep : fleet_) {
+    if (ep->standing == Standing::ready && !ep->aside && (!first || rank(*ep) < rank(*first))) first = ep.get();
+  }
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
-    // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
+    // A group costs a backend more than its members do: where room is short it spreads beyond its first reluctantly.
+    const double needed = expected_load(tun) * (ep.get() == first || ep->groups.contains(tun.hash_key) ? 1 : kStranger);
     if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
-    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
-                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
-    const double rank = rank_of(tun.hash_key, *ep, weight);
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
-    if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
+    if (!best[tier] || rank(*ep) < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank(*ep);
   }
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
