--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -21,6 +21,7 @@
 constexpr Micros kSecond = 1'000'000;
 
 constexpr double kCapFactor = 1.25;      // of the mean load, as the design has it
+constexpr double kHomeCapFactor = 2;     // the same for a backend in the relay's own zone
 constexpr double kCapFloor = 2;          // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
 constexpr double kFullLoad = 0.8;        // a backend that says it is loaded more is overdriven
@@ -169,23 +170,17 @@
   double best_rank[3] = {};
   const Caps caps = caps_now();
   if (caps.strained && over_share(tun)) return nullptr;
-  const auto rank = [&](const Backend& ep) {
-    const double size = ep.size > 0 ? ep.size : caps.mean_size * 0.01;
-    const double home = ep.zone == zone_ && cross_price_ > 0 ? kHomeZone : 1;
-    return rank_of(tun.hash_key, ep, size * warm_share(ep) * home);
-  };
-  const Backend* first = nullptr;
-  for (const auto& ep : fleet_) {
-    if (ep->standing == Standing::ready && !ep->aside && (!first || rank(*ep) < rank(*first))) first = ep.get();
-  }
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
-    // A group costs a backend more than its members do: where room is short it spreads beyond its first reluctantly.
-    const double needed = expected_load(tun) * (ep.get() == first || ep->groups.contains(tun.hash_key) ? 1 : kStranger);
+    // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
+    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
     if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
+    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
+                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
+    const double rank = rank_of(tun.hash_key, *ep, weight);
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
-    if (!best[tier] || rank(*ep) < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank(*ep);
+    if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
   }
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
@@ -228,7 +223,7 @@
 bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
   if (caps.by_report && is_told(ep) && utilisation(ep) > std::max(kCalmLoad, kCapFactor * caps.told)) return true;
   const double mean = caps.load_by_size * ep.size * warm_share(ep);
-  return ep.load >= std::max(kCapFactor * mean, kCapFloor * caps.tunnel_load);
+  return ep.load >= std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * caps.tunnel_load);
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. They take turns, one
