--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,7 +37,7 @@
 constexpr Micros kMoverTime = kSecond;   // a mover waits this long for its move at most
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
-constexpr double kProbeBudget = 0.005;   // of the result, spent on probes
+constexpr double kProbeBudget = 0.002;   // of the result, spent on probes
 
 std::uint64_t mix(std::uint64_t x) {
   x ^= x >> 30;
@@ -213,7 +213,7 @@
   return caps;
 }
 
-bool Relay::is_told(const Backend& ep) const { return ep.told_at > 0 && host_.now() - ep.told_at < 8 * kSecond; }
+bool Relay::is_told(const Backend& ep) const { return ep.told_at > 0 && host_.now() - ep.told_at < 16 * kSecond; }
 
 // Its own word on its load, with what this relay has added since; the other relays are taken to add as much.
 double Relay::utilisation(const Backend& ep) const {
@@ -459,7 +459,7 @@
       ep.doubt = 0;
       host_.log("backend back in service");
     }
-  } else if (ep.doubt >= kAsideDoubt) {
+  } else if (ep.doubt >= kAsideDoubt && !lately_cut(ep)) {  // strain is the load's fault: room answers that
     const auto aside = std::count_if(fleet_.begin(), fleet_.end(), [](const auto& peer) { return peer->aside; });
     if (2 * (aside + 1) <= std::ssize(fleet_)) set_aside(ep);  // rather an ill one than the rest drowned
   }
@@ -508,6 +508,10 @@
   ep.room_cut_at = now;
 }
 
+bool Relay::lately_cut(const Backend& ep) const {
+  return ep.room < kNoLimit && host_.now() - ep.room_cut_at < 2 * kCutEvery;
+}
+
 // Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then further out.
 double Relay::room_now(const Backend& ep) const {
   if (ep.room >= kNoLimit) return kNoLimit;
@@ -552,7 +556,7 @@
   const Micros now = host_.now();
   const double rate = std::max(calm_rate(), 0.2 / kSecond);
   const double gap = static_cast<double>(fleet_.size()) * probe_price_ / (kProbeBudget * rate);
-  const Micros usual = std::clamp(static_cast<Micros>(gap), kSecond / 2, 4 * kSecond);
+  const Micros usual = std::clamp(static_cast<Micros>(gap), kSecond / 2, 8 * kSecond);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->probe_out) continue;
     const Micros due = ep->doubt > 0 ? ep->probed_at + shortest_goal_ : std::max(ep->probed_at, ep->heard_at) + usual;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -200,6 +200,7 @@
   void judge(Backend& ep, bool good);
   void set_aside(Backend& ep);
   void take_report(Backend& ep, const LoadReport& report);
+  bool lately_cut(const Backend& ep) const;
   double room_now(const Backend& ep) const;
   void cut_room(Backend& ep, double to);
   void relieve(Backend& ep);
