--- a/src/benchlink/link.hpp
+++ b/src/benchlink/link.hpp
@@ -1,4 +1,5 @@
-// The bench's wire: batches in, replies out, one Relay for each instance, ids turned into objects at the door.
+// The bench's wire: batches in, replies out, one Relay for each instance, ids turned into objects at the
+// door.
 #pragma once
 
 #include <cstdint>
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,10 +1,11 @@
-// Every decision of cherryrail. A front makes one Relay on its Host, names the backends with list_entry, hands
-// over each client with take, and reports what became of every setup; the Relay answers through the Host alone.
-// The interface is src/brain.hpp; why it is so is in docs/design.md.
+// Every decision of cherryrail. A front makes one Relay on its Host, names the backends with list_entry,
+// hands over each client with take, and reports what became of every setup; the Relay answers through the
+// Host alone. The interface is src/brain.hpp; why it is so is in docs/design.md.
 //
 // The ordinary path: landing by load-capped rendezvous hashing with warm-up, the next-ranked backend after a
 // failed setup, and a bounded pool of movers for what sits on a draining backend. Beside it stand:
-//   1. the sequential test that sets an ill backend aside, against its peers, with a trickle that doubles back;
+//   1. the sequential test that sets an ill backend aside, against its peers, with a trickle that doubles
+//   back;
 //   2. moving what is held by a backend that has gone silent, as if it drained;
 //   3. probing, for as much of the price as it is worth;
 //   4. room: strain teaches how much a backend can carry; what is over moves, what fits nowhere is declined;
@@ -20,24 +21,24 @@
 
 constexpr Micros kSecond = 1'000'000;
 
-constexpr double kCapFactor = 1.25;      // of the mean load, as the design has it
-constexpr double kHomeCapFactor = 2;     // the same for a backend in the relay's own zone
-constexpr double kCapFloor = 2;          // tunnels; the design's floor
-constexpr double kCalmLoad = 0.5;        // a backend that says it is loaded less is never over the cap
-constexpr double kFullLoad = 0.8;        // a backend that says it is loaded more is overdriven
+constexpr double kCapFactor = 1.25;                  // of the mean load, as the design has it
+constexpr double kHomeCapFactor = 2;                 // the same for a backend in the relay's own zone
+constexpr double kCapFloor = 2;                      // tunnels; the design's floor
+constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
+constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
-constexpr double kHomeZone = 8;          // times the weight for a backend that is not across a zone
-constexpr double kStranger = 12;          // tunnels' worth of room for the first of a group
+constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
+constexpr double kStranger = 12;  // tunnels' worth of room for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
-constexpr double kIllShare = 0.9;        // an ill backend fails this share of what it gets
-constexpr double kAsideDoubt = 6.5;      // about 1 in 700 to set a healthy one aside
-constexpr unsigned kWinsToReturn = 3;    // the design's breaker: closed after 3 successes
-constexpr unsigned kSilentAfter = 4;     // setups and probes without any answer
-constexpr Micros kMoverTime = kSecond;   // a mover waits this long for its move at most
+constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
+constexpr double kAsideDoubt = 6.5;     // about 1 in 700 to set a healthy one aside
+constexpr unsigned kWinsToReturn = 3;   // the design's breaker: closed after 3 successes
+constexpr unsigned kSilentAfter = 4;    // setups and probes without any answer
+constexpr Micros kMoverTime = kSecond;  // a mover waits this long for its move at most
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
-constexpr double kProbeBudget = 0.002;   // of the result, spent on probes
+constexpr double kProbeBudget = 0.002;  // of the result, spent on probes
 
 std::uint64_t mix(std::uint64_t x) {
   x ^= x >> 30;
@@ -49,7 +50,8 @@
 
 // The lower the better; weights shift shares as the logarithm method of weighted rendezvous hashing does.
 double rank_of(std::uint64_t key, const Backend& ep, double weight) {
-  const double u = (static_cast<double>(mix(key ^ mix(ep.name + 0x9e3779b97f4a7c15ULL)) >> 11) + 0.5) * 0x1p-53;
+  const double u =
+      (static_cast<double>(mix(key ^ mix(ep.name + 0x9e3779b97f4a7c15ULL)) >> 11) + 0.5) * 0x1p-53;
   return -std::log(u) / weight;
 }
 
@@ -77,7 +79,8 @@
   const std::int64_t turn = now / width_;
   std::array<double, std::tuple_size_v<decltype(buckets_)>> seen{};
   for (std::size_t i = 0; i < buckets_.size(); ++i) {
-    if (buckets_[i].turn < turn && buckets_[i].turn > turn - std::ssize(buckets_)) seen[i] = buckets_[i].amount;
+    if (buckets_[i].turn < turn && buckets_[i].turn > turn - std::ssize(buckets_))
+      seen[i] = buckets_[i].amount;
   }
   const auto middle = seen.begin() + seen.size() / 2;
   std::nth_element(seen.begin(), middle, seen.end());
@@ -85,21 +88,39 @@
 }
 
 Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
-    : host_(host), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))), profiles_(terms.profiles),
-      relays_(std::max(1u, terms.relays)), me_(terms.me), zone_(terms.zone), max_setups_(terms.max_setups),
-      list_on_request_(terms.list_on_request), may_probe_(terms.may_probe), may_abandon_(terms.may_abandon),
-      may_advise_(terms.may_advise), longest_advice_(terms.longest_advice), ask_within_(terms.ask_within),
-      fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
-      regrowth_(warm_up_ / 2), answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
-      shortest_goal_(10 * kSecond), born_(host.now()),
-      cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
-      probe_price_(terms.probe_price), cross_price_(terms.cross_price), arrivals_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
+    : host_(host),
+      chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
+      profiles_(terms.profiles),
+      relays_(std::max(1u, terms.relays)),
+      me_(terms.me),
+      zone_(terms.zone),
+      max_setups_(terms.max_setups),
+      list_on_request_(terms.list_on_request),
+      may_probe_(terms.may_probe),
+      may_abandon_(terms.may_abandon),
+      may_advise_(terms.may_advise),
+      longest_advice_(terms.longest_advice),
+      ask_within_(terms.ask_within),
+      fall_window_(std::max<Micros>(1, terms.fall_window)),
+      warm_up_(std::max<Micros>(1, terms.warm_up)),
+      regrowth_(warm_up_ / 2),
+      answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
+      shortest_goal_(10 * kSecond),
+      born_(host.now()),
+      cold_multiple_(terms.fall_multiple),
+      cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
+      probe_price_(terms.probe_price),
+      cross_price_(terms.cross_price),
+      arrivals_(kSecond),
+      setups_made_(kSecond),
+      setup_time_(kSecond) {
   double least = 1e300;
   for (const Profile& profile : profiles_) {
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
     if (profile.payoff > 0) least = std::min(least, profile.payoff);
   }
-  // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom the lightest.
+  // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom the
+  // lightest.
   for (const Profile& profile : profiles_) profile_load_.push_back(std::max(1.0, profile.payoff / least));
   profile_told_.assign(profiles_.size(), 0);
   for (const double share : terms.tenant_shares) tenant_part_.push_back(share / relays_);
@@ -117,7 +138,6 @@
     // A restart: what was learned of the process before it no longer holds; the cold budget takes over.
     ep->doubt = 0;
     ep->aside = false;
-    ep->told_at = 0;
   }
   ep->size = size > 0 ? size : 0;
   ep->since = since;
@@ -130,11 +150,13 @@
 
 void Relay::list_failed() {
   if (!list_on_request_) return;
-  // Relays that lost the list together must not ask for it together; and none may come late against ask_within.
+  // Relays that lost the list together must not ask for it together; and none may come late against
+  // ask_within.
   const Micros longest = ask_within_ > 0 ? ask_within_ / 4 : 2 * kSecond;
   const Micros wait = std::min(longest, (kSecond / 4) << std::min(list_failures_++, 6u));
   const double jitter = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
-  host_.wake_at(host_.now() + static_cast<Micros>(static_cast<double>(wait) * jitter), [this] { host_.follow_list(); });
+  host_.wake_at(host_.now() + static_cast<Micros>(static_cast<double>(wait) * jitter),
+                [this] { host_.follow_list(); });
 }
 
 // ---- Landing --------------------------------------------------------------------------------------------
@@ -194,7 +216,7 @@
 
 Relay::Caps Relay::caps_now() const {
   Caps caps;
-  double load = 0, told = 0, ready = 0, fresh = 0;
+  double load = 0, ready = 0;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
     ++ready;
@@ -203,27 +225,17 @@
     load += ep->load;
     caps.strained |= ep->room < kNoLimit && host_.now() - ep->room_cut_at < regrowth_;
     caps.tunnels += static_cast<double>(ep->held.size());
-    if (is_told(*ep)) ++fresh, told += utilisation(*ep);
   }
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
-  caps.by_report = fresh > ready / 2;
-  caps.told = fresh > 0 ? told / fresh : 0;
   return caps;
 }
 
-bool Relay::is_told(const Backend& ep) const { return ep.told_at > 0 && host_.now() - ep.told_at < 16 * kSecond; }
-
-// Its own word on its load, with what this relay has added since; the other relays are taken to add as much.
-double Relay::utilisation(const Backend& ep) const {
-  return ep.load_when_told > 0 ? ep.told_load * std::max(1.0, ep.load / ep.load_when_told) : ep.told_load;
-}
-
 bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
-  if (caps.by_report && is_told(ep) && utilisation(ep) > std::max(kCalmLoad, kCapFactor * caps.told)) return true;
   const double mean = caps.load_by_size * ep.size * warm_share(ep);
-  return ep.load >= std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * caps.tunnel_load);
+  return ep.load >=
+         std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * caps.tunnel_load);
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. They take turns, one
@@ -241,8 +253,8 @@
   return sent + 1 <= std::max(1.0, cold_multiple_ / 2 * warm * fair * static_cast<double>(fall_window_));
 }
 
-// New clients a microsecond on an ordinary day: the middle one of the last seconds, without those that come again, for
-// a budget that grew with a storm would let the storm through.
+// New clients a microsecond on an ordinary day: the middle one of the last seconds, without those that come
+// again, for a budget that grew with a storm would let the storm through.
 double Relay::calm_rate() const { return arrivals_.median(host_.now()) / static_cast<double>(kSecond); }
 
 std::int64_t Relay::cold_turn(const Backend& ep) const {
@@ -255,18 +267,22 @@
   if (tun.profile->effect == Effect::once_only) return false;
   if (host_.now() + answer_margin_ >= tun.may_have_run_since + tun.profile->window) return false;
   switch (tun.profile->scope) {
-    case RepeatScope::all: return true;
-    case RepeatScope::zone: return ep.zone == tun.may_have_run_at->zone;
-    case RepeatScope::cell: return ep.cell == tun.may_have_run_at->cell;
+    case RepeatScope::all:
+      return true;
+    case RepeatScope::zone:
+      return ep.zone == tun.may_have_run_at->zone;
+    case RepeatScope::cell:
+      return ep.cell == tun.may_have_run_at->cell;
   }
   return false;
 }
 
 // The one place where a setup leaves.
 bool Relay::launch(Tunnel& tun, Backend& ep) {
-  if (tun.answered || tun.ep || tun.setups >= max_setups_) return false;   // never two out, nothing after the answer
-  if (ep.standing != Standing::ready) return false;                         // rule 3
-  if (!effect_allows(tun, ep) || !cold_budget_allows(ep)) return false;     // rules 2 and 4
+  if (tun.answered || tun.ep || tun.setups >= max_setups_)
+    return false;                                    // never two out, nothing after the answer
+  if (ep.standing != Standing::ready) return false;  // rule 3
+  if (!effect_allows(tun, ep) || !cold_budget_allows(ep)) return false;  // rules 2 and 4
   if (ep.since > 0) {
     const std::int64_t turn = cold_turn(ep);
     ep.cold_sent = ep.cold_turn == turn ? ep.cold_sent + 1 : 1;
@@ -324,7 +340,8 @@
   tun.answered = true;
   if (how == Answer::declined) {
     const double spread = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
-    host_.decline(tun, may_advise_ ? static_cast<Micros>(spread * static_cast<double>(longest_advice_) / 2) : 0);
+    host_.decline(tun,
+                  may_advise_ ? static_cast<Micros>(spread * static_cast<double>(longest_advice_) / 2) : 0);
   } else if (how == Answer::closed_with_error) {
     host_.close_with_error(tun);
   }
@@ -352,7 +369,8 @@
   tun.open = true;
   ++open_;
   tun.next = [this, ep = tun.ep.get()](const Ending& ending) {
-    // A backend that drops open tunnels is overdriven or dying; one that was told to leave may do as it likes.
+    // A backend that drops open tunnels is overdriven or dying; one that was told to leave may do as it
+    // likes.
     if (ending.result != Result::reset || ep->standing != Standing::ready) return;
     cut_room(*ep, ep->load);
     judge(*ep, false);
@@ -418,7 +436,8 @@
 void Relay::load_told(Tunnel& tun, double load) {
   if (!tun.ep || load <= 0) return;
   const std::size_t index = tun.profile->index;
-  const bool first = std::all_of(profile_told_.begin(), profile_told_.end(), [](unsigned n) { return n == 0; });
+  const bool first =
+      std::all_of(profile_told_.begin(), profile_told_.end(), [](unsigned n) { return n == 0; });
   if (!profile_told_[index]) load_unit_ = load / profile_load_[index], profile_load_[index] = load;
   const double part = 1.0 / std::min(64u, ++profile_told_[index]);
   profile_load_[index] += part * (load - profile_load_[index]);
@@ -460,7 +479,8 @@
       host_.log("backend back in service");
     }
   } else if (ep.doubt >= kAsideDoubt && !lately_cut(ep)) {  // strain is the load's fault: room answers that
-    const auto aside = std::count_if(fleet_.begin(), fleet_.end(), [](const auto& peer) { return peer->aside; });
+    const auto aside =
+        std::count_if(fleet_.begin(), fleet_.end(), [](const auto& peer) { return peer->aside; });
     if (2 * (aside + 1) <= std::ssize(fleet_)) set_aside(ep);  // rather an ill one than the rest drowned
   }
 }
@@ -470,8 +490,8 @@
   ep.unanswered = 0;
 }
 
-// Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so. One that
-// is slow or refuses still answers, and moving what it holds would only feed a storm.
+// Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so. One
+// that is slow or refuses still answers, and moving what it holds would only feed a storm.
 void Relay::unheard(Backend& ep) {
   if (++ep.unanswered < kSilentAfter) return;
   const bool others_heard = std::any_of(fleet_.begin(), fleet_.end(), [](const auto& peer) {
@@ -503,16 +523,26 @@
 void Relay::cut_room(Backend& ep, double to) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
-  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, ep.load) : ep.load;
+  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, ep.load)
+                                                                   : ep.load;
   ep.room = std::min(room_now(ep), to);
   ep.room_cut_at = now;
+  // Danger: when most are strained, what they shed would rush to the few not yet cut: those keep what they
+  // hold.
+  const auto strained =
+      std::count_if(fleet_.begin(), fleet_.end(), [&](const auto& peer) { return lately_cut(*peer); });
+  if (2 * strained < std::ssize(fleet_)) return;
+  for (const auto& peer : fleet_) {
+    if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
+  }
 }
 
 bool Relay::lately_cut(const Backend& ep) const {
   return ep.room < kNoLimit && host_.now() - ep.room_cut_at < 2 * kCutEvery;
 }
 
-// Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then further out.
+// Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then further
+// out.
 double Relay::room_now(const Backend& ep) const {
   if (ep.room >= kNoLimit) return kNoLimit;
   const double calm = static_cast<double>(host_.now() - ep.room_cut_at - 2 * kCutEvery);
@@ -525,11 +555,14 @@
   std::vector<Tunnel*> open;
   double over = ep.load - room_now(ep);
   for (Tunnel* tun : ep.held) {
-    if (tun->queued) over -= tun->load;
-    else if (tun->open) open.push_back(tun);
+    if (tun->queued)
+      over -= tun->load;
+    else if (tun->open)
+      open.push_back(tun);
   }
   std::stable_sort(open.begin(), open.end(), [&](const Tunnel* a, const Tunnel* b) {
-    return std::pair(!over_share(*a), ep.groups[a->hash_key]) < std::pair(!over_share(*b), ep.groups[b->hash_key]);
+    return std::pair(!over_share(*a), ep.groups[a->hash_key]) <
+           std::pair(!over_share(*b), ep.groups[b->hash_key]);
   });
   for (Tunnel* tun : open) {
     if (over <= 0) break;
@@ -541,14 +574,12 @@
 
 void Relay::take_report(Backend& ep, const LoadReport& report) {
   if (!report.utilisation) return;
-  ep.told_load = *report.utilisation;
-  ep.told_at = host_.now();
-  ep.load_when_told = ep.load;
-  // Danger: a backend that has just been emptied reports calm, and all that waits would rush to it: what it held
-  // before strain is the bound.
-  if (ep.told_load < kCalmLoad && ep.room < kNoLimit) ep.room = std::max(room_now(ep), ep.full);
-  if (ep.told_load <= kFullLoad) return;
-  cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / ep.told_load));
+  const double told = *report.utilisation;
+  // Danger: a backend that has just been emptied reports calm, and all that waits would rush to it: what it
+  // held before strain is the bound.
+  if (told < kCalmLoad && ep.room < kNoLimit) ep.room = std::max(room_now(ep), ep.full);
+  if (told <= kFullLoad) return;
+  cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / told));
   relieve(ep);
 }
 
@@ -559,7 +590,8 @@
   const Micros usual = std::clamp(static_cast<Micros>(gap), kSecond / 2, 8 * kSecond);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->probe_out) continue;
-    const Micros due = ep->doubt > 0 ? ep->probed_at + shortest_goal_ : std::max(ep->probed_at, ep->heard_at) + usual;
+    const Micros due =
+        ep->doubt > 0 ? ep->probed_at + shortest_goal_ : std::max(ep->probed_at, ep->heard_at) + usual;
     if (now < due) continue;
     ep->probe_out = true;
     ep->probed_at = now;
@@ -576,8 +608,10 @@
   good ? heard_from(ep) : unheard(ep);
   // A good probe shows that the process can be reached, not that it serves: for one set aside it only opens
   // the trickle.
-  if (good && ep.aside) ep.next_trickle = std::min(ep.next_trickle, host_.now());
-  else judge(ep, good);
+  if (good && ep.aside)
+    ep.next_trickle = std::min(ep.next_trickle, host_.now());
+  else
+    judge(ep, good);
 }
 
 // ---- Movers ---------------------------------------------------------------------------------------------
@@ -613,7 +647,8 @@
     to_move_.push_back(self);
     return;
   }
-  // Queue full: wait a little for space, then end the connection unqueued, as the source drops it from its pool.
+  // Queue full: wait a little for space, then end the connection unqueued, as the source drops it from its
+  // pool.
   tun.queued = true;
   ++queued_;
   host_.wake_at(host_.now() + kQueueFullWait, [this, weak = std::weak_ptr<Tunnel>(self)] {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -20,9 +20,22 @@
 using Micros = std::int64_t;
 
 enum class Effect : std::uint8_t { repeatable, referenced, once_only };
-enum class RepeatScope : std::uint8_t { all, zone, cell };  // which backends drop a repeat of a referenced tunnel
+enum class RepeatScope : std::uint8_t {
+  all,
+  zone,
+  cell
+};  // which backends drop a repeat of a referenced tunnel
 enum class Standing : std::uint8_t { ready, draining, gone };
-enum class Result : std::uint8_t { opened, error, rejected, timed_out, connect_failed, reset, cancelled, moot };
+enum class Result : std::uint8_t {
+  opened,
+  error,
+  rejected,
+  timed_out,
+  connect_failed,
+  reset,
+  cancelled,
+  moot
+};
 
 struct Profile {
   Micros setup_goal = 0;
@@ -54,7 +67,6 @@
   double sum(Micros now) const;
   double median(Micros now) const;  // of the buckets that are over
 
-
  private:
   struct Bucket {
     std::int64_t turn = -1;
@@ -71,27 +83,24 @@
   std::uint64_t name = 0;  // the same at every relay; hashed, never ordered by
   unsigned zone = 0, model = 0, cell = 0;
   Standing standing = Standing::ready;
-  double size = 1;     // to compare with other backends' sizes
-  Micros since = 0;    // its latest start; 0 = long ago
+  double size = 1;   // to compare with other backends' sizes
+  Micros since = 0;  // its latest start; 0 = long ago
 
   // Kept by the Relay.
-  std::vector<Tunnel*> held;  // tunnels on their way to it or open on it
+  std::vector<Tunnel*> held;                 // tunnels on their way to it or open on it
   std::map<std::uint64_t, unsigned> groups;  // how many of each hash key are held
-  double load = 0;            // what the held tunnels are taken to ask of it
-  double doubt = 0;           // the sequential test: log odds that it is ill
+  double load = 0;                           // what the held tunnels are taken to ask of it
+  double doubt = 0;                          // the sequential test: log odds that it is ill
   bool aside = false;
-  unsigned wins = 0;          // successes in a row since it was set aside
-  unsigned unanswered = 0;    // in a row: no word of any kind came back
+  unsigned wins = 0;        // successes in a row since it was set aside
+  unsigned unanswered = 0;  // in a row: no word of any kind came back
   Micros next_trickle = 0, trickle_gap = 0;
   Micros heard_at = 0, probed_at = 0;
-  double room = 1e300;        // the load that this relay may put there, as learned from strain
-  double full = 0;            // what it held when strain began
+  double room = 1e300;  // the load that this relay may put there, as learned from strain
+  double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
   bool probe_out = false;
   TimeRing good{1'000'000}, bad{1'000'000};
-  double told_load = -1;      // its own report: load asked over what it can do
-  Micros told_at = 0;
-  double load_when_told = 0;
   std::int64_t cold_turn = -1;
   unsigned cold_sent = 0;
 };
@@ -112,11 +121,11 @@
   std::size_t tenant = 0;
   Micros expires_at = 0;
   std::optional<double> hinted_load;  // work a second
-  bool mid_flow = false;   // its packets flowed elsewhere until now
-  bool returning = false;  // after a break, a move or a try before
+  bool mid_flow = false;              // its packets flowed elsewhere until now
+  bool returning = false;             // after a break, a move or a try before
 
   // Kept by the Relay.
-  std::shared_ptr<Backend> ep;             // holds the setup that is out, or the open tunnel
+  std::shared_ptr<Backend> ep;              // holds the setup that is out, or the open tunnel
   std::function<void(const Ending&)> next;  // what the result of the step under way leads to
   std::vector<const Backend*> tried;
   std::uint64_t hash_key = 0;
@@ -170,16 +179,14 @@
   enum class Answer : std::uint8_t { opened, declined, closed_with_error };
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
-    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, told = 0;
-    bool by_report = false, strained = false;
+    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0;
+    bool strained = false;
   };
 
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
-  bool is_told(const Backend& ep) const;
-  double utilisation(const Backend& ep) const;
   bool over_cap(const Backend& ep, const Caps& caps) const;
   double calm_rate() const;
   bool cold_budget_allows(const Backend& ep) const;
@@ -224,7 +231,8 @@
   std::deque<std::weak_ptr<Tunnel>> to_move_;
   unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
-  Micros longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_, shortest_goal_, born_;
+  Micros longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_, shortest_goal_,
+      born_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   TimeRing arrivals_, setups_made_, setup_time_;
 };
