--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -531,7 +531,7 @@
   // hold.
   const auto strained =
       std::count_if(fleet_.begin(), fleet_.end(), [&](const auto& peer) { return lately_cut(*peer); });
-  if (2 * strained < std::ssize(fleet_)) return;
+  if (3 * strained < 2 * std::ssize(fleet_)) return;
   for (const auto& peer : fleet_) {
     if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
   }
