--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -4,12 +4,12 @@
 //
 // The ordinary path: landing by load-capped rendezvous hashing with warm-up, the next-ranked backend after a
 // failed setup, and a bounded pool of movers for what sits on a draining backend. Beside it stand:
-//   1. the sequential test that sets an ill backend aside, against its peers, with a trickle that doubles
-//   back;
-//   2. moving what is held by a backend that has gone silent, as if it drained;
-//   3. probing, for as much of the price as it is worth;
-//   4. room: strain teaches how much a backend can carry; what is over moves, what fits nowhere is declined;
-//   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend.
+//   1. the sequential test that sets an ill backend aside, against its peers, and the doubling trickle back;
+//   2. silence: a backend that answers nothing while others do is emptied as if it drained;
+//   3. probes, for a set part of the result;
+//   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined;
+//   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend;
+//   6. home: backends in the relay's own zone weigh more and are capped more widely.
 #include "brain.hpp"
 
 #include <algorithm>
@@ -476,7 +476,7 @@
     if (ep.wins >= kWinsToReturn) {
       ep.aside = false;
       ep.doubt = 0;
-      host_.log("backend back in service");
+      host_.log("backend " + std::to_string(ep.name) + " back in service");
     }
   } else if (ep.doubt >= kAsideDoubt && !lately_cut(ep)) {  // strain is the load's fault: room answers that
     const auto aside =
@@ -507,7 +507,7 @@
   ep.wins = 0;
   ep.trickle_gap = kTrickleStart;
   ep.next_trickle = host_.now() + ep.trickle_gap;
-  host_.log("backend set aside");
+  host_.log("backend " + std::to_string(ep.name) + " set aside");
 }
 
 void Relay::delay_told(Tunnel& tun, Micros message_time) {
@@ -532,6 +532,7 @@
   const auto strained =
       std::count_if(fleet_.begin(), fleet_.end(), [&](const auto& peer) { return lately_cut(*peer); });
   if (3 * strained < 2 * std::ssize(fleet_)) return;
+  host_.log("most backends strained: the others keep what they hold");
   for (const auto& peer : fleet_) {
     if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
   }
@@ -634,7 +635,7 @@
     any = true;
     queue_move(*ep.held[i]);
   }
-  if (any) host_.log(std::string("moving tunnels: backend ") + why);
+  if (any) host_.log("moving tunnels: backend " + std::to_string(ep.name) + " " + why);
   run_movers();
 }
 
