--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -7,6 +7,9 @@
 namespace cherryrail::benchlink {
 namespace {
 
+// A setting without a value stands empty or as the word null.
+bool is_absent(std::string_view text) { return text.empty() || text == "null"; }
+
 class Pairs {
  public:
   explicit Pairs(std::string_view text) {
@@ -23,12 +26,12 @@
 
   std::string_view word(std::string_view key, std::string_view otherwise = "") const {
     const auto found = pairs_.find(key);
-    return found == pairs_.end() ? otherwise : found->second;
+    return found == pairs_.end() || is_absent(found->second) ? otherwise : found->second;
   }
 
   double number(std::string_view key, double otherwise, double least = 0, double most = 1e15) const {
     const auto found = pairs_.find(key);
-    if (found == pairs_.end() || found->second.empty()) return otherwise;
+    if (found == pairs_.end() || is_absent(found->second)) return otherwise;
     return number_in(key, found->second, least, most);
   }
 
@@ -96,7 +99,7 @@
       at + "key_scope",
       {{"all", RepeatScope::all}, {"zone", RepeatScope::zone}, {"cell", RepeatScope::cell}});
   const std::string_view aim = item_of(pairs.word("domain.message_aim"), index);
-  if (!aim.empty()) profile.message_aim = micros_of(Pairs::number_in("domain.message_aim", aim, 0, 1e12));
+  if (!is_absent(aim)) profile.message_aim = micros_of(Pairs::number_in("domain.message_aim", aim, 0, 1e12));
   return profile;
 }
 
@@ -115,7 +118,7 @@
   for (std::size_t i = 0; i < tenants; ++i) {
     const std::string_view share = item_of(pairs.word("domain.tenant_quota_connections"), i);
     terms.tenant_shares.push_back(
-        share.empty() ? 0 : Pairs::number_in("domain.tenant_quota_connections", share, 0, 1e12));
+        is_absent(share) ? 0 : Pairs::number_in("domain.tenant_quota_connections", share, 0, 1e12));
   }
   terms.relays = pairs.whole("balancers", 1, 1, 65535);
   terms.me = pairs.whole("me", 0, 0, 65535);
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -64,6 +64,14 @@
   EXPECT_EQ(link.play(batch(1, outcome)), bytes("04000000"));  // an id no longer held is passed over
 }
 
+TEST(Link, SettingsWithoutAValueAreAbsent) {
+  const Facts facts = read_facts(
+      "profiles.count=1\nprofiles.0.payoff=null\ntenants.count=2\ndomain.tenant_quota_connections=7.0,"
+      "null\n");
+  EXPECT_EQ(facts.terms.profiles[0].payoff, 1);
+  EXPECT_EQ(facts.terms.tenant_shares, (std::vector<double>{7, 0}));
+}
+
 void expect_refused(const std::string& frame, const std::string& word) {
   Link link;
   link.play(batch(2, spawn() + kRoster));
