A break is told from strain; one set aside as silent returns by good probes

A relay in the cut zone took resets across the cut for dropped load and declined a fifth of its clients to the end.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -372,7 +372,12 @@
     // A backend that drops open tunnels is overdriven or dying; one that was told to leave may do as it
     // likes.
     if (ending.result != Result::reset || ep->standing != Standing::ready) return;
-    cut_room(*ep, ep->load);
+    const bool any =
+        std::any_of(ep->held.begin(), ep->held.end(), [](const Tunnel* other) { return other->open; });
+    if (any)
+      cut_room(*ep, ep->load);
+    else
+      ep->room = kNoLimit;  // all lost at once is a broken link or process: that teaches nothing about room
     judge(*ep, false);
   };
 }
@@ -499,11 +504,13 @@
   });
   if (!others_heard) return;
   if (!ep.aside) set_aside(ep);
+  ep.silent = true;
   queue_moves(ep, "is silent");
 }
 
 void Relay::set_aside(Backend& ep) {
   ep.aside = true;
+  ep.silent = false;
   ep.wins = 0;
   ep.trickle_gap = kTrickleStart;
   ep.next_trickle = host_.now() + ep.trickle_gap;
@@ -515,6 +522,7 @@
   heard_from(*tun.ep);
   if (message_time * 3 <= shortest_goal_) return;
   cut_room(*tun.ep, tun.ep->load * (message_time > shortest_goal_ ? kDeepCut : kSlightCut));
+  hold_others();
   relieve(*tun.ep);
 }
 
@@ -527,15 +535,6 @@
                                                                    : ep.load;
   ep.room = std::min(room_now(ep), to);
   ep.room_cut_at = now;
-  // Danger: when most are strained, what they shed would rush to the few not yet cut: those keep what they
-  // hold.
-  const auto strained =
-      std::count_if(fleet_.begin(), fleet_.end(), [&](const auto& peer) { return lately_cut(*peer); });
-  if (3 * strained < 2 * std::ssize(fleet_)) return;
-  host_.log("most backends strained: the others keep what they hold");
-  for (const auto& peer : fleet_) {
-    if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
-  }
 }
 
 bool Relay::lately_cut(const Backend& ep) const {
@@ -551,6 +550,19 @@
   return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
+// Danger: when most are strained, what they shed would rush to the few not yet cut: those keep what they
+// hold.
+void Relay::hold_others() {
+  const Micros now = host_.now();
+  const auto strained =
+      std::count_if(fleet_.begin(), fleet_.end(), [&](const auto& peer) { return lately_cut(*peer); });
+  if (3 * strained < 2 * std::ssize(fleet_)) return;
+  host_.log("most backends strained: the others keep what they hold");
+  for (const auto& peer : fleet_) {
+    if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
+  }
+}
+
 // Moves what is over the room, the members of the smallest groups first: they cost the backend most each.
 void Relay::relieve(Backend& ep) {
   std::vector<Tunnel*> open;
@@ -581,6 +593,7 @@
   if (told < kCalmLoad && ep.room < kNoLimit) ep.room = std::max(room_now(ep), ep.full);
   if (told <= kFullLoad) return;
   cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / told));
+  hold_others();
   relieve(ep);
 }
 
@@ -607,9 +620,9 @@
   if (ending.result == Result::rejected) return;  // too many probes there: says nothing
   const bool good = ending.result == Result::opened;
   good ? heard_from(ep) : unheard(ep);
-  // A good probe shows that the process can be reached, not that it serves: for one set aside it only opens
-  // the trickle.
-  if (good && ep.aside)
+  // A good probe shows that the process can be reached, not that it serves: that counts for one set aside as
+  // silent; for one set aside as ill it only opens the trickle.
+  if (good && ep.aside && !ep.silent)
     ep.next_trickle = std::min(ep.next_trickle, host_.now());
   else
     judge(ep, good);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -91,7 +91,7 @@
   std::map<std::uint64_t, unsigned> groups;  // how many of each hash key are held
   double load = 0;                           // what the held tunnels are taken to ask of it
   double doubt = 0;                          // the sequential test: log odds that it is ill
-  bool aside = false;
+  bool aside = false, silent = false;
   unsigned wins = 0;        // successes in a row since it was set aside
   unsigned unanswered = 0;  // in a row: no word of any kind came back
   Micros next_trickle = 0, trickle_gap = 0;
@@ -210,6 +210,7 @@
   bool lately_cut(const Backend& ep) const;
   double room_now(const Backend& ep) const;
   void cut_room(Backend& ep, double to);
+  void hold_others();
   void relieve(Backend& ep);
   void look_around();
   std::size_t movers() const;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -151,6 +151,29 @@
   for (const Tunnel* tun : story.host.moved) EXPECT_EQ(tun->ep.get(), &silent);
 }
 
+TEST(Health, BackendThatWasSilentReturnsByGoodProbesAndKeepsItsRoom) {
+  SiteTerms terms = plain_terms();
+  terms.may_probe = true;
+  Story story(4, terms);
+  for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
+  Backend& cut = *story.tuns[0]->ep;
+  while (!cut.held.empty()) story.fail(*cut.held.back(), Result::reset, true);  // the link broke: all at once
+  const auto probe = [&](Result result, int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      for (Backend* ep : std::exchange(story.host.probed, {}))
+        story.relay.probe_ended(*ep, {ep == &cut ? result : Result::opened, 10 * kMs}, {});
+      story.host.pass(20 * kMs);
+    }
+  };
+  probe(Result::timed_out, 400);
+  EXPECT_TRUE(cut.aside);
+  probe(Result::opened, 200);
+  EXPECT_FALSE(cut.aside);
+  const std::size_t before = story.sent_to(cut);
+  for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);  // nothing was learned about its room
+  EXPECT_GT(story.sent_to(cut), before);
+}
+
 TEST(Room, StrainedBackendIsRelievedAndWhatFitsNowhereIsDeclined) {
   Story story(1);
   for (std::uint64_t key = 1; key <= 20; ++key) story.open(key);
