--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -535,7 +535,6 @@
                                                                    : ep.load;
   ep.room = std::min(room_now(ep), to);
   ep.room_cut_at = now;
-  ep.warm_when_cut = warm_share(ep);
 }
 
 bool Relay::lately_cut(const Backend& ep) const {
@@ -548,9 +547,7 @@
   if (ep.room >= kNoLimit) return kNoLimit;
   const double calm = static_cast<double>(host_.now() - ep.room_cut_at - 2 * kCutEvery);
   const double bend = 1 - std::max(0.0, calm / static_cast<double>(regrowth_));
-  const double regrown =
-      ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
-  return regrown * warm_share(ep) / ep.warm_when_cut;  // it has warmed up since, and can carry the more
+  return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
 // Danger: when most are strained, what they shed would rush to the few not yet cut: those keep what they
@@ -562,7 +559,7 @@
   if (3 * strained < 2 * std::ssize(fleet_)) return;
   host_.log("most backends strained: the others keep what they hold");
   for (const auto& peer : fleet_) {
-    if (peer->room >= kNoLimit) cut_room(*peer, peer->load);
+    if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
   }
 }
 
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -97,8 +97,7 @@
   Micros next_trickle = 0, trickle_gap = 0;
   Micros heard_at = 0, probed_at = 0;
   double room = 1e300;  // the load that this relay may put there, as learned from strain
-  double warm_when_cut = 1;
-  double full = 0;  // what it held when strain began
+  double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
   bool probe_out = false;
   TimeRing good{1'000'000}, bad{1'000'000};
