--- a/src/benchlink/facts.cpp
+++ b/src/benchlink/facts.cpp
@@ -98,8 +98,6 @@
   profile.scope = pairs.choice<RepeatScope>(
       at + "key_scope",
       {{"all", RepeatScope::all}, {"zone", RepeatScope::zone}, {"cell", RepeatScope::cell}});
-  const std::string_view aim = item_of(pairs.word("domain.message_aim"), index);
-  if (!is_absent(aim)) profile.message_aim = micros_of(Pairs::number_in("domain.message_aim", aim, 0, 1e12));
   return profile;
 }
 
@@ -131,7 +129,6 @@
   terms.may_advise = pairs.flag("permissions.retry_after");
   terms.longest_advice = pairs.time("permissions.max_retry_after");
   terms.ask_within = pairs.time("invariants.ask_within");
-  terms.connect_timeout = pairs.time("permissions.connect_timeout");
   terms.step = pairs.time("step");
   terms.fall_window = pairs.time("invariants.fall");
   terms.warm_up = pairs.time("invariants.warm_up");
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -44,7 +44,6 @@
   Effect effect = Effect::repeatable;
   RepeatScope scope = RepeatScope::all;
   Micros window = 0;  // how long a repeat of a referenced tunnel is known
-  Micros message_aim = 0;
   std::size_t index = 0;
 };
 
@@ -54,7 +53,7 @@
   std::vector<double> tenant_shares;  // open tunnels within each tenant's share, all relays together
   unsigned relays = 1, me = 0, zone = 0, max_setups = 1;
   bool list_on_request = false, may_probe = false, may_abandon = false, may_advise = false;
-  Micros longest_advice = 0, ask_within = 0, connect_timeout = 0, step = 0;
+  Micros longest_advice = 0, ask_within = 0, step = 0;
   Micros fall_window = 0, warm_up = 0;
   double fall_multiple = 1, cold_from = 1, probe_price = 0, cross_price = 0;
 };
