--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -374,10 +374,11 @@
     if (ending.result != Result::reset || ep->standing != Standing::ready) return;
     const bool any =
         std::any_of(ep->held.begin(), ep->held.end(), [](const Tunnel* other) { return other->open; });
-    if (any)
-      cut_room(*ep, ep->load);
+    // All lost in one moment is a broken link or process: that teaches nothing about room.
+    if (!any && ep->room_cut_at == host_.now())
+      ep->room = kNoLimit;
     else
-      ep->room = kNoLimit;  // all lost at once is a broken link or process: that teaches nothing about room
+      cut_room(*ep, ep->load);
     judge(*ep, false);
   };
 }
