Twins made one: strain, measured setups, jitter, the hashed key, cuts within a time

The pair of hold and relieve stood twice, as did the setup clock, the jitter, the choice of the key and the check of a recent cut; the tests had one probe loop twice; a backend's model was read by nobody.

--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -190,7 +190,7 @@
   for (std::uint32_t i = 0; i < rows; ++i) {
     const auto id = in.take<std::uint32_t>("backend");
     const auto zone = in.take<std::uint8_t>("area");
-    const auto model = in.take<std::uint8_t>("model");
+    in.take<std::uint8_t>("model");
     const auto cell = in.take<std::uint16_t>("block");
     const auto state = in.take<std::uint8_t>("stage_state");
     const auto weight = in.take<float>("weight");
@@ -203,7 +203,6 @@
       ep->name = id;
     }
     ep->zone = zone;
-    ep->model = model;
     ep->cell = cell;
     named[id] = true;
     const Standing standing = state == 0 ? Standing::ready : state == 1 ? Standing::gone : Standing::draining;
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -55,6 +55,8 @@
   return -std::log(u) / weight;
 }
 
+std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
+
 bool may_have_run(Result result) {
   return result != Result::rejected && result != Result::connect_failed && result != Result::moot;
 }
@@ -154,16 +156,20 @@
   // ask_within.
   const Micros longest = ask_within_ > 0 ? ask_within_ / 4 : 2 * kSecond;
   const Micros wait = std::min(longest, (kSecond / 4) << std::min(list_failures_++, 6u));
-  const double jitter = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
-  host_.wake_at(host_.now() + static_cast<Micros>(static_cast<double>(wait) * jitter),
-                [this] { host_.follow_list(); });
+  host_.wake_at(host_.now() + jittered(wait), [this] { host_.follow_list(); });
+}
+
+// Half of it to all of it.
+Micros Relay::jittered(Micros longest) {
+  const double part = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
+  return static_cast<Micros>(part * static_cast<double>(longest));
 }
 
 // ---- Landing --------------------------------------------------------------------------------------------
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
   if (!tun->returning) arrivals_.add(host_.now(), 1);
-  tun->hash_key = tun->group_key ? tun->group_key : tun->client_key;
+  tun->hash_key = key_of(*tun);
   if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
   // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
   host_.wake_at(tun->expires_at - answer_margin_, [this, weak = tun->weak_from_this()] {
@@ -223,7 +229,7 @@
     caps.size += ep->size * warm_share(*ep);
     caps.mean_size += ep->size;
     load += ep->load;
-    caps.strained |= ep->room < kNoLimit && host_.now() - ep->room_cut_at < regrowth_;
+    caps.strained |= cut_within(*ep, regrowth_);
     caps.tunnels += static_cast<double>(ep->held.size());
   }
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
@@ -307,14 +313,16 @@
   return std::min(std::max(tun.profile->setup_goal / 2, usual), left);
 }
 
+void Relay::measured(Micros took) {
+  setups_made_.add(host_.now(), 1);
+  setup_time_.add(host_.now(), static_cast<double>(took));
+}
+
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
   if (ending.result == Result::connect_failed) unheard(ep);
   // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
   if (ending.result == Result::timed_out || ending.result == Result::reset) cut_room(ep, ep.load);
-  if (ending.result == Result::timed_out) {  // it would have taken longer, who knows how much
-    setups_made_.add(host_.now(), 1);
-    setup_time_.add(host_.now(), 2 * static_cast<double>(ending.took));
-  }
+  if (ending.result == Result::timed_out) measured(2 * ending.took);  // it would have taken longer
   if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
   if (may_have_run(ending.result) && !tun.may_have_run_at) {
     tun.may_have_run_at = &ep;
@@ -339,9 +347,8 @@
   if (tun.answered) return;
   tun.answered = true;
   if (how == Answer::declined) {
-    const double spread = std::uniform_real_distribution<double>(0.5, 1.0)(chance_);
-    host_.decline(tun,
-                  may_advise_ ? static_cast<Micros>(spread * static_cast<double>(longest_advice_) / 2) : 0);
+    const Micros advice = jittered(longest_advice_ / 2);
+    host_.decline(tun, may_advise_ ? advice : 0);
   } else if (how == Answer::closed_with_error) {
     host_.close_with_error(tun);
   }
@@ -350,15 +357,14 @@
 void Relay::established(Tunnel& tun, Micros took) {
   if (tun.answered || !tun.ep) return;
   opened(tun);
-  setups_made_.add(host_.now(), 1);
-  setup_time_.add(host_.now(), static_cast<double>(took));
+  measured(took);
   heard_from(*tun.ep);
   judge(*tun.ep, true);
   if (tun.ep->standing != Standing::ready) queue_move(tun);
 }
 
 void Relay::adopt(const std::shared_ptr<Tunnel>& tun, const std::shared_ptr<Backend>& ep) {
-  tun->hash_key = tun->group_key ? tun->group_key : tun->client_key;
+  tun->hash_key = key_of(*tun);
   hold(*tun, *ep);
   opened(*tun);
   if (ep->standing != Standing::ready) queue_move(*tun);
@@ -486,7 +492,8 @@
       ep.doubt = 0;
       host_.log("backend " + std::to_string(ep.name) + " back in service");
     }
-  } else if (ep.doubt >= kAsideDoubt && !lately_cut(ep)) {  // strain is the load's fault: room answers that
+  } else if (ep.doubt >= kAsideDoubt &&
+             !cut_within(ep, 2 * kCutEvery)) {  // strain is the load's fault: room answers that
     const auto aside =
         std::count_if(fleet_.begin(), fleet_.end(), [](const auto& peer) { return peer->aside; });
     if (2 * (aside + 1) <= std::ssize(fleet_)) set_aside(ep);  // rather an ill one than the rest drowned
@@ -524,9 +531,13 @@
   if (!tun.ep) return;
   heard_from(*tun.ep);
   if (message_time * 3 <= shortest_goal_) return;
-  cut_room(*tun.ep, tun.ep->load * (message_time > shortest_goal_ ? kDeepCut : kSlightCut));
+  strained(*tun.ep, message_time > shortest_goal_ ? kDeepCut : kSlightCut);
+}
+
+void Relay::strained(Backend& ep, double kept) {
+  cut_room(ep, ep.load * kept);
   hold_others();
-  relieve(*tun.ep);
+  relieve(ep);
 }
 
 // Danger: on an overdriven backend every message comes late and what it drops lands on its neighbours, until
@@ -540,8 +551,8 @@
   ep.room_cut_at = now;
 }
 
-bool Relay::lately_cut(const Backend& ep) const {
-  return ep.room < kNoLimit && host_.now() - ep.room_cut_at < 2 * kCutEvery;
+bool Relay::cut_within(const Backend& ep, Micros time) const {
+  return ep.room < kNoLimit && host_.now() - ep.room_cut_at < time;
 }
 
 // Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then further
@@ -557,9 +568,9 @@
 // hold.
 void Relay::hold_others() {
   const Micros now = host_.now();
-  const auto strained =
-      std::count_if(fleet_.begin(), fleet_.end(), [&](const auto& peer) { return lately_cut(*peer); });
-  if (3 * strained < 2 * std::ssize(fleet_)) return;
+  const auto cut = std::count_if(fleet_.begin(), fleet_.end(),
+                                 [&](const auto& peer) { return cut_within(*peer, 2 * kCutEvery); });
+  if (3 * cut < 2 * std::ssize(fleet_)) return;
   host_.log("most backends strained: the others keep what they hold");
   for (const auto& peer : fleet_) {
     if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
@@ -594,10 +605,7 @@
   // Danger: a backend that has just been emptied reports calm, and all that waits would rush to it: what it
   // held before strain is the bound.
   if (told < kCalmLoad && ep.room < kNoLimit) ep.room = std::max(room_now(ep), ep.full);
-  if (told <= kFullLoad) return;
-  cut_room(ep, ep.load * std::max(kDeepCut, kFullLoad / told));
-  hold_others();
-  relieve(ep);
+  if (told > kFullLoad) strained(ep, std::max(kDeepCut, kFullLoad / told));
 }
 
 void Relay::look_around() {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -80,7 +80,7 @@
 struct Backend : std::enable_shared_from_this<Backend> {
   // Said at the door.
   std::uint64_t name = 0;  // the same at every relay; hashed, never ordered by
-  unsigned zone = 0, model = 0, cell = 0;
+  unsigned zone = 0, cell = 0;
   Standing standing = Standing::ready;
   double size = 1;   // to compare with other backends' sizes
   Micros since = 0;  // its latest start; 0 = long ago
@@ -183,6 +183,7 @@
     bool strained = false;
   };
 
+  Micros jittered(Micros longest);
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
   double warm_share(const Backend& ep) const;
@@ -194,6 +195,7 @@
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
   bool launch(Tunnel& tun, Backend& ep);
   Micros setup_limit(const Tunnel& tun) const;
+  void measured(Micros took);
   void after_setup(Tunnel& tun, Backend& ep, const Ending& ending);
   void give_up(Tunnel& tun);
   void answer(Tunnel& tun, Answer how);
@@ -207,9 +209,10 @@
   void judge(Backend& ep, bool good);
   void set_aside(Backend& ep);
   void take_report(Backend& ep, const LoadReport& report);
-  bool lately_cut(const Backend& ep) const;
+  bool cut_within(const Backend& ep, Micros time) const;
   double room_now(const Backend& ep) const;
   void cut_room(Backend& ep, double to);
+  void strained(Backend& ep, double kept);
   void hold_others();
   void relieve(Backend& ep);
   void look_around();
--- a/tests/fake_host.hpp
+++ b/tests/fake_host.hpp
@@ -110,6 +110,14 @@
     if (tun.ep) relay.established(tun, 20 * kMs);
     return tun;
   }
+  // Lets time pass while probes are answered: by this backend so, by the others well.
+  void probe(Backend& odd, Result result, int rounds) {
+    for (int i = 0; i < rounds; ++i) {
+      for (Backend* ep : std::exchange(host.probed, {}))
+        relay.probe_ended(*ep, {ep == &odd ? result : Result::opened, 10 * kMs}, {});
+      host.pass(20 * kMs);
+    }
+  }
   void fail(Tunnel& tun, Result result, bool finished = false) {
     relay.setup_ended(tun, {result, 10 * kMs}, finished, {});
   }
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -141,12 +141,7 @@
   for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
   Backend& silent = *story.tuns[0]->ep;
   const std::size_t held = silent.held.size();
-  for (int i = 0; i < 400; ++i) {
-    const auto probed = std::exchange(story.host.probed, {});
-    for (Backend* ep : probed)
-      story.relay.probe_ended(*ep, {ep == &silent ? Result::timed_out : Result::opened, 10 * kMs}, {});
-    story.host.pass(20 * kMs);
-  }
+  story.probe(silent, Result::timed_out, 400);
   EXPECT_EQ(story.host.moved.size(), held);
   for (const Tunnel* tun : story.host.moved) EXPECT_EQ(tun->ep.get(), &silent);
 }
@@ -158,16 +153,9 @@
   for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
   Backend& cut = *story.tuns[0]->ep;
   while (!cut.held.empty()) story.fail(*cut.held.back(), Result::reset, true);  // the link broke: all at once
-  const auto probe = [&](Result result, int rounds) {
-    for (int i = 0; i < rounds; ++i) {
-      for (Backend* ep : std::exchange(story.host.probed, {}))
-        story.relay.probe_ended(*ep, {ep == &cut ? result : Result::opened, 10 * kMs}, {});
-      story.host.pass(20 * kMs);
-    }
-  };
-  probe(Result::timed_out, 400);
+  story.probe(cut, Result::timed_out, 400);
   EXPECT_TRUE(cut.aside);
-  probe(Result::opened, 200);
+  story.probe(cut, Result::opened, 200);
   EXPECT_FALSE(cut.aside);
   const std::size_t before = story.sent_to(cut);
   for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
