Room under one tunnel is an agreed draw; probes come out of a purse

Cause: at full size a relay holds less than one tunnel a backend. One dropped or strained tunnel cut its room to nothing for good (0 x any factor), and every relay with a tunnel there moved it: the whole backend at once. Change: room never starts from less than one tunnel; what does not fit by load fits by a draw that is the same at every relay, so all shed and refuse the same groups; probes are paid from a purse that new clients fill.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,6 +39,7 @@
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
 constexpr double kProbeBudget = 0.002;  // of the result, spent on probes
+constexpr double kPurse = 8;            // probes that may be saved up
 
 std::uint64_t mix(std::uint64_t x) {
   x ^= x >> 30;
@@ -55,6 +56,12 @@
   return -std::log(u) / weight;
 }
 
+// Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every relay
+// draws the same, so that what one sheds or refuses the others do too.
+double standing_of(const Tunnel& tun, const Backend& ep) {
+  return static_cast<double>(mix(mix(tun.hash_key) + ep.name) >> 11) * 0x1p-53;
+}
+
 std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
 
 bool may_have_run(Result result) {
@@ -128,6 +135,7 @@
   for (const double share : terms.tenant_shares) tenant_part_.push_back(share / relays_);
   tenant_held_.assign(tenant_part_.size(), 0);
   if (list_on_request_) host_.follow_list();
+  look_from_ = chance_() % 1024;
   if (may_probe_) look_around();
 }
 
@@ -168,7 +176,10 @@
 // ---- Landing --------------------------------------------------------------------------------------------
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
-  if (!tun->returning) arrivals_.add(host_.now(), 1);
+  if (!tun->returning) {
+    arrivals_.add(host_.now(), 1);
+    purse_ = std::min(kPurse, purse_ + (probe_price_ > 0 ? kProbeBudget / probe_price_ : kPurse));
+  }
   tun->hash_key = key_of(*tun);
   if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
   // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
@@ -203,7 +214,7 @@
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
     const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
-    if (ep->load + needed > room_now(*ep) && !tun.mid_flow) continue;
+    if (!tun.mid_flow && !fits(ep->load, needed, tun, *ep)) continue;
     const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
                           (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
     const double rank = rank_of(tun.hash_key, *ep, weight);
@@ -321,7 +332,7 @@
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
   if (ending.result == Result::connect_failed) unheard(ep);
   // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
-  if (ending.result == Result::timed_out || ending.result == Result::reset) cut_room(ep, ep.load);
+  if (ending.result == Result::timed_out || ending.result == Result::reset) cut_room(ep, 1);
   if (ending.result == Result::timed_out) measured(2 * ending.took);  // it would have taken longer
   if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
   if (may_have_run(ending.result) && !tun.may_have_run_at) {
@@ -384,7 +395,7 @@
     if (!any && ep->room_cut_at == host_.now())
       ep->room = kNoLimit;
     else
-      cut_room(*ep, ep->load);
+      cut_room(*ep, 1);
     judge(*ep, false);
   };
 }
@@ -428,6 +439,8 @@
   ++ep.groups[tun.hash_key];
   if (tun.tenant < tenant_held_.size()) ++tenant_held_[tun.tenant];
   ep.load += tun.load;
+  held_load_ += tun.load;
+  ++held_;
 }
 
 void Relay::let_go(Tunnel& tun) {
@@ -438,6 +451,7 @@
   if (tun.tenant < tenant_held_.size()) --tenant_held_[tun.tenant];
   if (--ep.groups[tun.hash_key] == 0) ep.groups.erase(tun.hash_key);
   ep.load = ep.held.empty() ? 0 : ep.load - tun.load;
+  held_load_ = --held_ > 0 ? held_load_ - tun.load : 0;
   if (tun.open) --open_;
   if (tun.queued) --queued_;
   tun.open = tun.queued = false;
@@ -454,12 +468,15 @@
   const double part = 1.0 / std::min(64u, ++profile_told_[index]);
   profile_load_[index] += part * (load - profile_load_[index]);
   if (first) {  // what was counted in shares of payoff is counted in work from here on
+    held_load_ = 0;
     for (const auto& ep : fleet_) {
       ep->load = 0;
       for (Tunnel* other : ep->held) ep->load += other->load = expected_load(*other);
+      held_load_ += ep->load;
     }
   }
   tun.ep->load += load - tun.load;
+  held_load_ += load - tun.load;
   tun.load = load;
   heard_from(*tun.ep);
 }
@@ -535,22 +552,33 @@
 }
 
 void Relay::strained(Backend& ep, double kept) {
-  cut_room(ep, ep.load * kept);
+  cut_room(ep, kept);
   hold_others();
   relieve(ep);
 }
 
 // Danger: on an overdriven backend every message comes late and what it drops lands on its neighbours, until
 // all drop. So strain teaches how much this relay may put there, and what fits nowhere is declined.
-void Relay::cut_room(Backend& ep, double to) {
+void Relay::cut_room(Backend& ep, double kept) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
-  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, ep.load)
-                                                                   : ep.load;
-  ep.room = std::min(room_now(ep), to);
+  // Danger: a relay that holds one tunnel there, or has just lost it, would close the backend for good. Less than
+  // one tunnel's room is a chance to land, the same at every relay.
+  const double held = std::max(ep.load, tunnel_load());
+  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, held) : held;
+  ep.room = std::min(room_now(ep), held) * (ep.load > 0 || kept < 1 ? kept : kDeepCut);
   ep.room_cut_at = now;
 }
 
+// What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed draw.
+bool Relay::fits(double held, double needed, const Tunnel& tun, const Backend& ep) const {
+  return held + needed * standing_of(tun, ep) <= room_now(ep);
+}
+
+double Relay::tunnel_load() const {
+  return held_ > 0 ? held_load_ / static_cast<double>(held_) : 1;
+}
+
 bool Relay::cut_within(const Backend& ep, Micros time) const {
   return ep.room < kNoLimit && host_.now() - ep.room_cut_at < time;
 }
@@ -573,28 +601,27 @@
   if (3 * cut < 2 * std::ssize(fleet_)) return;
   host_.log("most backends strained: the others keep what they hold");
   for (const auto& peer : fleet_) {
-    if (peer->room >= kNoLimit) peer->room = peer->full = peer->load, peer->room_cut_at = now;
+    if (peer->room < kNoLimit) continue;
+    peer->room = peer->full = std::max(peer->load, tunnel_load());
+    peer->room_cut_at = now;
   }
 }
 
-// Moves what is over the room, the members of the smallest groups first: they cost the backend most each.
+// Moves what is over the room, in the order that all relays agree on: so whole groups go, and go together.
 void Relay::relieve(Backend& ep) {
-  std::vector<Tunnel*> open;
-  double over = ep.load - room_now(ep);
+  std::vector<std::pair<std::pair<bool, double>, Tunnel*>> open;
+  double kept = ep.load;
   for (Tunnel* tun : ep.held) {
-    if (tun->queued)
-      over -= tun->load;
-    else if (tun->open)
-      open.push_back(tun);
+    if (!tun->open && !tun->queued) continue;
+    kept -= tun->load;
+    if (!tun->queued) open.push_back({{over_share(*tun), -static_cast<double>(ep.groups[tun->hash_key]) + standing_of(*tun, ep)}, tun});
   }
-  std::stable_sort(open.begin(), open.end(), [&](const Tunnel* a, const Tunnel* b) {
-    return std::pair(!over_share(*a), ep.groups[a->hash_key]) <
-           std::pair(!over_share(*b), ep.groups[b->hash_key]);
-  });
-  for (Tunnel* tun : open) {
-    if (over <= 0) break;
-    over -= tun->load;
-    queue_move(*tun);
+  std::stable_sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  for (const auto& [order, tun] : open) {
+    if (fits(kept, tun->load, *tun, ep))
+      kept += tun->load;
+    else
+      queue_move(*tun);
   }
   run_movers();
 }
@@ -608,19 +635,25 @@
   if (told > kFullLoad) strained(ep, std::max(kDeepCut, kFullLoad / told));
 }
 
+// Danger: many relays each looking at every backend cost more than they learn: what is looked at is paid from a
+// purse that new clients fill. Doubt comes first; half of the purse is kept for it.
 void Relay::look_around() {
   const Micros now = host_.now();
-  const double rate = std::max(calm_rate(), 0.2 / kSecond);
-  const double gap = static_cast<double>(fleet_.size()) * probe_price_ / (kProbeBudget * rate);
-  const Micros usual = std::clamp(static_cast<Micros>(gap), kSecond / 2, 8 * kSecond);
-  for (const auto& ep : fleet_) {
-    if (ep->standing != Standing::ready || ep->probe_out) continue;
-    const Micros due =
-        ep->doubt > 0 ? ep->probed_at + shortest_goal_ : std::max(ep->probed_at, ep->heard_at) + usual;
-    if (now < due) continue;
-    ep->probe_out = true;
-    ep->probed_at = now;
-    host_.probe(*ep);
+  // However quiet it is, all relays together look once a second.
+  purse_ = std::min(kPurse, purse_ + static_cast<double>(shortest_goal_ / 2) / kSecond / relays_);
+  for (const bool in_doubt : {true, false}) {
+    for (std::size_t i = 0; i < fleet_.size(); ++i) {
+      Backend& ep = *fleet_[(look_from_ + i) % fleet_.size()];
+      if (purse_ < (in_doubt ? 1 : kPurse / 2)) break;
+      if (ep.standing != Standing::ready || ep.probe_out || in_doubt != (ep.doubt > 0)) continue;
+      const Micros due = in_doubt ? ep.probed_at + shortest_goal_ : std::max(ep.probed_at, ep.heard_at) + kSecond / 2;
+      if (now < due) continue;
+      purse_ -= 1;
+      ep.probe_out = true;
+      ep.probed_at = now;
+      host_.probe(ep);
+      if (!in_doubt) look_from_ = (look_from_ + i + 1) % fleet_.size();
+    }
   }
   host_.wake_at(now + shortest_goal_ / 2, [this] { look_around(); });
 }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -211,7 +211,9 @@
   void take_report(Backend& ep, const LoadReport& report);
   bool cut_within(const Backend& ep, Micros time) const;
   double room_now(const Backend& ep) const;
-  void cut_room(Backend& ep, double to);
+  void cut_room(Backend& ep, double kept);
+  bool fits(double held, double needed, const Tunnel& tun, const Backend& ep) const;
+  double tunnel_load() const;
   void strained(Backend& ep, double kept);
   void hold_others();
   void relieve(Backend& ep);
@@ -231,7 +233,8 @@
   std::vector<double> tenant_held_;
   double load_unit_ = 1;
   std::vector<std::shared_ptr<Backend>> fleet_;  // in the order in which the list named them
-  std::size_t open_ = 0, queued_ = 0, moving_ = 0;
+  std::size_t held_ = 0, open_ = 0, queued_ = 0, moving_ = 0, look_from_ = 0;
+  double held_load_ = 0, purse_ = 4;
   std::deque<std::weak_ptr<Tunnel>> to_move_;
   unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
