A group is no stranger to its first-ranked backend; cuts 0.6 and 0.85 beside the agreed draw

Cause: under an agreed draw a cut sheds half a tunnel less than before, so small sites lost; at full size a relay seldom holds any of a group, and asked 12 tunnels' room everywhere for it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -26,9 +26,9 @@
 constexpr double kCapFloor = 2;                      // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
-constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
+constexpr double kDeepCut = 0.6, kSlightCut = 0.85;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
-constexpr double kStranger = 12;  // tunnels' worth of room for the first of a group
+constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -208,18 +208,25 @@
   Backend* best[3] = {};
   double best_rank[3] = {};
   const Caps caps = caps_now();
+  const double load = expected_load(tun);
   if (caps.strained && over_share(tun)) return nullptr;
+  const Backend* first = nullptr;
+  double first_rank = 0;
+  for (const auto& ep : fleet_) {
+    if (ep->standing != Standing::ready) continue;
+    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
+                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
+    ep->rank = rank_of(tun.hash_key, *ep, weight);
+    if (!first || ep->rank < first_rank) first = ep.get(), first_rank = ep->rank;
+  }
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    const double needed = expected_load(tun) * (ep->groups.contains(tun.hash_key) ? 1 : kStranger);
-    if (!tun.mid_flow && !fits(ep->load, needed, tun, *ep)) continue;
-    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
-                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
-    const double rank = rank_of(tun.hash_key, *ep, weight);
+    const double extra = ep->groups.contains(tun.hash_key) || ep.get() == first ? 0 : load * kStranger;
+    if (!tun.mid_flow && !fits(ep->load + extra, load, tun, *ep)) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
-    if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
+    if (!best[tier] || ep->rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = ep->rank;
   }
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
@@ -243,6 +250,7 @@
     caps.strained |= cut_within(*ep, regrowth_);
     caps.tunnels += static_cast<double>(ep->held.size());
   }
+  caps.stranger = std::max(0.0, kStranger * caps.tunnels / std::max(1.0, ready) - 1);
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
@@ -571,8 +579,8 @@
 }
 
 // What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed draw.
-bool Relay::fits(double held, double needed, const Tunnel& tun, const Backend& ep) const {
-  return held + needed * standing_of(tun, ep) <= room_now(ep);
+bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
+  return held + load * standing_of(tun, ep) <= room_now(ep);
 }
 
 double Relay::tunnel_load() const {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -100,6 +100,7 @@
   double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
   bool probe_out = false;
+  double rank = 0;  // for the tunnel that is landing now
   TimeRing good{1'000'000}, bad{1'000'000};
   std::int64_t cold_turn = -1;
   unsigned cold_sent = 0;
@@ -179,7 +180,7 @@
   enum class Answer : std::uint8_t { opened, declined, closed_with_error };
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
-    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0;
+    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, stranger = 0;
     bool strained = false;
   };
 
@@ -212,7 +213,7 @@
   bool cut_within(const Backend& ep, Micros time) const;
   double room_now(const Backend& ep) const;
   void cut_room(Backend& ep, double kept);
-  bool fits(double held, double needed, const Tunnel& tun, const Backend& ep) const;
+  bool fits(double held, double load, const Tunnel& tun, const Backend& ep) const;
   double tunnel_load() const;
   void strained(Backend& ep, double kept);
   void hold_others();
