--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -600,19 +600,23 @@
   return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
-// Danger: when most are strained, what they shed would rush to the few not yet cut: those keep what they
-// hold.
+// Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut, most of
+// all to those of which this relay knows nothing: those keep what they hold, or take one tunnel.
 void Relay::hold_others() {
-  const Micros now = host_.now();
-  const auto cut = std::count_if(fleet_.begin(), fleet_.end(),
-                                 [&](const auto& peer) { return cut_within(*peer, 2 * kCutEvery); });
-  if (3 * cut < 2 * std::ssize(fleet_)) return;
-  host_.log("most backends strained: the others keep what they hold");
+  std::ptrdiff_t known = 0, cut = 0, held = 0;
+  for (const auto& peer : fleet_) {
+    const bool strained = cut_within(*peer, regrowth_);
+    known += strained || !peer->held.empty();
+    cut += strained;
+  }
+  if (3 * cut < 2 * known) return;
   for (const auto& peer : fleet_) {
     if (peer->room < kNoLimit) continue;
     peer->room = peer->full = std::max(peer->load, tunnel_load());
-    peer->room_cut_at = now;
+    peer->room_cut_at = host_.now();
+    ++held;
   }
+  if (held > 0) host_.log("most known backends strained: " + std::to_string(held) + " others keep what they hold");
 }
 
 // Moves what is over the room, in the order that all relays agree on: so whole groups go, and go together.
