--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -605,7 +605,7 @@
 void Relay::hold_others() {
   std::ptrdiff_t known = 0, cut = 0, held = 0;
   for (const auto& peer : fleet_) {
-    const bool strained = cut_within(*peer, regrowth_);
+    const bool strained = cut_within(*peer, peer->held.empty() ? regrowth_ : 2 * kCutEvery);
     known += strained || !peer->held.empty();
     cut += strained;
   }
