Turns at a cold backend are dealt by what relays have to send

Cause: one relay a window may send; with 30 to 260 relays the windows of a warm-up run out before a tenth of them had a turn, and a relay with a turn seldom has a client for that backend: cold backends stayed empty in deploys.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -84,18 +84,6 @@
   return total;
 }
 
-double TimeRing::median(Micros now) const {
-  const std::int64_t turn = now / width_;
-  std::array<double, std::tuple_size_v<decltype(buckets_)>> seen{};
-  for (std::size_t i = 0; i < buckets_.size(); ++i) {
-    if (buckets_[i].turn < turn && buckets_[i].turn > turn - std::ssize(buckets_))
-      seen[i] = buckets_[i].amount;
-  }
-  const auto middle = seen.begin() + seen.size() / 2;
-  std::nth_element(seen.begin(), middle, seen.end());
-  return *middle;
-}
-
 Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
     : host_(host),
       chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
@@ -120,7 +108,7 @@
       cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
       probe_price_(terms.probe_price),
       cross_price_(terms.cross_price),
-      arrivals_(kSecond),
+      asked_(kSecond),
       setups_made_(kSecond),
       setup_time_(kSecond) {
   double least = 1e300;
@@ -176,8 +164,9 @@
 // ---- Landing --------------------------------------------------------------------------------------------
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
+  asked_.add(host_.now(), 1);
   if (!tun->returning) {
-    arrivals_.add(host_.now(), 1);
+    ++new_clients_;
     purse_ = std::min(kPurse, purse_ + (probe_price_ > 0 ? kProbeBudget / probe_price_ : kPurse));
   }
   tun->hash_key = key_of(*tun);
@@ -207,7 +196,7 @@
   const Micros now = host_.now();
   Backend* best[3] = {};
   double best_rank[3] = {};
-  const Caps caps = caps_now();
+  const Caps caps = caps_ = caps_now();
   const double load = expected_load(tun);
   if (caps.strained && over_share(tun)) return nullptr;
   const Backend* first = nullptr;
@@ -244,13 +233,13 @@
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
     ++ready;
+    caps.whole += ep->size;
     caps.size += ep->size * warm_share(*ep);
     caps.mean_size += ep->size;
     load += ep->load;
     caps.strained |= cut_within(*ep, regrowth_);
     caps.tunnels += static_cast<double>(ep->held.size());
   }
-  caps.stranger = std::max(0.0, kStranger * caps.tunnels / std::max(1.0, ready) - 1);
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
@@ -263,25 +252,28 @@
          std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * caps.tunnel_load);
 }
 
-// Danger: each relay sends a fresh backend a little, and together they push it over. They take turns, one
-// window each, counted from the backend's start, so that no window holds more than two relays' budgets. A
-// relay that has itself just started sits out a turn that began before it did: it may have sent already.
+// Danger: each relay sends a fresh backend a little, and together they push it over. So the windows since its
+// start are dealt out: in each, as many relays have a turn as together send what it surely bears. Where relays are
+// many and clients few, most turns go unused and more relays get one; in a storm each has more to send, and fewer.
+// A relay that has itself just started sits out a turn that began before it did: it may have sent already.
 bool Relay::cold_budget_allows(const Backend& ep) const {
   const double warm = warm_share(ep);
   if (warm >= 1) return true;
   const std::int64_t turn = cold_turn(ep);
-  if (turn % relays_ != me_ % relays_ || ep.since + turn * fall_window_ < born_) return false;
+  if (ep.since + turn * fall_window_ < born_) return false;
+  const Micros now = host_.now();
+  const double window = static_cast<double>(fall_window_), relays = relays_;
+  const double calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
+  const double rate = std::max(calm, asked_.sum(now) / static_cast<double>(8 * kSecond));
+  const double budget =
+      cold_multiple_ / 2 * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
+  const double wanted = std::min(1.0, rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
+  const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, relays));
+  if ((me_ + turn * turns) % relays_ >= turns) return false;
   const double sent = ep.cold_turn == turn ? ep.cold_sent : 0;
-  double size = 0;
-  for (const auto& other : fleet_) size += other->standing == Standing::ready ? other->size : 0;
-  const double fair = calm_rate() * relays_ * (size > 0 ? ep.size / size : 0);
-  return sent + 1 <= std::max(1.0, cold_multiple_ / 2 * warm * fair * static_cast<double>(fall_window_));
+  return sent + 1 <= std::max(1.0, budget / static_cast<double>(turns));
 }
 
-// New clients a microsecond on an ordinary day: the middle one of the last seconds, without those that come
-// again, for a budget that grew with a storm would let the storm through.
-double Relay::calm_rate() const { return arrivals_.median(host_.now()) / static_cast<double>(kSecond); }
-
 std::int64_t Relay::cold_turn(const Backend& ep) const {
   return std::max<Micros>(0, host_.now() - ep.since) / fall_window_;
 }
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -64,7 +64,6 @@
   explicit TimeRing(Micros width) : width_(width > 0 ? width : 1) {}
   void add(Micros now, double amount);
   double sum(Micros now) const;
-  double median(Micros now) const;  // of the buckets that are over
 
  private:
   struct Bucket {
@@ -180,7 +179,7 @@
   enum class Answer : std::uint8_t { opened, declined, closed_with_error };
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
-    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, stranger = 0;
+    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0;
     bool strained = false;
   };
 
@@ -190,7 +189,6 @@
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
   bool over_cap(const Backend& ep, const Caps& caps) const;
-  double calm_rate() const;
   bool cold_budget_allows(const Backend& ep) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
@@ -242,7 +240,9 @@
   Micros longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_, shortest_goal_,
       born_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
-  TimeRing arrivals_, setups_made_, setup_time_;
+  Caps caps_;
+  std::size_t new_clients_ = 0;
+  TimeRing asked_, setups_made_, setup_time_;
 };
 
 }  // namespace cherryrail
