Unknown backends are as short of room as the known; foreign tunnels go first

And a group's scattered members cost every backend that holds one. Change: once two thirds of what a relay knows is strained, what it does not know takes the mean share of room left; in relief a tunnel whose own backend would take it goes first.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -199,20 +199,12 @@
   const Caps caps = caps_ = caps_now();
   const double load = expected_load(tun);
   if (caps.strained && over_share(tun)) return nullptr;
-  const Backend* first = nullptr;
-  double first_rank = 0;
-  for (const auto& ep : fleet_) {
-    if (ep->standing != Standing::ready) continue;
-    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
-                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
-    ep->rank = rank_of(tun.hash_key, *ep, weight);
-    if (!first || ep->rank < first_rank) first = ep.get(), first_rank = ep->rank;
-  }
+  rank(tun, caps);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    const double extra = ep->groups.contains(tun.hash_key) || ep.get() == first ? 0 : load * kStranger;
+    const double extra = ep->groups.contains(tun.hash_key) || ep.get() == tun.first ? 0 : load * kStranger;
     if (!tun.mid_flow && !fits(ep->load + extra, load, tun, *ep)) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
     if (!best[tier] || ep->rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = ep->rank;
@@ -220,6 +212,18 @@
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
 
+void Relay::rank(Tunnel& tun, const Caps& caps) {
+  tun.first = nullptr;
+  double least = 0;
+  for (const auto& ep : fleet_) {
+    if (ep->standing != Standing::ready) continue;
+    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
+                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
+    ep->rank = rank_of(tun.hash_key, *ep, weight);
+    if (!tun.first || ep->rank < least) tun.first = ep.get(), least = ep->rank;
+  }
+}
+
 // How much of its full capacity a backend surely has: from the cold share up, evenly over the warm-up.
 double Relay::warm_share(const Backend& ep) const {
   if (ep.since <= 0) return 1;
@@ -593,36 +597,46 @@
 }
 
 // Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut, most of
-// all to those of which this relay knows nothing: those keep what they hold, or take one tunnel.
+// all to those of which this relay knows nothing. So those that hold tunnels keep them and take no more, and the
+// unknown are taken to be as short of room as the known.
 void Relay::hold_others() {
   std::ptrdiff_t known = 0, cut = 0, held = 0;
+  double room = 0, full = 0;
   for (const auto& peer : fleet_) {
     const bool strained = cut_within(*peer, peer->held.empty() ? regrowth_ : 2 * kCutEvery);
     known += strained || !peer->held.empty();
     cut += strained;
+    if (strained) room += std::min(room_now(*peer), peer->full), full += peer->full;
   }
-  if (3 * cut < 2 * known) return;
+  if (3 * cut < 2 * known || full <= 0) return;
   for (const auto& peer : fleet_) {
-    if (peer->room < kNoLimit) continue;
-    peer->room = peer->full = std::max(peer->load, tunnel_load());
+    if (!peer->held.empty() && peer->room < kNoLimit) continue;
+    held += peer->room >= kNoLimit;
+    peer->full = std::max(peer->load, tunnel_load());
+    peer->room = std::min(room_now(*peer), peer->held.empty() ? peer->full * room / full : peer->full);
     peer->room_cut_at = host_.now();
-    ++held;
   }
   if (held > 0) host_.log("most known backends strained: " + std::to_string(held) + " others keep what they hold");
 }
 
-// Moves what is over the room, in the order that all relays agree on: so whole groups go, and go together.
+// Moves what is over the room, in an order that all relays agree on, so that whole groups go, and go together:
+// first what belongs to another backend and would not be let in here now.
 void Relay::relieve(Backend& ep) {
-  std::vector<std::pair<std::pair<bool, double>, Tunnel*>> open;
+  std::vector<std::pair<std::pair<int, double>, Tunnel*>> open;
   double kept = ep.load;
   for (Tunnel* tun : ep.held) {
     if (!tun->open && !tun->queued) continue;
     kept -= tun->load;
-    if (!tun->queued) open.push_back({{over_share(*tun), -static_cast<double>(ep.groups[tun->hash_key]) + standing_of(*tun, ep)}, tun});
+    if (tun->queued) continue;
+    if (!tun->first || tun->first->standing != Standing::ready) rank(*tun, caps_);
+    const unsigned together = ep.groups[tun->hash_key];
+    const bool foreign = tun->first && tun->first != &ep && together == 1 &&
+                         fits(tun->first->load, tun->load, *tun, *tun->first);
+    open.push_back({{2 * over_share(*tun) + foreign, standing_of(*tun, ep) - together}, tun});
   }
   std::stable_sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [order, tun] : open) {
-    if (fits(kept, tun->load, *tun, ep))
+    if (fits(kept + (order.first & 1 ? tun->load * kStranger : 0), tun->load, *tun, ep))
       kept += tun->load;
     else
       queue_move(*tun);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -128,6 +128,7 @@
   std::shared_ptr<Backend> ep;              // holds the setup that is out, or the open tunnel
   std::function<void(const Ending&)> next;  // what the result of the step under way leads to
   std::vector<const Backend*> tried;
+  const Backend* first = nullptr;  // its first-ranked backend when last ranked
   std::uint64_t hash_key = 0;
   unsigned setups = 0;
   double load = 0;
@@ -186,6 +187,7 @@
   Micros jittered(Micros longest);
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
+  void rank(Tunnel& tun, const Caps& caps);
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
   bool over_cap(const Backend& ep, const Caps& caps) const;
