--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -636,7 +636,7 @@
   }
   std::stable_sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [order, tun] : open) {
-    if (fits(kept + (order.first & 1 ? tun->load * kStranger : 0), tun->load, *tun, ep))
+    if (order.first & 1 ? kept + tun->load <= room_now(ep) : fits(kept, tun->load, *tun, ep))
       kept += tun->load;
     else
       queue_move(*tun);
