--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -13,6 +13,7 @@
 #include "brain.hpp"
 
 #include <algorithm>
+#include <bitset>
 #include <cmath>
 #include <utility>
 
@@ -218,7 +219,7 @@
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready) continue;
     const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
-                          (ep->zone == zone_ && cross_price_ > 0 ? kHomeZone : 1);
+                          (ep->zone == zone_ ? caps.home : 1);
     ep->rank = rank_of(tun.hash_key, *ep, weight);
     if (!tun.first || ep->rank < least) tun.first = ep.get(), least = ep->rank;
   }
@@ -233,11 +234,14 @@
 
 Relay::Caps Relay::caps_now() const {
   Caps caps;
-  double load = 0, ready = 0;
+  double load = 0, ready = 0, home = 0;
+  std::bitset<256> zones;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
     ++ready;
     caps.whole += ep->size;
+    zones.set(ep->zone % zones.size());
+    if (ep->zone == zone_) home += ep->size;
     caps.size += ep->size * warm_share(*ep);
     caps.mean_size += ep->size;
     load += ep->load;
@@ -245,6 +249,12 @@
     caps.tunnels += static_cast<double>(ep->held.size());
   }
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
+  // Danger: a zone with few backends drowns in its own clients, and with few tunnels a backend no cap shows it. Its
+  // own zone gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
+  if (cross_price_ > 0 && home > 0 && home < caps.whole) {
+    const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
+    caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
+  }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
   return caps;
