--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -234,7 +234,7 @@
 
 Relay::Caps Relay::caps_now() const {
   Caps caps;
-  double load = 0, ready = 0, home = 0;
+  double load = 0, ready = 0, home = 0, known = 0, cut = 0;
   std::bitset<256> zones;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
@@ -245,7 +245,10 @@
     caps.size += ep->size * warm_share(*ep);
     caps.mean_size += ep->size;
     load += ep->load;
-    caps.strained |= cut_within(*ep, regrowth_);
+    const bool strained = cut_within(*ep, regrowth_);
+    caps.strained |= strained;
+    cut += strained;
+    known += strained || !ep->held.empty();
     caps.tunnels += static_cast<double>(ep->held.size());
   }
   caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
@@ -254,6 +257,7 @@
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
+    if (known > 0 && 3 * cut >= 2 * known) caps.home = 1;
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
