--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -590,7 +590,7 @@
 
 // What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed draw.
 bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
-  return held + load * standing_of(tun, ep) <= room_now(ep);
+  return held + load * standing_of(tun, ep) <= room_now(ep) * std::max(1.0, load / ep.full);
 }
 
 double Relay::tunnel_load() const {
