--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -60,7 +60,9 @@
 // Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every relay
 // draws the same, so that what one sheds or refuses the others do too.
 double standing_of(const Tunnel& tun, const Backend& ep) {
-  return static_cast<double>(mix(mix(tun.hash_key) + ep.name) >> 11) * 0x1p-53;
+  const double g = static_cast<double>(mix(mix(tun.hash_key) + ep.name) >> 11) * 0x1p-53;
+  const double c = static_cast<double>(mix(mix(tun.client_key) + ep.name) >> 11) * 0x1p-53;
+  return 0.75 * g + 0.25 * c;
 }
 
 std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
@@ -590,7 +592,7 @@
 
 // What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed draw.
 bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
-  return held + load * standing_of(tun, ep) <= room_now(ep) * std::max(1.0, load / ep.full);
+  return held + load * standing_of(tun, ep) <= room_now(ep);
 }
 
 double Relay::tunnel_load() const {
