--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -60,9 +60,7 @@
 // Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every relay
 // draws the same, so that what one sheds or refuses the others do too.
 double standing_of(const Tunnel& tun, const Backend& ep) {
-  const double g = static_cast<double>(mix(mix(tun.hash_key) + ep.name) >> 11) * 0x1p-53;
-  const double c = static_cast<double>(mix(mix(tun.client_key) + ep.name) >> 11) * 0x1p-53;
-  return 0.75 * g + 0.25 * c;
+  return static_cast<double>(mix(mix(tun.hash_key) + ep.name) >> 11) * 0x1p-53;
 }
 
 std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
@@ -103,7 +101,7 @@
       ask_within_(terms.ask_within),
       fall_window_(std::max<Micros>(1, terms.fall_window)),
       warm_up_(std::max<Micros>(1, terms.warm_up)),
-      regrowth_(warm_up_ / 2),
+      regrowth_(warm_up_),
       answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
       shortest_goal_(10 * kSecond),
       born_(host.now()),
