--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -50,17 +50,19 @@
   return x ^ (x >> 31);
 }
 
-// The lower the better; weights shift shares as the logarithm method of weighted rendezvous hashing does.
-double rank_of(std::uint64_t key, const Backend& ep, double weight) {
-  const double u =
-      (static_cast<double>(mix(key ^ mix(ep.name + 0x9e3779b97f4a7c15ULL)) >> 11) + 0.5) * 0x1p-53;
-  return -std::log(u) / weight;
+double draw_of(std::uint64_t key, std::uint64_t place) {
+  return (static_cast<double>(mix(key ^ place) >> 11) + 0.5) * 0x1p-53;
 }
 
+// The lower the better; weights shift shares as the logarithm method of weighted rendezvous hashing does. The
+// logarithm is taken only where this bound from below does not settle it: a fleet is ranked for every setup.
+double exact_rank(const Backend& ep) { return -std::log(ep.draw) / ep.weight; }
+double least_rank(const Backend& ep) { return (1 - ep.draw) / ep.weight; }
+
 // Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every relay
 // draws the same, so that what one sheds or refuses the others do too.
 double standing_of(const Tunnel& tun, const Backend& ep) {
-  return static_cast<double>(mix(mix(tun.hash_key) + ep.name) >> 11) * 0x1p-53;
+  return draw_of(mix(tun.hash_key), ep.place);
 }
 
 std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
@@ -101,7 +103,7 @@
       ask_within_(terms.ask_within),
       fall_window_(std::max<Micros>(1, terms.fall_window)),
       warm_up_(std::max<Micros>(1, terms.warm_up)),
-      regrowth_(warm_up_),
+      regrowth_(warm_up_ / 2),
       answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
       shortest_goal_(10 * kSecond),
       born_(host.now()),
@@ -110,6 +112,8 @@
       probe_price_(terms.probe_price),
       cross_price_(terms.cross_price),
       asked_(kSecond),
+      good_(kSecond),
+      bad_(kSecond),
       setups_made_(kSecond),
       setup_time_(kSecond) {
   double least = 1e300;
@@ -133,6 +137,7 @@
 void Relay::list_entry(const std::shared_ptr<Backend>& ep, Standing standing, double size, Micros since) {
   const bool known = std::find(fleet_.begin(), fleet_.end(), ep) != fleet_.end();
   if (!known && standing != Standing::gone) fleet_.push_back(ep);
+  ep->place = mix(ep->name + 0x9e3779b97f4a7c15ULL);
   if (known && since > ep->listed_since) {
     // A restart: what was learned of the process before it no longer holds; the cold budget takes over.
     ep->doubt = 0;
@@ -202,13 +207,15 @@
   if (caps.strained && over_share(tun)) return nullptr;
   rank(tun, caps);
   for (const auto& ep : fleet_) {
-    if (ep->standing != Standing::ready || !effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
+    if (ep->standing != Standing::ready || (best[0] && least_rank(*ep) >= best_rank[0])) continue;
+    if (!effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
     const double extra = ep->groups.contains(tun.hash_key) || ep.get() == tun.first ? 0 : load * kStranger;
     if (!tun.mid_flow && !fits(ep->load + extra, load, tun, *ep)) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
-    if (!best[tier] || ep->rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = ep->rank;
+    const double rank = exact_rank(*ep);
+    if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
   }
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
@@ -218,10 +225,12 @@
   double least = 0;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready) continue;
-    const double weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
-                          (ep->zone == zone_ ? caps.home : 1);
-    ep->rank = rank_of(tun.hash_key, *ep, weight);
-    if (!tun.first || ep->rank < least) tun.first = ep.get(), least = ep->rank;
+    ep->draw = draw_of(tun.hash_key, ep->place);
+    ep->weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
+                 (ep->zone == zone_ ? caps.home : 1);
+    if (tun.first && least_rank(*ep) >= least) continue;
+    const double rank = exact_rank(*ep);
+    if (!tun.first || rank < least) tun.first = ep.get(), least = rank;
   }
 }
 
@@ -505,15 +514,11 @@
 // fail together the cause is shared, and setting the unlucky ones aside would drown the rest.
 void Relay::judge(Backend& ep, bool good) {
   const Micros now = host_.now();
-  double failed = 0.04, seen = 2;
-  for (const auto& peer : fleet_) {
-    if (peer.get() == &ep) continue;
-    const double bad = peer->bad.sum(now);
-    failed += bad;
-    seen += bad + peer->good.sum(now);
-  }
+  const double failed = 0.04 + std::max(0.0, bad_.sum(now) - ep.bad.sum(now));
+  const double seen = 2 + failed + std::max(0.0, good_.sum(now) - ep.good.sum(now));
   const double usual = std::clamp(failed / seen, 0.02, 0.95 * kIllShare);
   (good ? ep.good : ep.bad).add(now, 1);
+  (good ? good_ : bad_).add(now, 1);
   const double step = good ? std::log((1 - kIllShare) / (1 - usual)) : std::log(kIllShare / usual);
   ep.doubt = std::clamp(ep.doubt + step, 0.0, 2 * kAsideDoubt);
   if (ep.aside) {
@@ -674,6 +679,7 @@
   // However quiet it is, all relays together look once a second.
   purse_ = std::min(kPurse, purse_ + static_cast<double>(shortest_goal_ / 2) / kSecond / relays_);
   for (const bool in_doubt : {true, false}) {
+    if (in_doubt && bad_.sum(now) <= 0) continue;
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
       Backend& ep = *fleet_[(look_from_ + i) % fleet_.size()];
       if (purse_ < (in_doubt ? 1 : kPurse / 2)) break;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -99,7 +99,8 @@
   double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
   bool probe_out = false;
-  double rank = 0;  // for the tunnel that is landing now
+  std::uint64_t place = 0;        // its name, hashed
+  double draw = 0, weight = 1;    // for the tunnel that is landing now
   TimeRing good{1'000'000}, bad{1'000'000};
   std::int64_t cold_turn = -1;
   unsigned cold_sent = 0;
@@ -244,7 +245,7 @@
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   Caps caps_;
   std::size_t new_clients_ = 0;
-  TimeRing asked_, setups_made_, setup_time_;
+  TimeRing asked_, good_, bad_, setups_made_, setup_time_;
 };
 
 }  // namespace cherryrail
