--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -80,8 +80,8 @@
   bucket.amount += amount;
 }
 
-double TimeRing::sum(Micros now) const {
-  const std::int64_t oldest = now / width_ - static_cast<std::int64_t>(buckets_.size());
+double TimeRing::sum(Micros now, std::int64_t buckets) const {
+  const std::int64_t oldest = now / width_ - std::min(buckets, std::ssize(buckets_));
   double total = 0;
   for (const Bucket& bucket : buckets_) total += bucket.turn > oldest ? bucket.amount : 0;
   return total;
@@ -291,9 +291,9 @@
   const Micros now = host_.now();
   const double window = static_cast<double>(fall_window_), relays = relays_;
   const double calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
-  const double rate = std::max(calm, asked_.sum(now) / static_cast<double>(8 * kSecond));
+  const double rate = std::max({calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
   const double budget =
-      cold_multiple_ / 2 * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
+      cold_multiple_ * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted = std::min(1.0, rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
   const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, relays));
   if ((me_ + turn * turns) % relays_ >= turns) return false;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -63,7 +63,7 @@
  public:
   explicit TimeRing(Micros width) : width_(width > 0 ? width : 1) {}
   void add(Micros now, double amount);
-  double sum(Micros now) const;
+  double sum(Micros now, std::int64_t buckets = 8) const;  // of the last so many, at most all
 
  private:
   struct Bucket {
