Clients that come again get few turns at a cold backend, new ones as many as go unused

What comes again comes together: a drained backend's group at many relays in one second, each with a turn. New clients come singly.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,6 +30,7 @@
 constexpr double kDeepCut = 0.6, kSlightCut = 0.85;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
+constexpr double kColdTurns = 4;  // at most so many turns dealt for each tunnel that a cold backend bears
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -208,7 +209,7 @@
   rank(tun, caps);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || (best[0] && least_rank(*ep) >= best_rank[0])) continue;
-    if (!effect_allows(tun, *ep) || !cold_budget_allows(*ep)) continue;
+    if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
     const double extra = ep->groups.contains(tun.hash_key) || ep.get() == tun.first ? 0 : load * kStranger;
@@ -283,7 +284,7 @@
 // start are dealt out: in each, as many relays have a turn as together send what it surely bears. Where relays are
 // many and clients few, most turns go unused and more relays get one; in a storm each has more to send, and fewer.
 // A relay that has itself just started sits out a turn that began before it did: it may have sent already.
-bool Relay::cold_budget_allows(const Backend& ep) const {
+bool Relay::cold_budget_allows(const Tunnel& tun, const Backend& ep) const {
   const double warm = warm_share(ep);
   if (warm >= 1) return true;
   const std::int64_t turn = cold_turn(ep);
@@ -293,9 +294,10 @@
   const double calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
   const double rate = std::max({calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
   const double budget =
-      cold_multiple_ * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
+      cold_multiple_ / 2 * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted = std::min(1.0, rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
-  const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, relays));
+  const double most = tun.returning ? std::clamp(kColdTurns * budget, 1.0, relays) : relays;
+  const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, most));
   if ((me_ + turn * turns) % relays_ >= turns) return false;
   const double sent = ep.cold_turn == turn ? ep.cold_sent : 0;
   return sent + 1 <= std::max(1.0, budget / static_cast<double>(turns));
@@ -326,7 +328,7 @@
   if (tun.answered || tun.ep || tun.setups >= max_setups_)
     return false;                                    // never two out, nothing after the answer
   if (ep.standing != Standing::ready) return false;  // rule 3
-  if (!effect_allows(tun, ep) || !cold_budget_allows(ep)) return false;  // rules 2 and 4
+  if (!effect_allows(tun, ep) || !cold_budget_allows(tun, ep)) return false;  // rules 2 and 4
   if (ep.since > 0) {
     const std::int64_t turn = cold_turn(ep);
     ep.cold_sent = ep.cold_turn == turn ? ep.cold_sent + 1 : 1;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -192,7 +192,7 @@
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
   bool over_cap(const Backend& ep, const Caps& caps) const;
-  bool cold_budget_allows(const Backend& ep) const;
+  bool cold_budget_allows(const Tunnel& tun, const Backend& ep) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
   bool launch(Tunnel& tun, Backend& ep);
