--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 constexpr double kDeepCut = 0.6, kSlightCut = 0.85;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
-constexpr double kColdTurns = 4;  // at most so many turns dealt for each tunnel that a cold backend bears
+constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
