A setup's time-out is the whole setup goal

A late opening still earns its seconds, and a healthy setup cut short in a slow spell is work done for nothing.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -350,7 +350,7 @@
   const double made = setups_made_.sum(host_.now());
   const Micros usual = made > 0 ? static_cast<Micros>(4 * setup_time_.sum(host_.now()) / made) : 0;
   const Micros left = tun.expires_at - host_.now() - 2 * answer_margin_;
-  return std::min(std::max(tun.profile->setup_goal / 2, usual), left);
+  return std::min(std::max(tun.profile->setup_goal, usual), left);
 }
 
 void Relay::measured(Micros took) {
