--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -267,7 +267,7 @@
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    if (known > 0 && 2 * cut >= known) caps.home = 1;
+    if (known > 0 && 3 * cut >= 2 * known) caps.home = 1;
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
