--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,6 @@
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
 constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
-constexpr double kDeepestCut = 0.25;
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -574,8 +573,7 @@
   if (!tun.ep) return;
   heard_from(*tun.ep);
   if (message_time * 3 <= shortest_goal_) return;
-  const double over = static_cast<double>(message_time) / static_cast<double>(shortest_goal_);
-  strained(*tun.ep, over > 1 ? std::max(kDeepestCut, kDeepCut / over) : kSlightCut);
+  strained(*tun.ep, message_time > shortest_goal_ ? kDeepCut : kSlightCut);
 }
 
 void Relay::strained(Backend& ep, double kept) {
