--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -230,7 +230,6 @@
     ep->weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
                  (ep->zone == zone_ ? caps.home : 1);
     if (tun.first && least_rank(*ep) >= least) continue;
-    if (!cold_budget_allows(tun, *ep)) continue;
     const double rank = exact_rank(*ep);
     if (!tun.first || rank < least) tun.first = ep.get(), least = rank;
   }
