--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 constexpr double kDeepCut = 0.6, kSlightCut = 0.85;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
-constexpr double kColdTurns = 3;  // at most so many turns dealt for each tunnel that a cold backend bears
+constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -294,7 +294,7 @@
   const double calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
   const double rate = std::max({calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
   const double budget =
-      cold_multiple_ * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
+      cold_multiple_ / 2 * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted = std::min(1.0, rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
   const double most = tun.returning ? std::clamp(kColdTurns * budget, 1.0, relays) : relays;
   const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, most));
