--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,7 +27,7 @@
 constexpr double kCapFloor = 2;                      // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
-constexpr double kDeepCut = 0.6, kSlightCut = 0.85;  // of the load, at messages past the goal and nearing it
+constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
 constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
@@ -597,7 +597,8 @@
 
 // What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed draw.
 bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
-  return held + load * standing_of(tun, ep) <= room_now(ep);
+  const double spared = (1 - standing_of(tun, ep)) * std::min(1.0, load / std::max(ep.full, load));
+  return held + load * (1 - spared) <= room_now(ep);
 }
 
 double Relay::tunnel_load() const {
