The draw spares less where much is held; a cut takes a tenth of a tunnel more

Cause: the agreed draw made rooms leaky in small fleets. Now it spares a tunnel the less the more is held, cuts are 0.7 and 0.93 again, and a tenth of a tunnel comes off beside (much where one is held, little where ten are).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -27,10 +27,11 @@
 constexpr double kCapFloor = 2;                      // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
-constexpr double kDeepCut = 0.6, kSlightCut = 0.85;  // of the load, at messages past the goal and nearing it
+constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
 constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
+constexpr double kOneLess = 0.1;  // of a tunnel, shed beside a cut
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -591,9 +592,8 @@
   // one tunnel's room is a chance to land, the same at every relay.
   const double held = std::max(ep.load, tunnel_load());
   ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, held) : held;
-  const double room = room_now(ep);
-  if (ep.load <= 0) kept = std::min(kept, kDeepCut);
-  ep.room = std::min(room, kept * std::max(ep.load, std::min(room, tunnel_load())));
+  const double least = 1 - kOneLess * tunnel_load() / held;  // many round up what they shed, one cannot
+  ep.room = std::min(room_now(ep), held) * least * (ep.load > 0 ? kept : std::min(kept, kDeepCut));
   ep.room_cut_at = now;
 }
 
