A first-ranked backend asks a new group for the room it holds on average

Cause: in a small fleet a relay that holds none of a group at its first-ranked backend knows that it is new there; at full size that tells nothing. Rates counted once a choice.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -213,8 +213,11 @@
     if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    const double extra = ep->groups.contains(tun.hash_key) || ep.get() == tun.first ? 0 : load * kStranger;
-    if (!tun.mid_flow && !fits(ep->load + extra, load, tun, *ep)) continue;
+    // Its first-ranked backend is where the other relays put it: none of it held here tells little where few are.
+    const double extra = ep->groups.contains(tun.hash_key) ? 0
+                         : ep.get() == tun.first           ? std::min(kStranger, caps.tunnels / caps.ready)
+                                                           : kStranger;
+    if (!tun.mid_flow && !fits(ep->load + load * extra, load, tun, *ep)) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
     const double rank = exact_rank(*ep);
     if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
@@ -245,11 +248,14 @@
 
 Relay::Caps Relay::caps_now() const {
   Caps caps;
-  double load = 0, ready = 0, home = 0, known = 0, cut = 0;
+  const Micros now = host_.now();
+  caps.calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
+  caps.rate = std::max({caps.calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
+  double load = 0, home = 0, known = 0, cut = 0;
   std::bitset<256> zones;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
-    ++ready;
+    ++caps.ready;
     caps.whole += ep->size;
     zones.set(ep->zone % zones.size());
     if (ep->zone == zone_) home += ep->size;
@@ -262,7 +268,7 @@
     known += strained || !ep->held.empty();
     caps.tunnels += static_cast<double>(ep->held.size());
   }
-  caps.mean_size = ready > 0 && caps.mean_size > 0 ? caps.mean_size / ready : 1;
+  caps.mean_size = caps.mean_size > 0 ? caps.mean_size / caps.ready : 1;
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels a backend no cap shows it. Its
   // own zone gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
@@ -290,13 +296,10 @@
   if (warm >= 1) return true;
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < born_) return false;
-  const Micros now = host_.now();
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  const double calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
-  const double rate = std::max({calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
   const double budget =
-      cold_multiple_ / 2 * warm * calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
-  const double wanted = std::min(1.0, rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
+      cold_multiple_ / 2 * warm * caps_.calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
+  const double wanted = std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
   const double most = tun.returning ? std::clamp(kColdTurns * budget, 1.0, relays) : relays;
   const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, most));
   if ((me_ + turn * turns) % relays_ >= turns) return false;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -181,7 +181,8 @@
   enum class Answer : std::uint8_t { opened, declined, closed_with_error };
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
-    double size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0, home = 1;
+    double calm = 0, rate = 0;  // of clients: new ones in the long run, all that ask now
+    double ready = 0, size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0, home = 1;
     bool strained = false;
   };
 
