--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -81,26 +81,27 @@
   std::uint64_t name = 0;  // the same at every relay; hashed, never ordered by
   unsigned zone = 0, cell = 0;
   Standing standing = Standing::ready;
-  double size = 1;   // to compare with other backends' sizes
-  Micros since = 0;  // its latest start; 0 = long ago
-  Micros listed_since = 0;
 
-  // Kept by the Relay.
-  std::vector<Tunnel*> held;                 // tunnels on their way to it or open on it
+  // Read for every backend at every choice: kept close together.
+  bool aside = false;
+  double size = 1;            // to compare with other backends' sizes
+  Micros since = 0;           // its latest start; 0 = long ago
+  double load = 0;            // what the held tunnels are taken to ask of it
+  double room = 1e300;        // the load that this relay may put there, as learned from strain
+  double full = 0;            // what it held when strain began
+  Micros room_cut_at = 0;
+  std::vector<Tunnel*> held;  // tunnels on their way to it or open on it
+  std::uint64_t place = 0;    // its name, hashed
+  double draw = 0, weight = 1;  // for the tunnel that is landing now
+
+  Micros listed_since = 0;
   std::map<std::uint64_t, unsigned> groups;  // how many of each hash key are held
-  double load = 0;                           // what the held tunnels are taken to ask of it
   double doubt = 0;                          // the sequential test: log odds that it is ill
-  bool aside = false, silent = false;
+  bool silent = false, probe_out = false;
   unsigned wins = 0;        // successes in a row since it was set aside
   unsigned unanswered = 0;  // in a row: no word of any kind came back
   Micros next_trickle = 0, trickle_gap = 0;
   Micros heard_at = 0, probed_at = 0;
-  double room = 1e300;  // the load that this relay may put there, as learned from strain
-  double full = 0;      // what it held when strain began
-  Micros room_cut_at = 0;
-  bool probe_out = false;
-  std::uint64_t place = 0;        // its name, hashed
-  double draw = 0, weight = 1;    // for the tunnel that is landing now
   TimeRing good{1'000'000}, bad{1'000'000};
   std::int64_t cold_turn = -1;
   unsigned cold_sent = 0;
