--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -61,11 +61,9 @@
 double exact_rank(const Backend& ep) { return -std::log(ep.draw) / ep.weight; }
 double least_rank(const Backend& ep) { return (1 - ep.draw) / ep.weight; }
 
-// Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every relay
-// draws the same, so that what one sheds or refuses the others do too.
-double standing_of(const Tunnel& tun, const Backend& ep) {
-  return draw_of(mix(tun.hash_key), ep.place);
-}
+// Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every
+// relay draws the same, so that what one sheds or refuses the others do too.
+double standing_of(const Tunnel& tun, const Backend& ep) { return draw_of(mix(tun.hash_key), ep.place); }
 
 std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
 
@@ -213,7 +211,8 @@
     if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    // Its first-ranked backend is where the other relays put it: none of it held here tells little where few are.
+    // Its first-ranked backend is where the other relays put it: none of it held here tells little where few
+    // are.
     const double extra = ep->groups.contains(tun.hash_key) ? 0
                          : ep.get() == tun.first           ? std::min(kStranger, caps.tunnels / caps.ready)
                                                            : kStranger;
@@ -250,7 +249,8 @@
   Caps caps;
   const Micros now = host_.now();
   caps.calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
-  caps.rate = std::max({caps.calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
+  caps.rate =
+      std::max({caps.calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
   double load = 0, home = 0, known = 0, cut = 0;
   std::bitset<256> zones;
   for (const auto& ep : fleet_) {
@@ -269,8 +269,9 @@
     caps.tunnels += static_cast<double>(ep->held.size());
   }
   caps.mean_size = caps.mean_size > 0 ? caps.mean_size / caps.ready : 1;
-  // Danger: a zone with few backends drowns in its own clients, and with few tunnels a backend no cap shows it. Its
-  // own zone gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
+  // Danger: a zone with few backends drowns in its own clients, and with few tunnels a backend no cap shows
+  // it. Its own zone gets no more of them than its part of the fleet bears, were clients spread evenly over
+  // the zones.
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
@@ -288,18 +289,20 @@
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. So the windows since its
-// start are dealt out: in each, as many relays have a turn as together send what it surely bears. Where relays are
-// many and clients few, most turns go unused and more relays get one; in a storm each has more to send, and fewer.
-// A relay that has itself just started sits out a turn that began before it did: it may have sent already.
+// start are dealt out: in each, as many relays have a turn as together send what it surely bears. Where
+// relays are many and clients few, most turns go unused and more relays get one; in a storm each has more to
+// send, and fewer. A relay that has itself just started sits out a turn that began before it did: it may have
+// sent already.
 bool Relay::cold_budget_allows(const Tunnel& tun, const Backend& ep) const {
   const double warm = warm_share(ep);
   if (warm >= 1) return true;
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < born_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  const double budget =
-      cold_multiple_ / 2 * warm * caps_.calm * relays * window * (caps_.whole > 0 ? ep.size / caps_.whole : 0);
-  const double wanted = std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
+  const double budget = cold_multiple_ / 2 * warm * caps_.calm * relays * window *
+                        (caps_.whole > 0 ? ep.size / caps_.whole : 0);
+  const double wanted =
+      std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
   const double most = tun.returning ? std::clamp(kColdTurns * budget, 1.0, relays) : relays;
   const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, most));
   if ((me_ + turn * turns) % relays_ >= turns) return false;
@@ -591,24 +594,24 @@
 void Relay::cut_room(Backend& ep, double kept) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
-  // Danger: a relay that holds one tunnel there, or has just lost it, would close the backend for good. Less than
-  // one tunnel's room is a chance to land, the same at every relay.
+  // Danger: a relay that holds one tunnel there, or has just lost it, would close the backend for good. Less
+  // than one tunnel's room is a chance to land, the same at every relay.
   const double held = std::max(ep.load, tunnel_load());
-  ep.full = ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, held) : held;
+  ep.full =
+      ep.room_cut_at > 0 && now - ep.room_cut_at < regrowth_ ? std::max(kSlightCut * ep.full, held) : held;
   const double least = 1 - kOneLess * tunnel_load() / held;  // many round up what they shed, one cannot
   ep.room = std::min(room_now(ep), held) * least * (ep.load > 0 ? kept : std::min(kept, kDeepCut));
   ep.room_cut_at = now;
 }
 
-// What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed draw.
+// What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed
+// draw.
 bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
   const double spared = (1 - standing_of(tun, ep)) * std::min(1.0, load / std::max(ep.full, load));
   return held + load * (1 - spared) <= room_now(ep);
 }
 
-double Relay::tunnel_load() const {
-  return held_ > 0 ? held_load_ / static_cast<double>(held_) : 1;
-}
+double Relay::tunnel_load() const { return held_ > 0 ? held_load_ / static_cast<double>(held_) : 1; }
 
 bool Relay::cut_within(const Backend& ep, Micros time) const {
   return ep.room < kNoLimit && host_.now() - ep.room_cut_at < time;
@@ -623,9 +626,9 @@
   return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
-// Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut, most of
-// all to those of which this relay knows nothing. So those that hold tunnels keep them and take no more, and the
-// unknown are taken to be as short of room as the known.
+// Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut, most
+// of all to those of which this relay knows nothing. So those that hold tunnels keep them and take no more,
+// and the unknown are taken to be as short of room as the known.
 void Relay::hold_others() {
   std::ptrdiff_t known = 0, cut = 0, held = 0;
   double room = 0, full = 0;
@@ -643,11 +646,12 @@
     peer->room = std::min(room_now(*peer), peer->held.empty() ? peer->full * room / full : peer->full);
     peer->room_cut_at = host_.now();
   }
-  if (held > 0) host_.log("most known backends strained: " + std::to_string(held) + " others keep what they hold");
+  if (held > 0)
+    host_.log("most known backends strained: " + std::to_string(held) + " others keep what they hold");
 }
 
-// Moves what is over the room, in an order that all relays agree on, so that whole groups go, and go together:
-// first what belongs to another backend and would not be let in here now.
+// Moves what is over the room, in an order that all relays agree on, so that whole groups go, and go
+// together: first what belongs to another backend and would not be let in here now.
 void Relay::relieve(Backend& ep) {
   std::vector<std::pair<std::pair<int, double>, Tunnel*>> open;
   double kept = ep.load;
@@ -680,8 +684,8 @@
   if (told > kFullLoad) strained(ep, std::max(kDeepCut, kFullLoad / told));
 }
 
-// Danger: many relays each looking at every backend cost more than they learn: what is looked at is paid from a
-// purse that new clients fill. Doubt comes first; half of the purse is kept for it.
+// Danger: many relays each looking at every backend cost more than they learn: what is looked at is paid from
+// a purse that new clients fill. Doubt comes first; half of the purse is kept for it.
 void Relay::look_around() {
   const Micros now = host_.now();
   // However quiet it is, all relays together look once a second.
@@ -692,7 +696,8 @@
       Backend& ep = *fleet_[(look_from_ + i) % fleet_.size()];
       if (purse_ < (in_doubt ? 1 : kPurse / 2)) break;
       if (ep.standing != Standing::ready || ep.probe_out || in_doubt != (ep.doubt > 0)) continue;
-      const Micros due = in_doubt ? ep.probed_at + shortest_goal_ : std::max(ep.probed_at, ep.heard_at) + kSecond / 2;
+      const Micros due =
+          in_doubt ? ep.probed_at + shortest_goal_ : std::max(ep.probed_at, ep.heard_at) + kSecond / 2;
       if (now < due) continue;
       purse_ -= 1;
       ep.probe_out = true;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -84,14 +84,14 @@
 
   // Read for every backend at every choice: kept close together.
   bool aside = false;
-  double size = 1;            // to compare with other backends' sizes
-  Micros since = 0;           // its latest start; 0 = long ago
-  double load = 0;            // what the held tunnels are taken to ask of it
-  double room = 1e300;        // the load that this relay may put there, as learned from strain
-  double full = 0;            // what it held when strain began
+  double size = 1;      // to compare with other backends' sizes
+  Micros since = 0;     // its latest start; 0 = long ago
+  double load = 0;      // what the held tunnels are taken to ask of it
+  double room = 1e300;  // the load that this relay may put there, as learned from strain
+  double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
-  std::vector<Tunnel*> held;  // tunnels on their way to it or open on it
-  std::uint64_t place = 0;    // its name, hashed
+  std::vector<Tunnel*> held;    // tunnels on their way to it or open on it
+  std::uint64_t place = 0;      // its name, hashed
   double draw = 0, weight = 1;  // for the tunnel that is landing now
 
   Micros listed_since = 0;
@@ -183,7 +183,8 @@
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
     double calm = 0, rate = 0;  // of clients: new ones in the long run, all that ask now
-    double ready = 0, size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0, home = 1;
+    double ready = 0, size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0,
+           home = 1;
     bool strained = false;
   };
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -135,6 +135,31 @@
   EXPECT_EQ(story.answers(story.arrive(2)), 0u);
 }
 
+// A drained backend's group comes again at two hundred relays in one second, and its first-ranked backend is
+// cold.
+TEST(Rules, GroupThatComesAgainAtManyRelaysAtOnceDoesNotPushAColdBackendOver) {
+  const auto sent = [](bool returning) {
+    SiteTerms terms = plain_terms();
+    terms.relays = 200;
+    std::size_t count = 0;
+    for (terms.me = 0; terms.me < terms.relays; ++terms.me) {
+      Story story(9, terms);
+      story.open(1000 + terms.me);
+      story.host.pass(60 * kS);
+      Backend& cold = story.add(story.host.clock - 4 * kS);
+      for (const auto& ep : story.eps)
+        if (ep.get() != &cold) story.relay.list_entry(ep, Standing::draining, 1, 0);
+      story.fresh(7).returning = returning;
+      story.relay.take(story.tuns.back());
+      count += story.sent_to(cold);
+    }
+    return count;
+  };
+  EXPECT_GE(sent(true), 1u);
+  EXPECT_LE(sent(true), 25u);
+  EXPECT_GT(sent(false), 2 * sent(true));  // new clients come singly
+}
+
 TEST(Rules, BackendThatCameBackIsColdAgain) {
   Story story(1);
   story.open(1);
