--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -251,31 +251,32 @@
   caps.calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
   caps.rate =
       std::max({caps.calm, asked_.sum(now) / (8.0 * kSecond), (asked_.sum(now, 2) - 1) / (2.0 * kSecond)});
-  double load = 0, home = 0, known = 0, cut = 0;
+  double load = 0, home = 0, known = 0, cut = 0, room = 0, full = 0;
   std::bitset<256> zones;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
     ++caps.ready;
-    caps.whole += ep->size;
     zones.set(ep->zone % zones.size());
     if (ep->zone == zone_) home += ep->size;
+    caps.whole += ep->size;
     caps.size += ep->size * warm_share(*ep);
-    caps.mean_size += ep->size;
     load += ep->load;
-    const bool strained = cut_within(*ep, regrowth_);
-    caps.strained |= strained;
-    cut += strained;
-    known += strained || !ep->held.empty();
     caps.tunnels += static_cast<double>(ep->held.size());
+    caps.strained |= cut_within(*ep, regrowth_);
+    const bool lately = cut_within(*ep, ep->held.empty() ? regrowth_ : 2 * kCutEvery);
+    known += lately || !ep->held.empty();
+    if (lately) ++cut, room += std::min(room_now(*ep), ep->full), full += ep->full;
   }
-  caps.mean_size = caps.mean_size > 0 ? caps.mean_size / caps.ready : 1;
+  caps.most_strained = full > 0 && 3 * cut >= 2 * known;
+  caps.room_left = full > 0 ? room / full : 1;
+  caps.mean_size = caps.whole > 0 ? caps.whole / caps.ready : 1;
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels a backend no cap shows
   // it. Its own zone gets no more of them than its part of the fleet bears, were clients spread evenly over
   // the zones.
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    if (known > 0 && 3 * cut >= 2 * known) caps.home = 1;
+    if (caps.most_strained) caps.home = 1;  // a group held in every zone costs more than the crossing
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
@@ -630,20 +631,14 @@
 // of all to those of which this relay knows nothing. So those that hold tunnels keep them and take no more,
 // and the unknown are taken to be as short of room as the known.
 void Relay::hold_others() {
-  std::ptrdiff_t known = 0, cut = 0, held = 0;
-  double room = 0, full = 0;
-  for (const auto& peer : fleet_) {
-    const bool strained = cut_within(*peer, peer->held.empty() ? regrowth_ : 2 * kCutEvery);
-    known += strained || !peer->held.empty();
-    cut += strained;
-    if (strained) room += std::min(room_now(*peer), peer->full), full += peer->full;
-  }
-  if (3 * cut < 2 * known || full <= 0) return;
+  const Caps caps = caps_now();
+  if (!caps.most_strained) return;
+  std::size_t held = 0;
   for (const auto& peer : fleet_) {
     if (!peer->held.empty() && peer->room < kNoLimit) continue;
     held += peer->room >= kNoLimit;
     peer->full = std::max(peer->load, tunnel_load());
-    peer->room = std::min(room_now(*peer), peer->held.empty() ? peer->full * room / full : peer->full);
+    peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? caps.room_left : 1));
     peer->room_cut_at = host_.now();
   }
   if (held > 0)
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -185,7 +185,8 @@
     double calm = 0, rate = 0;  // of clients: new ones in the long run, all that ask now
     double ready = 0, size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0,
            home = 1;
-    bool strained = false;
+    double room_left = 1;  // of the room of the backends strained lately
+    bool strained = false, most_strained = false;
   };
 
   Micros jittered(Micros longest);
