--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -214,7 +214,7 @@
     // Its first-ranked backend is where the other relays put it: none of it held here tells little where few
     // are.
     const double extra = ep->groups.contains(tun.hash_key) ? 0
-                         : ep.get() == tun.first || ep.get() == tun.second ? std::min(kStranger, caps.tunnels / caps.ready)
+                         : ep.get() == tun.first           ? std::min(kStranger, caps.tunnels / caps.ready)
                                                            : kStranger;
     if (!tun.mid_flow && !fits(ep->load + load * extra, load, tun, *ep)) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
@@ -225,21 +225,16 @@
 }
 
 void Relay::rank(Tunnel& tun, const Caps& caps) {
-  tun.first = tun.second = nullptr;
-  double least = 0, next = 0;
+  tun.first = nullptr;
+  double least = 0;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready) continue;
     ep->draw = draw_of(tun.hash_key, ep->place);
     ep->weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
                  (ep->zone == zone_ ? caps.home : 1);
-    if (tun.second && least_rank(*ep) >= next) continue;
+    if (tun.first && least_rank(*ep) >= least) continue;
     const double rank = exact_rank(*ep);
-    if (!tun.first || rank < least) {
-      tun.second = std::exchange(tun.first, ep.get());
-      next = std::exchange(least, rank);
-    } else if (!tun.second || rank < next) {
-      tun.second = ep.get(), next = rank;
-    }
+    if (!tun.first || rank < least) tun.first = ep.get(), least = rank;
   }
 }
 
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -130,7 +130,6 @@
   std::shared_ptr<Backend> ep;              // holds the setup that is out, or the open tunnel
   std::function<void(const Ending&)> next;  // what the result of the step under way leads to
   std::vector<const Backend*> tried;
-  const Backend* second = nullptr;
   const Backend* first = nullptr;  // its first-ranked backend when last ranked
   std::uint64_t hash_key = 0;
   unsigned setups = 0;
