The unknown are taken to have half the room of the known in general strain

Cause: a relay's known backends are the laden ones, yet what it knows nothing of is full of other relays' tunnels; each failed setup there is one more for a backend that drowns.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,6 +32,7 @@
 constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
 constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
 constexpr double kOneLess = 0.1;  // of a tunnel, shed beside a cut
+constexpr double kUnknown = 0.5;  // of the known room, where most known are strained
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -638,7 +639,7 @@
     if (!peer->held.empty() && peer->room < kNoLimit) continue;
     held += peer->room >= kNoLimit;
     peer->full = std::max(peer->load, tunnel_load());
-    peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? caps.room_left : 1));
+    peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? kUnknown * caps.room_left : 1));
     peer->room_cut_at = host_.now();
   }
   if (held > 0)
