Presumed rooms are no evidence

Cause: backends held back by presumption were counted as strained, so the verdict fed on itself and every call halved their room.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -6,10 +6,13 @@
 // failed setup, and a bounded pool of movers for what sits on a draining backend. Beside it stand:
 //   1. the sequential test that sets an ill backend aside, against its peers, and the doubling trickle back;
 //   2. silence: a backend that answers nothing while others do is emptied as if it drained;
-//   3. probes, for a set part of the result;
-//   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined;
+//   3. probes, paid from a purse that new clients fill;
+//   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined, in
+//   an
+//      order of groups that all relays draw alike;
 //   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend;
-//   6. home: backends in the relay's own zone weigh more and are capped more widely.
+//   6. home: backends in the relay's own zone weigh more, as far as its size bears, and are capped more
+//   widely.
 #include "brain.hpp"
 
 #include <algorithm>
@@ -212,10 +215,9 @@
     if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    // Its first-ranked backend is where the other relays put it: none of it held here tells little where few
-    // are.
+    // At its first-ranked backend others may hold it: that none is held here tells little where few are.
     const double extra = ep->groups.contains(tun.hash_key) ? 0
-                         : ep.get() == tun.first           ? std::min(kStranger, caps.tunnels / caps.ready)
+                         : ep.get() == tun.first           ? std::min(kStranger, caps.tunnels_each)
                                                            : kStranger;
     if (!tun.mid_flow && !fits(ep->load + load * extra, load, tun, *ep)) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
@@ -225,6 +227,7 @@
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
 
+// Which backend all relays of a zone would choose first, and what the others' ranks are made of.
 void Relay::rank(Tunnel& tun, const Caps& caps) {
   tun.first = nullptr;
   double least = 0;
@@ -264,16 +267,16 @@
     load += ep->load;
     caps.tunnels += static_cast<double>(ep->held.size());
     caps.strained |= cut_within(*ep, regrowth_);
-    const bool lately = cut_within(*ep, ep->held.empty() ? regrowth_ : 2 * kCutEvery);
+    const bool lately = !ep->presumed && cut_within(*ep, ep->held.empty() ? regrowth_ : 2 * kCutEvery);
     known += lately || !ep->held.empty();
     if (lately) ++cut, room += std::min(room_now(*ep), ep->full), full += ep->full;
   }
   caps.most_strained = full > 0 && 3 * cut >= 2 * known;
   caps.room_left = full > 0 ? room / full : 1;
   caps.mean_size = caps.whole > 0 ? caps.whole / caps.ready : 1;
-  // Danger: a zone with few backends drowns in its own clients, and with few tunnels a backend no cap shows
-  // it. Its own zone gets no more of them than its part of the fleet bears, were clients spread evenly over
-  // the zones.
+  caps.tunnels_each = caps.tunnels / std::max(1.0, caps.ready);
+  // Danger: a zone with few backends drowns in its own clients, and with few tunnels held no cap shows it. So
+  // home gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
@@ -604,6 +607,7 @@
   const double least = 1 - kOneLess * tunnel_load() / held;  // many round up what they shed, one cannot
   ep.room = std::min(room_now(ep), held) * least * (ep.load > 0 ? kept : std::min(kept, kDeepCut));
   ep.room_cut_at = now;
+  ep.presumed = false;
 }
 
 // What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed
@@ -638,6 +642,7 @@
   for (const auto& peer : fleet_) {
     if (!peer->held.empty() && peer->room < kNoLimit) continue;
     held += peer->room >= kNoLimit;
+    peer->presumed = true;  // no evidence: or the verdict would feed on itself
     peer->full = std::max(peer->load, tunnel_load());
     peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? kUnknown * caps.room_left : 1));
     peer->room_cut_at = host_.now();
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -90,6 +90,7 @@
   double room = 1e300;  // the load that this relay may put there, as learned from strain
   double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
+  bool presumed = false;  // room was taken from the others', not learned here
   std::vector<Tunnel*> held;    // tunnels on their way to it or open on it
   std::uint64_t place = 0;      // its name, hashed
   double draw = 0, weight = 1;  // for the tunnel that is landing now
@@ -183,8 +184,8 @@
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
     double calm = 0, rate = 0;  // of clients: new ones in the long run, all that ask now
-    double ready = 0, size = 0, mean_size = 0, tunnels = 0, load_by_size = 0, tunnel_load = 0, whole = 0,
-           home = 1;
+    double ready = 0, size = 0, mean_size = 0, tunnels = 0, tunnels_each = 0, load_by_size = 0,
+           tunnel_load = 0, whole = 0, home = 1;
     double room_left = 1;  // of the room of the backends strained lately
     bool strained = false, most_strained = false;
   };
