--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -92,33 +92,15 @@
 }
 
 Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
-    : host_(host),
-      chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))),
-      profiles_(terms.profiles),
-      relays_(std::max(1u, terms.relays)),
-      me_(terms.me),
-      zone_(terms.zone),
-      max_setups_(terms.max_setups),
-      list_on_request_(terms.list_on_request),
-      may_probe_(terms.may_probe),
-      may_abandon_(terms.may_abandon),
-      may_advise_(terms.may_advise),
-      longest_advice_(terms.longest_advice),
-      ask_within_(terms.ask_within),
-      fall_window_(std::max<Micros>(1, terms.fall_window)),
-      warm_up_(std::max<Micros>(1, terms.warm_up)),
-      regrowth_(warm_up_ / 2),
-      answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
-      shortest_goal_(10 * kSecond),
-      born_(host.now()),
-      cold_multiple_(terms.fall_multiple),
-      cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
-      probe_price_(terms.probe_price),
-      cross_price_(terms.cross_price),
-      asked_(kSecond),
-      good_(kSecond),
-      bad_(kSecond),
-      setups_made_(kSecond),
+    : host_(host), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))), profiles_(terms.profiles),
+      relays_(std::max(1u, terms.relays)), me_(terms.me), zone_(terms.zone), max_setups_(terms.max_setups),
+      list_on_request_(terms.list_on_request), may_probe_(terms.may_probe), may_abandon_(terms.may_abandon),
+      may_advise_(terms.may_advise), longest_advice_(terms.longest_advice), ask_within_(terms.ask_within),
+      fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
+      regrowth_(warm_up_ / 2), answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
+      shortest_goal_(10 * kSecond), born_(host.now()), cold_multiple_(terms.fall_multiple),
+      cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)), probe_price_(terms.probe_price),
+      cross_price_(terms.cross_price), asked_(kSecond), good_(kSecond), bad_(kSecond), setups_made_(kSecond),
       setup_time_(kSecond) {
   double least = 1e300;
   for (const Profile& profile : profiles_) {
@@ -271,7 +253,7 @@
     known += lately || !ep->held.empty();
     if (lately) ++cut, room += std::min(room_now(*ep), ep->full), full += ep->full;
   }
-  caps.most_strained = full > 0 && 3 * cut >= 2 * known;
+  caps.most_strained = (full > 0 && 3 * cut >= 2 * known) || now < strained_until_;
   caps.room_left = full > 0 ? room / full : 1;
   caps.mean_size = caps.whole > 0 ? caps.whole / caps.ready : 1;
   caps.tunnels_each = caps.tunnels / std::max(1.0, caps.ready);
@@ -638,6 +620,7 @@
 void Relay::hold_others() {
   const Caps caps = caps_now();
   if (!caps.most_strained) return;
+  if (host_.now() >= strained_until_) strained_until_ = host_.now() + regrowth_;
   std::size_t held = 0;
   for (const auto& peer : fleet_) {
     if (!peer->held.empty() && peer->room < kNoLimit) continue;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -90,7 +90,7 @@
   double room = 1e300;  // the load that this relay may put there, as learned from strain
   double full = 0;      // what it held when strain began
   Micros room_cut_at = 0;
-  bool presumed = false;  // room was taken from the others', not learned here
+  bool presumed = false;        // room was taken from the others', not learned here
   std::vector<Tunnel*> held;    // tunnels on their way to it or open on it
   std::uint64_t place = 0;      // its name, hashed
   double draw = 0, weight = 1;  // for the tunnel that is landing now
@@ -249,6 +249,7 @@
       born_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   Caps caps_;
+  Micros strained_until_ = 0;  // most were: the verdict stands for a while
   std::size_t new_clients_ = 0;
   TimeRing asked_, good_, bad_, setups_made_, setup_time_;
 };
