A tunnel on a draining backend moves when something would take it in

Cause: in deploys what drained was moved at once, declined for want of warm backends, and waited longer after each decline, while the draining backend would have served it for seconds more.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -247,7 +247,7 @@
     caps.whole += ep->size;
     caps.size += ep->size * warm_share(*ep);
     load += ep->load;
-    caps.tunnels += static_cast<double>(ep->held.size());
+    caps.tunnels_each += static_cast<double>(ep->held.size());
     caps.strained |= cut_within(*ep, regrowth_);
     const bool lately = !ep->presumed && cut_within(*ep, ep->held.empty() ? regrowth_ : 2 * kCutEvery);
     known += lately || !ep->held.empty();
@@ -256,7 +256,7 @@
   caps.most_strained = (full > 0 && 3 * cut >= 2 * known) || now < strained_until_;
   caps.room_left = full > 0 ? room / full : 1;
   caps.mean_size = caps.whole > 0 ? caps.whole / caps.ready : 1;
-  caps.tunnels_each = caps.tunnels / std::max(1.0, caps.ready);
+  caps.tunnels_each /= std::max(1.0, caps.ready);
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels held no cap shows it. So
   // home gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
@@ -265,14 +265,13 @@
     if (caps.most_strained) caps.home = 1;  // a group held in every zone costs more than the crossing
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
-  caps.tunnel_load = caps.tunnels > 0 ? load / caps.tunnels : 1;
   return caps;
 }
 
 bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
   const double mean = caps.load_by_size * ep.size * warm_share(ep);
   return ep.load >=
-         std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * caps.tunnel_load);
+         std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * tunnel_load());
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. So the windows since its
@@ -756,11 +755,20 @@
   });
 }
 
+// Danger: a client moved while nothing would take it in is declined, and again, and waits longer each time;
+// on a backend that drains it is served for as long as that lasts. So it stays queued until there is a place.
 void Relay::run_movers() {
+  std::vector<std::weak_ptr<Tunnel>> stay;
   while (moving_ < movers() && !to_move_.empty()) {
     const auto tun = to_move_.front().lock();
     to_move_.pop_front();
     if (!tun || !tun->open) continue;
+    tun->returning = true;
+    tun->tried.clear();
+    if (tun->ep->standing == Standing::draining && !choose(*tun)) {
+      stay.push_back(tun);
+      continue;
+    }
     ++moving_;
     const auto busy = std::make_shared<bool>(true);
     const auto freed = [this, busy] {
@@ -772,6 +780,12 @@
     host_.wake_at(host_.now() + kMoverTime, freed);
     host_.move(*tun);
   }
+  to_move_.insert(to_move_.end(), stay.begin(), stay.end());
+  if (stay.empty() || std::exchange(movers_wait_, true)) return;
+  host_.wake_at(host_.now() + shortest_goal_ / 2, [this] {
+    movers_wait_ = false;
+    run_movers();
+  });
 }
 
 }  // namespace cherryrail
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -184,8 +184,7 @@
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
     double calm = 0, rate = 0;  // of clients: new ones in the long run, all that ask now
-    double ready = 0, size = 0, mean_size = 0, tunnels = 0, tunnels_each = 0, load_by_size = 0,
-           tunnel_load = 0, whole = 0, home = 1;
+    double ready = 0, size = 0, mean_size = 0, tunnels_each = 0, load_by_size = 0, whole = 0, home = 1;
     double room_left = 1;  // of the room of the backends strained lately
     bool strained = false, most_strained = false;
   };
@@ -242,6 +241,7 @@
   std::vector<std::shared_ptr<Backend>> fleet_;  // in the order in which the list named them
   std::size_t held_ = 0, open_ = 0, queued_ = 0, moving_ = 0, look_from_ = 0;
   double held_load_ = 0, purse_ = 4;
+  bool movers_wait_ = false;
   std::deque<std::weak_ptr<Tunnel>> to_move_;
   unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -61,6 +61,7 @@
 TEST(Movers, DrainingBackendIsEmptiedByABoundedPool) {
   Story story(1);
   for (std::uint64_t key = 1; key <= 30; ++key) story.open(key);
+  story.add(0);
   story.list(0, Standing::draining);
   const std::size_t first = story.host.moved.size();
   EXPECT_GE(first, 1u);
@@ -75,14 +76,29 @@
   Story story(1);
   story.fresh(1);
   story.relay.adopt(story.tuns[0], story.eps[0]);
+  story.add(0);
   story.list(0, Standing::draining);
   ASSERT_EQ(story.host.moved.size(), 1u);
   EXPECT_EQ(story.host.moved[0], story.tuns[0].get());
 }
 
+// Moved with no place to go, a client is declined and waits longer each time; until then the drain still
+// serves.
+TEST(Movers, TunnelOnADrainingBackendStaysUntilSomethingWouldTakeIt) {
+  Story story(1);
+  story.open(1);
+  story.list(0, Standing::draining);
+  story.host.pass(3 * kS);
+  EXPECT_TRUE(story.host.moved.empty());
+  story.add(0);
+  story.host.pass(kS);
+  EXPECT_EQ(story.host.moved.size(), 1u);
+}
+
 TEST(Movers, QueueFullWaitsALittleThenEndsTheConnection) {
   Story story(1);
   for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
+  story.add(0);
   story.list(0, Standing::draining);
   const std::size_t at_once = story.host.moved.size();
   story.host.pass(110 * kMs);
