--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -262,7 +262,7 @@
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    if (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_) caps.home = 1;  // a group held in every zone costs more than the crossing
+    if (strained_until_ > 0 && now < strained_until_ + 8 * warm_up_) caps.home = 1;  // a group held in every zone costs more than the crossing
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   return caps;
