--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -262,7 +262,8 @@
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    if (strained_until_ > 0 && now < strained_until_ + 8 * warm_up_) caps.home = 1;  // a group held in every zone costs more than the crossing
+    if (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)
+      caps.home = 1;  // a group held in every zone costs more than the crossing
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   return caps;
@@ -285,7 +286,7 @@
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < born_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  const double budget = cold_multiple_ / 2 * warm * caps_.calm * relays * window *
+  const double budget = 0.75 * cold_multiple_ * warm * caps_.calm * relays * window *
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted =
       std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
