--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -286,11 +286,14 @@
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < born_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  const double budget = cold_multiple_ * warm * caps_.calm * relays * window *
+  const double budget = 0.75 * cold_multiple_ * warm * caps_.calm * relays * window *
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted =
       std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
-  const double most = tun.returning ? std::clamp(kColdTurns * budget, 1.0, relays) : relays;
+  // What comes again comes together, and what is not at home here tries every cold backend: fewer turns for
+  // both.
+  const bool singly = !tun.returning && tun.first == &ep;
+  const double most = singly ? relays : std::clamp(kColdTurns * budget, 1.0, relays);
   const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, most));
   if ((me_ + turn * turns) % relays_ >= turns) return false;
   const double sent = ep.cold_turn == turn ? ep.cold_sent : 0;
