--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -8,11 +8,9 @@
 //   2. silence: a backend that answers nothing while others do is emptied as if it drained;
 //   3. probes, paid from a purse that new clients fill;
 //   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined, in
-//   an
-//      order of groups that all relays draw alike;
+//      an order of groups that all relays draw alike;
 //   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend;
-//   6. home: backends in the relay's own zone weigh more, as far as its size bears, and are capped more
-//   widely.
+//   6. home: backends in the relay's own zone weigh more, as far as the zone's size bears.
 #include "brain.hpp"
 
 #include <algorithm>
@@ -107,8 +105,7 @@
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
     if (profile.payoff > 0) least = std::min(least, profile.payoff);
   }
-  // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom the
-  // lightest.
+  // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom light.
   for (const Profile& profile : profiles_) profile_load_.push_back(std::max(1.0, profile.payoff / least));
   profile_told_.assign(profiles_.size(), 0);
   for (const double share : terms.tenant_shares) tenant_part_.push_back(share / relays_);
@@ -140,8 +137,7 @@
 
 void Relay::list_failed() {
   if (!list_on_request_) return;
-  // Relays that lost the list together must not ask for it together; and none may come late against
-  // ask_within.
+  // Relays that lost the list together must not ask for it together, nor late against ask_within.
   const Micros longest = ask_within_ > 0 ? ask_within_ / 4 : 2 * kSecond;
   const Micros wait = std::min(longest, (kSecond / 4) << std::min(list_failures_++, 6u));
   host_.wake_at(host_.now() + jittered(wait), [this] { host_.follow_list(); });
@@ -209,7 +205,6 @@
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
 
-// Which backend all relays of a zone would choose first, and what the others' ranks are made of.
 void Relay::rank(Tunnel& tun, const Caps& caps) {
   tun.first = nullptr;
   double least = 0;
@@ -278,8 +273,7 @@
 // Danger: each relay sends a fresh backend a little, and together they push it over. So the windows since its
 // start are dealt out: in each, as many relays have a turn as together send what it surely bears. Where
 // relays are many and clients few, most turns go unused and more relays get one; in a storm each has more to
-// send, and fewer. A relay that has itself just started sits out a turn that began before it did: it may have
-// sent already.
+// send, and fewer. A relay that has just started sits out a turn that began before: it may have sent already.
 bool Relay::cold_budget_allows(const Tunnel& tun, const Backend& ep) const {
   const double warm = warm_share(ep);
   if (warm >= 1) return true;
@@ -290,8 +284,7 @@
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted =
       std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
-  // What comes again comes together, and what is not at home here tries every cold backend: fewer turns for
-  // both.
+  // What comes again comes together, and what is not at home here tries every cold backend: fewer for both.
   const bool singly = !tun.returning && tun.first == &ep;
   const double most = singly ? relays : std::clamp(kColdTurns * budget, 1.0, relays);
   const auto turns = static_cast<std::int64_t>(std::clamp(wanted > 0 ? budget / wanted : 0, 1.0, most));
@@ -412,8 +405,7 @@
   tun.open = true;
   ++open_;
   tun.next = [this, ep = tun.ep.get()](const Ending& ending) {
-    // A backend that drops open tunnels is overdriven or dying; one that was told to leave may do as it
-    // likes.
+    // A backend that drops open tunnels is overdriven or dying; one told to leave may do as it likes.
     if (ending.result != Result::reset || ep->standing != Standing::ready) return;
     const bool any =
         std::any_of(ep->held.begin(), ep->held.end(), [](const Tunnel* other) { return other->open; });
@@ -595,8 +587,7 @@
   ep.presumed = false;
 }
 
-// What is held and this, less what its standing spares it: with many tunnels a bound, with one an agreed
-// draw.
+// What is held and this, less what its standing spares it: where much is held a bound, else an agreed draw.
 bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
   const double spared = (1 - standing_of(tun, ep)) * std::min(1.0, load / std::max(ep.full, load));
   return held + load * (1 - spared) <= room_now(ep);
@@ -608,8 +599,7 @@
   return ep.room < kNoLimit && host_.now() - ep.room_cut_at < time;
 }
 
-// Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then further
-// out.
+// Back as TCP CUBIC has it: quickly towards what it held when strain began, slowly past that, then out.
 double Relay::room_now(const Backend& ep) const {
   if (ep.room >= kNoLimit) return kNoLimit;
   const double calm = static_cast<double>(host_.now() - ep.room_cut_at - 2 * kCutEvery);
@@ -623,18 +613,18 @@
 void Relay::hold_others() {
   const Caps caps = caps_now();
   if (!caps.most_strained) return;
-  if (host_.now() >= strained_until_) strained_until_ = host_.now() + regrowth_;
-  std::size_t held = 0;
+  const Micros now = host_.now();
+  if (now >= strained_until_) {
+    strained_until_ = now + regrowth_;
+    host_.log("most known backends strained: the others keep what they hold");
+  }
   for (const auto& peer : fleet_) {
     if (!peer->held.empty() && peer->room < kNoLimit) continue;
-    held += peer->room >= kNoLimit;
     peer->presumed = true;  // no evidence: or the verdict would feed on itself
     peer->full = std::max(peer->load, tunnel_load());
     peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? kUnknown * caps.room_left : 1));
-    peer->room_cut_at = host_.now();
+    peer->room_cut_at = now;
   }
-  if (held > 0)
-    host_.log("most known backends strained: " + std::to_string(held) + " others keep what they hold");
 }
 
 // Moves what is over the room, in an order that all relays agree on, so that whole groups go, and go
@@ -743,8 +733,7 @@
     to_move_.push_back(self);
     return;
   }
-  // Queue full: wait a little for space, then end the connection unqueued, as the source drops it from its
-  // pool.
+  // Queue full: wait a little for space, then end the connection unqueued, as the source does.
   tun.queued = true;
   ++queued_;
   host_.wake_at(host_.now() + kQueueFullWait, [this, weak = std::weak_ptr<Tunnel>(self)] {
