--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -280,7 +280,7 @@
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < born_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  const double budget = 0.75 * cold_multiple_ * warm * caps_.calm * relays * window *
+  const double budget = 0.6 * cold_multiple_ * warm * caps_.calm * relays * window *
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted =
       std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
