--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,11 +29,12 @@
 constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
-constexpr double kHomeZone = 8;   // times the weight for a backend that is not across a zone
-constexpr double kStranger = 11;  // tunnels' worth of room more for the first of a group
-constexpr double kColdTurns = 6;  // at most so many turns dealt for each tunnel that a cold backend bears
-constexpr double kOneLess = 0.1;  // of a tunnel, shed beside a cut
-constexpr double kUnknown = 0.5;  // of the known room, where most known are strained
+constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
+constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
+constexpr double kColdPart = 0.67;  // of the multiple that a cold backend bears, all that is sent on purpose
+constexpr double kColdTurns = 6;    // at most so many turns dealt for each tunnel that a cold backend bears
+constexpr double kOneLess = 0.1;    // of a tunnel, shed beside a cut
+constexpr double kUnknown = 0.5;    // of the known room, where most known are strained
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
@@ -280,7 +281,7 @@
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < born_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  const double budget = 0.6 * cold_multiple_ * warm * caps_.calm * relays * window *
+  const double budget = kColdPart * cold_multiple_ * warm * caps_.calm * relays * window *
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted =
       std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
