--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -668,10 +668,11 @@
   const Micros now = host_.now();
   // However quiet it is, all relays together look once a second.
   purse_ = std::min(kPurse, purse_ + static_cast<double>(shortest_goal_ / 2) / kSecond / relays_);
+  const std::size_t from = look_from_;
   for (const bool in_doubt : {true, false}) {
     if (in_doubt && bad_.sum(now) <= 0) continue;
     for (std::size_t i = 0; i < fleet_.size(); ++i) {
-      Backend& ep = *fleet_[(look_from_ + i) % fleet_.size()];
+      Backend& ep = *fleet_[(from + i) % fleet_.size()];
       if (purse_ < (in_doubt ? 1 : kPurse / 2)) break;
       if (ep.standing != Standing::ready || ep.probe_out || in_doubt != (ep.doubt > 0)) continue;
       const Micros due =
@@ -681,7 +682,7 @@
       ep.probe_out = true;
       ep.probed_at = now;
       host_.probe(ep);
-      if (!in_doubt) look_from_ = (look_from_ + i + 1) % fleet_.size();
+      if (!in_doubt) look_from_ = (from + i + 1) % fleet_.size();
     }
   }
   host_.wake_at(now + shortest_goal_ / 2, [this] { look_around(); });
