Read once more: caps in one place, a plain sort key, the time-out's comment

choose kept the caps in a member and handed a copy to rank and over_cap; relieve packed two flags into one number; the comment on setup_limit still spoke of half the goal.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -16,6 +16,7 @@
 #include <algorithm>
 #include <bitset>
 #include <cmath>
+#include <tuple>
 #include <utility>
 
 namespace cherryrail {
@@ -185,10 +186,10 @@
   const Micros now = host_.now();
   Backend* best[3] = {};
   double best_rank[3] = {};
-  const Caps caps = caps_ = caps_now();
+  caps_ = caps_now();
   const double load = expected_load(tun);
-  if (caps.strained && over_share(tun)) return nullptr;
-  rank(tun, caps);
+  if (caps_.strained && over_share(tun)) return nullptr;
+  rank(tun);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || (best[0] && least_rank(*ep) >= best_rank[0])) continue;
     if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
@@ -196,24 +197,24 @@
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
     // At its first-ranked backend others may hold it: that none is held here tells little where few are.
     const double extra = ep->groups.contains(tun.hash_key) ? 0
-                         : ep.get() == tun.first           ? std::min(kStranger, caps.tunnels_each)
+                         : ep.get() == tun.first           ? std::min(kStranger, caps_.tunnels_each)
                                                            : kStranger;
     if (!tun.mid_flow && !fits(ep->load + load * extra, load, tun, *ep)) continue;
-    const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep, caps) && !tun.mid_flow ? 1 : 0;
+    const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep) && !tun.mid_flow ? 1 : 0;
     const double rank = exact_rank(*ep);
     if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
   }
   return best[0] ? best[0] : best[1] ? best[1] : best[2];
 }
 
-void Relay::rank(Tunnel& tun, const Caps& caps) {
+void Relay::rank(Tunnel& tun) {
   tun.first = nullptr;
   double least = 0;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready) continue;
     ep->draw = draw_of(tun.hash_key, ep->place);
-    ep->weight = (ep->size > 0 ? ep->size : caps.mean_size * 0.01) * warm_share(*ep) *
-                 (ep->zone == zone_ ? caps.home : 1);
+    ep->weight = (ep->size > 0 ? ep->size : caps_.mean_size * 0.01) * warm_share(*ep) *
+                 (ep->zone == zone_ ? caps_.home : 1);
     if (tun.first && least_rank(*ep) >= least) continue;
     const double rank = exact_rank(*ep);
     if (!tun.first || rank < least) tun.first = ep.get(), least = rank;
@@ -265,8 +266,8 @@
   return caps;
 }
 
-bool Relay::over_cap(const Backend& ep, const Caps& caps) const {
-  const double mean = caps.load_by_size * ep.size * warm_share(ep);
+bool Relay::over_cap(const Backend& ep) const {
+  const double mean = caps_.load_by_size * ep.size * warm_share(ep);
   return ep.load >=
          std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * tunnel_load());
 }
@@ -335,8 +336,8 @@
   return true;
 }
 
-// Half the setup goal, so that another try fits; longer while setups everywhere take longer, for a time-out
-// that strikes healthy backends turns a slow spell into a storm (the source's relaxed time-outs).
+// The setup goal: opened late still earns. Longer while setups everywhere take longer, for a time-out that
+// strikes healthy backends turns a slow spell into a storm (the source's relaxed time-outs).
 Micros Relay::setup_limit(const Tunnel& tun) const {
   const double made = setups_made_.sum(host_.now());
   const Micros usual = made > 0 ? static_cast<Micros>(4 * setup_time_.sum(host_.now()) / made) : 0;
@@ -631,21 +632,23 @@
 // Moves what is over the room, in an order that all relays agree on, so that whole groups go, and go
 // together: first what belongs to another backend and would not be let in here now.
 void Relay::relieve(Backend& ep) {
-  std::vector<std::pair<std::pair<int, double>, Tunnel*>> open;
+  // By: over its share, foreign, standing and the group's size here.
+  std::vector<std::pair<std::tuple<bool, bool, double>, Tunnel*>> open;
   double kept = ep.load;
   for (Tunnel* tun : ep.held) {
     if (!tun->open && !tun->queued) continue;
     kept -= tun->load;
     if (tun->queued) continue;
-    if (!tun->first || tun->first->standing != Standing::ready) rank(*tun, caps_);
+    if (!tun->first || tun->first->standing != Standing::ready) rank(*tun);
     const unsigned together = ep.groups[tun->hash_key];
     const bool foreign = tun->first && tun->first != &ep && together == 1 &&
                          fits(tun->first->load, tun->load, *tun, *tun->first);
-    open.push_back({{2 * over_share(*tun) + foreign, standing_of(*tun, ep) - together}, tun});
+    open.push_back({{over_share(*tun), foreign, standing_of(*tun, ep) - together}, tun});
   }
   std::stable_sort(open.begin(), open.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
   for (const auto& [order, tun] : open) {
-    if (order.first & 1 ? kept + tun->load <= room_now(ep) : fits(kept, tun->load, *tun, ep))
+    const bool foreign = std::get<1>(order);
+    if (foreign ? kept + tun->load <= room_now(ep) : fits(kept, tun->load, *tun, ep))
       kept += tun->load;
     else
       queue_move(*tun);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -192,10 +192,10 @@
   Micros jittered(Micros longest);
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
-  void rank(Tunnel& tun, const Caps& caps);
+  void rank(Tunnel& tun);
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
-  bool over_cap(const Backend& ep, const Caps& caps) const;
+  bool over_cap(const Backend& ep) const;
   bool cold_budget_allows(const Tunnel& tun, const Backend& ep) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
