SIGHUP reads the configuration again and discovery moves over

Ruled out: a fault of the relay's own, the log ends without one; Loop::on_terminate was the only handler there was, so the default action of SIGHUP ended the process.

Now the file goes through start as at the beginning. Discovery follows the former place until the new one's first line; a version lower than the one that holds is taken only once it has stayed so for 1.5 s; a place that does not even accept is given up after 1 s instead of 10.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -14,6 +14,7 @@
   cherryrail::net::Loop loop;
   cherryrail::net::Door door(loop, start);
   loop.on_terminate([&door] { door.leave(); });
+  loop.on_reload([&door, &path] { door.reload(path); });
   loop.run();
 }
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -3,83 +3,167 @@
 #include <stdexcept>
 #include <utility>
 
+#include "net/connection.hpp"
+#include "net/http.hpp"
+
 namespace cherryrail::net {
 namespace {
 
-constexpr Micros kBeat = 2'000'000;       // an empty line comes so often while nothing changes
-constexpr Micros kCallWaits = 5 * kBeat;  // calls are worked in turn
+constexpr Micros kBeat = 2'000'000;           // an empty line comes so often while nothing changes
+constexpr Micros kCallWaits = 5 * kBeat;      // calls are worked in turn
+constexpr Micros kRecounted = 3 * kBeat / 4;  // a version that stays lower so long has been counted anew
 constexpr std::size_t kLongestList = std::size_t{16} << 20;
 
 }  // namespace
 
-Discovery::Discovery(Loop& loop, std::string address, std::function<void(const List&)> heard,
-                     std::function<void()> failed)
-    : loop_(loop), where_(std::move(address)), heard_(std::move(heard)), failed_(std::move(failed)) {}
-
-void Discovery::follow(std::int64_t version) {
-  if (connection_) return;  // a watch that stands is not asked for again
-  version_ = version;
-  answer_ = {};
-  line_.clear();
-  any_line_ = false;
-  heard_at_ = loop_.now();
-  const std::uint64_t watch = ++watch_;
-  connection_ = Connection::open(loop_, parse_address(where_), *this);
-  if (!connection_) return loop_.soon([this] { give_up("cannot connect"); });
-  look_at_clock(watch);
+// One watch at one address.
+class Discovery::Feed final : public ConnectionOwner, public std::enable_shared_from_this<Feed> {
+ public:
+  Feed(Discovery& discovery, std::int64_t after) : discovery_(discovery), after_(after) {}
+  ~Feed() {
+    if (connection_) connection_->close();
+  }
+
+  void start() {
+    heard_at_ = discovery_.loop_.now();
+    connection_ = Connection::open(discovery_.loop_, parse_address(where_), *this);
+    if (connection_) return look_at_clock();
+    discovery_.loop_.soon([weak = weak_from_this()] {
+      if (const auto self = weak.lock()) self->over("cannot connect");
+    });
+  }
+  bool any_line() const { return any_line_; }
+
+  void connected() override {
+    connected_ = true;
+    connection_->send({"GET /discovery/hosts?watch=1&after=", std::to_string(after_),
+                       " HTTP/1.1\r\nHost: ", where_, "\r\nAccept: application/json\r\n\r\n"});
+  }
+  void received(std::string_view bytes) override {
+    const auto keep = shared_from_this();
+    heard_at_ = discovery_.loop_.now();
+    const auto state = answer_.feed(bytes, [this](std::string_view part) { take_body(part); });
+    if (!connection_) return;
+    if (state == HttpAnswer::State::bad) return over("its answer is not HTTP");
+    if (state != HttpAnswer::State::head && answer_.status() != 200)
+      return over("status " + std::to_string(answer_.status()));
+    if (state == HttpAnswer::State::done) over("it ended the watch");
+  }
+  void ended() override { over("it ended the watch"); }
+  void broken() override { over("no connection"); }
+
+  void over(const std::string& why) {
+    const auto keep = shared_from_this();
+    if (connection_) connection_->close();
+    connection_.reset();
+    discovery_.over(*this, why);
+  }
+
+ private:
+  // Danger: a watch whose far end has vanished stays open and silent, and the relay would go by an old list.
+  void look_at_clock() {
+    Loop& loop = discovery_.loop_;
+    loop.wake_at(loop.now() + kBeat / 4, [weak = weak_from_this(), &loop] {
+      const auto self = weak.lock();
+      if (!self || !self->connection_) return;
+      const Micros most = !self->connected_ ? kBeat / 2
+                          : self->any_line_ ? 2 * kBeat + kBeat / 2
+                                            : kCallWaits;
+      if (loop.now() - self->heard_at_ >= most)
+        self->over("it went silent");
+      else
+        self->look_at_clock();
+    });
+  }
+
+  void take_body(std::string_view part) {
+    while (!part.empty() && connection_ && answer_.status() == 200) {
+      const std::size_t end = part.find('\n');
+      line_.append(part.substr(0, end));
+      if (line_.size() > kLongestList) return over("its list has no end");
+      if (end == std::string_view::npos) return;
+      part.remove_prefix(end + 1);
+      const std::string line = std::exchange(line_, {});
+      if (!std::exchange(any_line_, true)) discovery_.first_line(*this);
+      if (line.find_first_not_of(" \r") != std::string::npos) discovery_.list_line(*this, line);
+    }
+  }
+
+  Discovery& discovery_;
+  const std::string where_ = discovery_.where_;
+  const std::int64_t after_;
+  std::shared_ptr<Connection> connection_;
+  HttpAnswer answer_;
+  std::string line_;
+  Micros heard_at_ = 0;
+  bool connected_ = false, any_line_ = false;
+};
+
+Discovery::Discovery(Loop& loop, std::string address, std::int64_t version,
+                     std::function<void(const List&)> heard, std::function<void()> failed)
+    : loop_(loop), where_(std::move(address)), version_(version), heard_(std::move(heard)),
+      failed_(std::move(failed)) {}
+
+Discovery::~Discovery() = default;
+
+void Discovery::follow() {
+  if (feed_) return;  // a watch that stands is not asked for again
+  // What follows a version that counts otherwise would tell nothing: then the whole list is asked for.
+  feed_ = std::make_shared<Feed>(*this, lower_since_ ? 0 : version_);
+  feed_->start();
 }
 
-void Discovery::connected() {
-  connection_->send({"GET /discovery/hosts?watch=1&after=", std::to_string(version_),
-                     " HTTP/1.1\r\nHost: ", where_, "\r\nAccept: application/json\r\n\r\n"});
+// Danger: the new place may be down, or come up late, and the old one ends; so the old one is followed until
+// the new one speaks, and from then on the new one alone. Moved twice in a row, the one that speaks is kept.
+void Discovery::move_to(const std::string& address) {
+  if (address == where_) return;
+  where_ = address;
+  lower_since_.reset();
+  if (feed_ && feed_->any_line()) former_ = std::move(feed_);
+  feed_.reset();
+  loop_.log().line(Topic::discovery, "the list is at %s from now on", where_.c_str());
+  follow();
 }
 
-// Danger: a watch whose far end has vanished stays open and silent, and the relay would go by an old list.
-void Discovery::look_at_clock(std::uint64_t watch) {
-  loop_.wake_at(loop_.now() + kBeat / 4, [this, watch] {
-    if (!connection_ || watch != watch_) return;
-    if (loop_.now() - heard_at_ > (any_line_ ? 2 * kBeat + kBeat / 2 : kCallWaits))
-      give_up("it went silent");
-    else
-      look_at_clock(watch);
-  });
+void Discovery::first_line(const Feed& feed) {
+  if (&feed == feed_.get()) former_.reset();
 }
 
-void Discovery::received(std::string_view bytes) {
-  heard_at_ = loop_.now();
-  const auto state = answer_.feed(bytes, [this](std::string_view part) { take_body(part); });
-  if (!connection_) return;
-  if (state == HttpAnswer::State::bad) return give_up("its answer is not HTTP");
-  if (state != HttpAnswer::State::head && answer_.status() != 200)
-    return give_up("status " + std::to_string(answer_.status()));
-  if (state == HttpAnswer::State::done) give_up("it ended the watch");
+void Discovery::list_line(Feed& feed, const std::string& line) {
+  if (&feed != feed_.get() && &feed != former_.get()) return;
+  List list;
+  try {
+    list = read_list(line);
+  } catch (const std::runtime_error& error) {
+    // Danger: a list that cannot be read must not be followed in part: the old one holds.
+    return feed.over(error.what());
+  }
+  if (!holds(list)) return feed.over("its list is older than the one that holds");
+  version_ = list.version;
+  heard_(list);
 }
 
-void Discovery::take_body(std::string_view part) {
-  while (!part.empty() && connection_ && answer_.status() == 200) {
-    const std::size_t end = part.find('\n');
-    line_.append(part.substr(0, end));
-    if (line_.size() > kLongestList) return give_up("its list has no end");
-    if (end == std::string_view::npos) return;
-    part.remove_prefix(end + 1);
-    any_line_ = true;
-    const std::string line = std::exchange(line_, {});
-    if (line.find_first_not_of(" \r") == std::string::npos) continue;
-    List list;
-    try {
-      list = read_list(line);
-    } catch (const std::runtime_error& error) {
-      // Danger: a list that cannot be read must not be followed in part: the old one holds.
-      return give_up(error.what());
-    }
-    heard_(list);
+// Danger: a place that lags tells of backends that have gone and not of those that came since. A lower
+// version is taken only once the place that holds has told nothing else for a while: then it counts anew.
+bool Discovery::holds(const List& list) {
+  if (list.version >= version_) {
+    lower_since_.reset();
+    return true;
   }
+  const Micros now = loop_.now();
+  if (!lower_since_) lower_since_ = now;
+  if (now - *lower_since_ < kRecounted) return false;
+  lower_since_.reset();
+  loop_.log().line(Topic::discovery, "versions are counted anew, from %lld",
+                   static_cast<long long>(list.version));
+  return true;
 }
 
-void Discovery::give_up(const std::string& why) {
+void Discovery::over(const Feed& feed, const std::string& why) {
   loop_.log().line(Topic::discovery, "watch over: %s", why.c_str());
-  if (connection_) connection_->close();
-  connection_.reset();
+  if (&feed == former_.get()) former_.reset();
+  if (&feed != feed_.get()) return;
+  feed_.reset();
   failed_();
 }
 
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -1,46 +1,45 @@
-// Follows the list of backends at discovery by a watch.
+// Follows the list of backends at discovery by a watch, and moves over when discovery does.
 #pragma once
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
-#include "net/connection.hpp"
-#include "net/http.hpp"
 #include "net/list.hpp"
+#include "net/loop.hpp"
 
 namespace cherryrail::net {
 
-class Discovery final : public ConnectionOwner {
+class Discovery {
  public:
-  // `heard` gets each list; `failed` is told once for each watch that breaks or cannot be had.
-  Discovery(Loop& loop, std::string address, std::function<void(const List&)> heard,
+  // Starts from the version known. `heard` gets each list; `failed` is told once for each watch that breaks
+  // or cannot be had at the address that holds.
+  Discovery(Loop& loop, std::string address, std::int64_t version, std::function<void(const List&)> heard,
             std::function<void()> failed);
-  // Watches for what changed after this version.
-  void follow(std::int64_t version);
-
-  void connected() override;
-  void received(std::string_view bytes) override;
-  void ended() override { give_up("it ended the watch"); }
-  void broken() override { give_up("no connection"); }
+  ~Discovery();
+  // Watches for what has changed, unless a watch stands.
+  void follow();
+  // From now on the list is to be had there.
+  void move_to(const std::string& address);
 
  private:
-  void give_up(const std::string& why);
-  void take_body(std::string_view part);
-  void look_at_clock(std::uint64_t watch);
+  class Feed;
+
+  void first_line(const Feed& feed);
+  void list_line(Feed& feed, const std::string& line);
+  bool holds(const List& list);
+  void over(const Feed& feed, const std::string& why);
 
   Loop& loop_;
   std::string where_;
+  std::int64_t version_;
   std::function<void(const List&)> heard_;
   std::function<void()> failed_;
-  std::shared_ptr<Connection> connection_;
-  HttpAnswer answer_;
-  std::string line_;
-  std::int64_t version_ = 0;
-  std::uint64_t watch_ = 0;  // counts them
-  Micros heard_at_ = 0;
-  bool any_line_ = false;
+  std::shared_ptr<Feed> feed_;         // at the address that holds
+  std::shared_ptr<Feed> former_;       // at the one before: followed until the new one's first line
+  std::optional<Micros> lower_since_;  // the address that holds has told a lower version since then
 };
 
 }  // namespace cherryrail::net
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -33,9 +33,10 @@
 };
 
 Door::Door(Loop& loop, const Start& start)
-    : loop_(loop), facts_(start.facts), sockets_(start.sockets), zones_(start.facts.zone_names),
+    : loop_(loop), listen_(start.listen), settled_(start.settled), facts_(start.facts),
+      sockets_(start.sockets), zones_(start.facts.zone_names),
       discovery_(
-          loop, start.discovery, [this](const List& list) { list_heard(list); },
+          loop, start.discovery, start.known.version, [this](const List& list) { list_heard(list); },
           [this] { relay_->list_failed(); }),
       probes_(loop, start.facts.reports_on_probe ? "STATS" : "PING", start.facts.connect_within,
               std::max(start.facts.connect_within, shortest_goal(start.facts) / 2), start.facts.idle_after),
@@ -65,6 +66,20 @@
   });
 }
 
+// Danger: half a file, or one with a wrong value, must not end the process or be taken in part.
+void Door::reload(const std::string& path) {
+  try {
+    const Start fresh = read_start(path);
+    if (fresh.listen != listen_) throw BadSetting("listen: cannot change while the relay runs");
+    sockets_ = allow_descriptors(fresh.sockets);
+    discovery_.move_to(fresh.discovery);
+    loop_.log().line(Topic::life, "the new configuration is taken%s",
+                     fresh.settled == settled_ ? "" : "; its settings differ and hold from the next start");
+  } catch (const BadSetting& fault) {
+    loop_.log().line(Topic::fault, "the new configuration is not taken: %s", fault.what());
+  }
+}
+
 void Door::look_whether_empty(Micros empty_since) {
   loop_.wake_at(loop_.now() + kEmptyFor / 10, [this, empty_since] {
     if (clients_->tunnels() > 0) return look_whether_empty(loop_.now());
@@ -124,7 +139,6 @@
 }
 
 void Door::list_heard(const List& list) {
-  version_ = list.version;
   if (list.skipped > 0)
     loop_.log().line(Topic::discovery, "%zu entries in no known state passed over", list.skipped);
   std::set<std::string_view> named;
@@ -200,7 +214,7 @@
 
 // Asked for soon, not now: the module asks from within its own making.
 void Door::follow_list() {
-  loop_.soon([this] { discovery_.follow(version_); });
+  loop_.soon([this] { discovery_.follow(); });
 }
 
 }  // namespace cherryrail::net
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -21,6 +21,9 @@
   ~Door() override;
   // Once no more are sent here, moves every client, answers those that come all the same, and quits the loop.
   void leave();
+  // Reads the configuration again and takes what may change under way: where discovery is and how many
+  // descriptors there are. One that cannot be used leaves the old one in force.
+  void reload(const std::string& path);
 
   Micros now() const override { return loop_.now(); }
   void send_setup(Tunnel& tun, Backend& ep, Micros time_limit) override;
@@ -46,11 +49,12 @@
   unsigned zone_of(const std::string& name);
 
   Loop& loop_;
+  std::string listen_;
+  Settled settled_;
   Facts facts_;
   std::size_t sockets_;
   std::map<std::string, std::shared_ptr<Endpoint>, std::less<>> backends_;  // by uid
   std::vector<std::string> zones_;
-  std::int64_t version_ = 0;
   bool leaving_ = false;
   Discovery discovery_;
   Probes probes_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -75,9 +75,7 @@
 Loop::~Loop() {
   soon_.clear();  // what they hold leaves the set of sockets first
   alarms_.clear();
-  for (const guint id : signals_) {
-    if (id > 0) g_source_remove(id);
-  }
+  for (const Told& told : signals_) g_source_remove(told.id);
   for (GSource* source : {socket_source_, alarm_source_}) {
     g_source_destroy(source);
     g_source_unref(source);
@@ -107,16 +105,23 @@
                             alarms_.empty() ? -1 : std::max<Micros>(0, alarms_.begin()->first - offset_));
 }
 
-void Loop::on_terminate(std::function<void()> then) {
-  terminate_ = std::move(then);
-  const auto told = [](gpointer data) -> gboolean {
-    auto& loop = *static_cast<Loop*>(data);
-    loop.guarded(loop.terminate_);
+void Loop::on_signal(int signal, std::function<void()> then) {
+  signals_.push_back({this, std::move(then), 0});
+  const auto come = [](gpointer data) -> gboolean {
+    const auto& told = *static_cast<Told*>(data);
+    told.loop->guarded(told.then);
     return G_SOURCE_CONTINUE;
   };
-  signals_ = {g_unix_signal_add(SIGTERM, told, this), g_unix_signal_add(SIGINT, told, this)};
+  signals_.back().id = g_unix_signal_add(signal, come, &signals_.back());
+}
+
+void Loop::on_terminate(std::function<void()> then) {
+  on_signal(SIGTERM, then);
+  on_signal(SIGINT, std::move(then));
 }
 
+void Loop::on_reload(std::function<void()> then) { on_signal(SIGHUP, std::move(then)); }
+
 void Loop::run() { g_main_loop_run(main_); }
 void Loop::turn() { g_main_context_iteration(nullptr, FALSE); }
 void Loop::quit() { g_main_loop_quit(main_); }
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <list>
 #include <map>
 
 #include "brain.hpp"
@@ -47,6 +48,7 @@
   void wake_at(Micros when, std::function<void()> then);
   void soon(std::function<void()> then);          // after what is under way, in the order asked
   void on_terminate(std::function<void()> then);  // at SIGTERM or SIGINT
+  void on_reload(std::function<void()> then);     // at SIGHUP
   void run();
   void turn();  // once round, without waiting
   void quit();
@@ -75,8 +77,15 @@
   std::deque<std::function<void()>> soon_;
   std::array<epoll_event, 256> batch_{};
   std::size_t batch_size_ = 0, batch_at_ = 0, sockets_ = 0;
-  std::function<void()> terminate_;
-  std::array<guint, 2> signals_{};
+  void on_signal(int signal, std::function<void()> then);
+
+  // Each stays where it is: GLib holds its address.
+  struct Told {
+    Loop* loop;
+    std::function<void()> then;
+    guint id;
+  };
+  std::list<Told> signals_;
 };
 
 }  // namespace cherryrail::net
--- a/src/net/start.cpp
+++ b/src/net/start.cpp
@@ -68,9 +68,9 @@
   if (!root.is_object()) throw BadSetting("the configuration is not an object");
   Start start;
   start.name = text_of(root, "name", "EDGE_NAME");
-  const std::string listen = text_of(root, "listen", "EDGE_LISTEN");
-  start.listen_on = parse_address(listen);
-  if (!start.listen_on) throw BadSetting("listen: '" + listen + "' is not an address and a port");
+  start.listen = text_of(root, "listen", "EDGE_LISTEN");
+  start.listen_on = parse_address(start.listen);
+  if (!start.listen_on) throw BadSetting("listen: '" + start.listen + "' is not an address and a port");
   start.discovery = text_of(root, "discovery", "EDGE_DISCOVERY");
   if (!parse_address(start.discovery))
     throw BadSetting("discovery: '" + start.discovery + "' is not an address and a port");
@@ -89,9 +89,8 @@
   const auto settings = root.find("settings");
   if (settings == root.end() || !settings->is_object())
     throw BadSetting("settings: missing, or not an object");
-  Settled settled;
-  flatten(*settings, "", settled);
-  start.facts = read_facts(settled);
+  flatten(*settings, "", start.settled);
+  start.facts = read_facts(start.settled);
   // On sockets a list that is pushed is one whose watch the relay holds by itself: asked for, all the same.
   start.facts.terms.list_on_request = true;
   if (start.facts.connect_within <= 0) start.facts.connect_within = kUsualConnect;
--- a/src/net/start.hpp
+++ b/src/net/start.hpp
@@ -11,10 +11,11 @@
 namespace cherryrail::net {
 
 struct Start {
-  std::string name, discovery;
+  std::string name, listen, discovery;
   Address listen_on;
   std::uint64_t seed = 0;
   std::size_t sockets = 0;  // descriptors that the process may hold
+  Settled settled;          // the settings as the file has them
   Facts facts;
   List known;  // the list of backends as this relay last had it
 };
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -11,6 +11,9 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <fstream>
 #include <map>
 #include <memory>
 #include <string>
@@ -146,10 +149,12 @@
 class End {
  public:
   explicit End(int fd = -1) : fd_(fd) {}
-  End(End&& other) noexcept : fd_(std::exchange(other.fd_, -1)), heard_(std::move(other.heard_)) {}
+  End(End&& other) noexcept
+      : fd_(std::exchange(other.fd_, -1)), heard_(std::move(other.heard_)), ended_(other.ended_) {}
   End& operator=(End&& other) noexcept {
     std::swap(fd_, other.fd_);
     heard_ = std::move(other.heard_);
+    ended_ = other.ended_;
     return *this;
   }
   ~End() { close(); }
@@ -282,12 +287,25 @@
     EXPECT_TRUE(until([&] { return here.heard() == "UP r\r\n"; }));
     return {std::move(here), std::move(there)};
   }
+  // What the relay asks of discovery; an answer to it has begun.
+  std::string watched() {
+    watch = End();
+    until([&] { return static_cast<bool>(watch = discovery.accept()); }, 3000);
+    until([&] { return watch.heard().find("\r\n\r\n") != std::string::npos; });
+    watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    return watch.heard();
+  }
+  // Puts a file in the place of the configuration and has the relay read it, as an operator would.
+  void reload(const std::string& text) {
+    const std::string path = ::testing::TempDir() + "cherryrail-" + std::to_string(getpid()) + ".json";
+    std::ofstream(path) << text;
+    loop.on_reload([this, path] { door->reload(path); });
+    std::raise(SIGHUP);
+    until([] { return false; }, 20);
+    std::remove(path.c_str());
+  }
   void list(const std::string& text) {
-    if (!watch) {
-      until([&] { return static_cast<bool>(watch = discovery.accept()); });
-      until([&] { return watch.heard().find("\r\n\r\n") != std::string::npos; });
-      watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
-    }
+    if (!watch) watched();
     char size[16];
     std::snprintf(size, sizeof(size), "%zx\r\n", text.size() + 1);
     watch.say(size + text + "\n\r\n");
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,8 +1,6 @@
 // The relay on loopback sockets: one story for each thing that may go wrong between the ends.
 #include <sys/resource.h>
 
-#include <csignal>
-
 #include "helpers.hpp"
 #include "net/head.hpp"
 #include "net/http.hpp"
@@ -239,6 +237,68 @@
   EXPECT_TRUE(town.until([&] { return town.watch.heard().find("after=4 ") != std::string::npos; }));
 }
 
+// The file is replaced and SIGHUP sent: the process lives, tunnels stay, and of two places one is followed.
+TEST(Net, AReloadKeepsTunnelsAndFollowsTheOldPlaceUntilTheNewOneSpeaks) {
+  Town town(3);
+  auto [here, there] = town.open("1");
+  town.list(R"({"rev":6,"all":false,"targets":[]})");
+  End former = std::exchange(town.watch, End());
+  town.discovery.close();  // takes no new connection
+  End down = End::listening(), next = End::listening();
+  std::swap(town.discovery, down);
+  const int nowhere = town.discovery.port();
+  std::string to_nowhere = town.told(500);
+  town.discovery.close();
+  town.reload(to_nowhere);
+  EXPECT_FALSE(former.ended()) << nowhere;  // the new place is down: the old one is followed
+  town.discovery = std::move(next);
+  town.reload(town.told(500));
+  EXPECT_NE(town.watched().find("after=6 "), std::string::npos);
+  EXPECT_FALSE(former.ended());
+  town.list(R"({"rev":7,"all":false,"targets":[]})");
+  EXPECT_TRUE(town.until([&] { return former.ended(); }));
+  here.say("still there\r\n");
+  EXPECT_TRUE(town.until([&] { return there.heard().ends_with("still there\r\n"); }));
+  const std::size_t at = there.port() == town.backends[0].port()   ? 0
+                         : there.port() == town.backends[1].port() ? 1
+                                                                   : 2;
+  town.list(R"({"rev":8,"all":false,"targets":[)" + town.target(at, "leaving") + "]}");
+  EXPECT_TRUE(town.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }));
+}
+
+TEST(Net, ANewConfigurationThatCannotBeUsedLeavesTheOldInForce) {
+  Town town(1);
+  std::string bad = town.told(500);
+  bad.replace(bad.find("300.0"), 5, "\"x\"");
+  ::testing::internal::CaptureStderr();
+  town.reload(bad);
+  town.reload(bad.substr(0, 90));
+  const std::string log = ::testing::internal::GetCapturedStderr();
+  EXPECT_NE(log.find("not taken: setting profiles.0.setup_goal"), std::string::npos) << log;
+  EXPECT_NE(log.find("not taken: the configuration is not JSON"), std::string::npos) << log;
+  town.open("1");
+}
+
+// A place that lags would bring back what has gone; one that counts anew must be believed in the end.
+TEST(Net, ALowerVersionIsTakenOnlyOnceItStays) {
+  Town town(2);
+  auto [here, there] = town.open("1");
+  const std::size_t at = there.port() == town.backends[0].port() ? 0 : 1;
+  const std::string lower = R"({"rev":2,"all":true,"targets":[)" + town.target(1 - at, "active") + "]}";
+  town.list(lower);
+  EXPECT_TRUE(town.until([&] { return town.watch.ended(); }));
+  EXPECT_EQ(here.heard(), "UP r\r\n");
+  EXPECT_TRUE(town.until(
+      [&] {
+        if (town.watch.ended()) {
+          EXPECT_NE(town.watched().find("after=0 "), std::string::npos);
+          town.list(lower);
+        }
+        return here.heard() == "UP r\r\nMOVE\r\n";
+      },
+      4000));
+}
+
 TEST(Net, ToldToEndItMovesEveryClientAndDeclinesThoseThatStillCome) {
   Town town(2);
   std::vector<std::pair<End, End>> open;
