Silent connections yield their descriptors, and bad first lines reach no backend

Checked with a probe that printed what bad clients send: the floods are connections that say nothing and some that say PING and stay. A PING counted as a first line, so those stayed for good (Client::spoke), silent ones for 10 s (kFirstLine), and nothing made room (ClientSide::accept). The setups that ended in error all carried the id of a tunnel open at the same relay (Door::take knew no ids). Ruled out: CPU (0.03 s in the busiest second), memory (1 MB), the backends themselves.

Now who asks for no tunnel may stay 2 s, and yields, the oldest first, when fewer than the spare descriptors are left, after those that have had their answer; an id in use or just ended is refused; a client that does not wait for its answer gets an error; what can be no first line is answered at its first wrong byte; what a peer still sends after its error is dropped without a copy, for up to 4 s.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -10,8 +10,9 @@
 namespace cherryrail::net {
 namespace {
 
-constexpr Micros kFirstLine = 10'000'000;  // a connection that says nothing may stay so long
-constexpr Micros kAcceptPause = 20'000;    // with no descriptor left
+constexpr Micros kFirstLine = 2'000'000;  // a connection that asks for no tunnel may stay so long
+constexpr Micros kAcceptPause = 20'000;   // with no descriptor left
+constexpr int kPingsAtOnce = 4;           // in one read; the front waits for each answer
 constexpr int kBacklog = 4096, kAtOnce = 64;
 
 }  // namespace
@@ -21,27 +22,41 @@
   Client(ClientSide& side, std::uint64_t number) : side_(side), number_(number) {}
 
   void start(SocketPtr socket) {
-    began_ = side_.loop_.now();
+    began_ = quiet_since_ = side_.loop_.now();
     connection_ = Connection::accepted(side_.loop_, std::move(socket), *this);
   }
-  bool spoke() const { return spoke_; }
   bool has_tunnel() const { return exchange_ && !over_; }
+  bool quiet() const { return !exchange_ && !over_; }
+  Micros quiet_since() const { return quiet_since_; }
+  void look() { connection_->look(); }
 
+  // Danger: a connection that has not asked for a tunnel yet may be anybody's. What can be no first line is
+  // turned away at its first wrong byte; a client that does not wait for its answer is not served.
   void received(std::string_view bytes) override {
-    if (exchange_) return pass_on(bytes);
-    const std::string_view rest = lines_.feed(bytes, [this](std::string_view line) {
-      spoke_ = true;
-      if (line == "PING") {
+    if (exchange_) return up_ ? exchange_->client_passes(bytes) : exchange_->client_spoke_early();
+    int pings = 0;
+    const std::string_view rest = lines_.feed(bytes, [this, &pings](std::string_view line) {
+      if (line == "PING" && ++pings <= kPingsAtOnce) {
+        quiet_since_ = side_.loop_.now();
         connection_->send({"PONG\r\n"});
         return connection_->is_open();
       }
       exchange_ = side_.make_(line);
       exchange_->client = this;
-      side_.take_(exchange_);
       return false;
     });
-    if (lines_.overlong() && !over_) finish("ERR", "overlong_line");
-    if (exchange_ && !over_ && !rest.empty()) pass_on(rest);
+    if (exchange_) {
+      side_.quiet_.erase(number_);
+      return rest.empty() ? side_.take_(exchange_) : finish("ERR", "spoke_early");
+    }
+    if (lines_.overlong()) return finish("ERR", "overlong_line");
+    if (!may_begin(lines_.begun())) finish("ERR", "not_understood");
+  }
+  void said_nothing() { finish(lines_.begun().empty() ? "" : "ERR", "said_nothing"); }
+  void turn_out() {
+    connection_->send({"BUSY\r\n"});
+    connection_->close();
+    leave("no_descriptors");
   }
   void ended() override { client_ended(Ended::orderly); }
   void broken() override { client_ended(Ended::broken); }
@@ -52,17 +67,13 @@
   void pass(std::string_view bytes, std::string_view more) override {
     connection_->send({bytes, more});
     if (connection_->waiting() > kMuchWaiting && exchange_->server) exchange_->server->read_on(false);
-    if (!std::exchange(up_, true) && !early_.empty()) {
-      // What the client said too early goes on once the module has heard that the tunnel is up.
-      side_.loop_.soon([this, keep = side_.clients_.at(number_), early = std::exchange(early_, {})] {
-        if (exchange_ && !over_) exchange_->client_passes(early);
-      });
-    }
+    up_ = true;
   }
   void finish(std::string_view last_line, const char* reason) override {
     if (over_) return;
     if (!last_line.empty()) connection_->send({last_line, "\r\n"});
     connection_->close_gently();
+    side_.on_their_way_.push_back(connection_);
     leave(reason);
   }
   void drop(const char* reason) override {
@@ -72,15 +83,17 @@
   void read_on(bool wanted) override { connection_->read_on(wanted); }
 
  private:
-  void pass_on(std::string_view bytes) {
-    if (up_) return exchange_->client_passes(bytes);
-    early_.append(bytes);
-    if (early_.size() > kLongestLine) connection_->read_on(false);
+  static bool may_begin(std::string_view begun) {
+    const auto fits = [begun](std::string_view word) {
+      const std::size_t length = std::min(begun.size(), word.size());
+      return begun.substr(0, length) == word.substr(0, length);
+    };
+    return fits("OPEN ") || fits("PING\r");
   }
   void client_ended(Ended how) {
     if (over_) return;
     if (exchange_) exchange_->client_ended(how);
-    if (!over_ && (how == Ended::broken || !exchange_)) finish("", spoke_ ? "client_ended" : "said_nothing");
+    if (!over_ && (how == Ended::broken || !exchange_)) finish("", "client_ended");
   }
   void leave(const char* reason) {
     if (std::exchange(over_, true)) return;
@@ -90,6 +103,7 @@
                     static_cast<unsigned long long>(number_), static_cast<int>(id.size()), id.data(), reason,
                     static_cast<long long>((loop.now() - began_) / 1000));
     if (exchange_) exchange_->client = nullptr;
+    side_.quiet_.erase(number_);
     loop.soon([&side = side_, number = number_] { side.clients_.erase(number); });
   }
 
@@ -98,13 +112,12 @@
   std::shared_ptr<Connection> connection_;
   std::shared_ptr<Exchange> exchange_;
   Lines lines_;
-  std::string early_;
-  Micros began_ = 0;
-  bool spoke_ = false, up_ = false, over_ = false;
+  Micros began_ = 0, quiet_since_ = 0;
+  bool up_ = false, over_ = false;
 };
 
-ClientSide::ClientSide(Loop& loop, const Address& listen_on, Make make, Take take)
-    : loop_(loop), make_(std::move(make)), take_(std::move(take)) {
+ClientSide::ClientSide(Loop& loop, const Address& listen_on, Make make, Take take, Full full)
+    : loop_(loop), make_(std::move(make)), take_(std::move(take)), full_(std::move(full)) {
   GError* error = nullptr;
   listening_.reset(g_socket_new(g_socket_address_get_family(listen_on.get()), G_SOCKET_TYPE_STREAM,
                                 G_SOCKET_PROTOCOL_TCP, &error));
@@ -145,14 +158,56 @@
       g_clear_error(&error);
       return;
     }
-    const std::uint64_t number = ++last_;
-    const auto client = std::make_shared<Client>(*this, number);
-    clients_.emplace(number, client);
-    client->start(std::move(socket));
-    loop_.wake_at(loop_.now() + kFirstLine, [weak = std::weak_ptr<Client>(client)] {
-      if (const auto quiet = weak.lock(); quiet && !quiet->spoke()) quiet->finish("", "said_nothing");
-    });
+    take_in(std::move(socket));
+  }
+}
+
+void ClientSide::take_in(SocketPtr socket) {
+  // What has its answer needs its descriptor no longer than it takes to read that.
+  while (!on_their_way_.empty()) {
+    const auto oldest = on_their_way_.front().lock();
+    if (oldest && oldest->is_open()) break;
+    on_their_way_.pop_front();
   }
+  make_room();
+  if (full_()) {  // every one serves somebody: told at once, and nothing kept
+    g_socket_send(socket.get(), "BUSY\r\n", 6, nullptr, nullptr);
+    return loop_.log().line(Topic::fault, "a client is turned away: descriptors run short");
+  }
+  const std::uint64_t number = ++last_;
+  const auto client = std::make_shared<Client>(*this, number);
+  clients_.emplace(number, client);
+  quiet_.insert(number);
+  client->start(std::move(socket));
+  look_whether_quiet(client, loop_.now() + kFirstLine);
+  client->look();  // most have said by now what they want
+}
+
+// Danger: hundreds that connect and say nothing, or ask for a sign of life and stay, would hold all
+// descriptors; then clients with a tunnel to open find none, nor setups, probes and discovery.
+void ClientSide::make_room() {
+  while (full_() && !on_their_way_.empty()) {
+    if (const auto oldest = on_their_way_.front().lock()) oldest->close();
+    on_their_way_.pop_front();
+  }
+  if (std::exchange(making_room_, true)) return;  // a line found on the way asks for room itself
+  while (full_() && !quiet_.empty()) {
+    const auto oldest = clients_.at(*quiet_.begin());
+    oldest->look();  // its line may lie there unread
+    if (oldest->quiet()) oldest->turn_out();
+  }
+  making_room_ = false;
+}
+
+void ClientSide::look_whether_quiet(const std::shared_ptr<Client>& client, Micros at) {
+  loop_.wake_at(at, [this, weak = std::weak_ptr<Client>(client)] {
+    const auto late = weak.lock();
+    if (!late || !late->quiet()) return;
+    if (loop_.now() < late->quiet_since() + kFirstLine)
+      look_whether_quiet(late, late->quiet_since() + kFirstLine);
+    else
+      late->said_nothing();
+  });
 }
 
 }  // namespace cherryrail::net
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 #include "net/connection.hpp"
 #include "net/exchange.hpp"
@@ -16,22 +18,33 @@
   using Make = std::function<std::shared_ptr<Exchange>(std::string_view line)>;
   using Take = std::function<void(const std::shared_ptr<Exchange>&)>;
 
-  // `make` gives an exchange for a first line; `take` takes it in once the client stands in it.
-  ClientSide(Loop& loop, const Address& listen_on, Make make, Take take);
+  using Full = std::function<bool()>;
+
+  // `make` gives an exchange for a first line; `take` takes it in once the client stands in it. `full` tells
+  // when descriptors run short.
+  ClientSide(Loop& loop, const Address& listen_on, Make make, Take take, Full full);
   ~ClientSide();
   std::size_t tunnels() const;  // how many clients have one, or wait for it
+  // Gives up a connection that serves nobody: the longest on its way out, else the longest without a word.
+  void make_room();
 
  private:
   class Client;
   void accept();
+  void take_in(SocketPtr socket);
+  void look_whether_quiet(const std::shared_ptr<Client>& client, Micros at);
 
   Loop& loop_;
   Make make_;
   Take take_;
+  Full full_;
   SocketPtr listening_;
   std::unique_ptr<Watch> watch_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // in the order in which they came
+  std::set<std::uint64_t> quiet_;                             // those that have asked for no tunnel
+  std::deque<std::weak_ptr<Connection>> on_their_way_;        // they have their answer and may still read it
   std::uint64_t last_ = 0;
+  bool making_room_ = false;
 };
 
 }  // namespace cherryrail::net
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -4,13 +4,16 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <utility>
 
 namespace cherryrail::net {
 namespace {
 
-constexpr Micros kLinger = 1'000'000;  // how long a peer has to take the last lines
+constexpr Micros kLinger = 1'000'000;      // how long a peer that says no more has to take the last lines
+constexpr Micros kLingerMost = 4'000'000;  // and one that goes on sending
 
 struct Error {
   GError* error = nullptr;
@@ -91,7 +94,13 @@
   if (readable && is_open()) receive();
 }
 
+void Connection::look() {
+  const auto keep = shared_from_this();
+  if (is_open() && !connecting_ && reading_ && !peer_ended_) receive();
+}
+
 void Connection::receive() {
+  if (leaving_) return drain();
   std::array<char, 16384> bytes;  // NOLINT: filled by the read
   Error error;
   const gssize got = g_socket_receive(socket_.get(), bytes.data(), bytes.size(), nullptr, error.out());
@@ -102,10 +111,19 @@
   }
   peer_ended_ = true;
   update();
-  if (leaving_)
+  if (owner_) owner_->ended();
+}
+
+// Danger: megabytes may still come from a peer that has its answer, and to copy them would cost the time that
+// tunnels need. MSG_TRUNC has the kernel drop what was sent without copying it.
+void Connection::drain() {
+  std::array<char, 65536> nothing;  // NOLINT: not filled
+  const ssize_t got =
+      recv(g_socket_get_fd(socket_.get()), nothing.data(), nothing.size(), MSG_TRUNC | MSG_DONTWAIT);
+  if (got > 0)
+    drained_at_ = loop_.now();
+  else if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
     close();
-  else if (owner_)
-    owner_->ended();
 }
 
 // Gathered: the pieces stand where they stand until the kernel takes them; only what it leaves is copied.
@@ -147,6 +165,7 @@
   if (!unsent_.empty()) return;
   std::string().swap(unsent_);  // an idle connection keeps no buffer
   if (ending_) shut_down();
+  if (leaving_ && peer_ended_) return close();
   update();
   if (owner_) owner_->all_sent();
 }
@@ -169,7 +188,17 @@
   end_sending();
   leaving_ = true;
   read_on(true);
-  loop_.wake_at(loop_.now() + kLinger, [self = shared_from_this()] { self->close(); });
+  drained_at_ = loop_.now();
+  stay_until_quiet(loop_.now() + kLingerMost);
+}
+
+void Connection::stay_until_quiet(Micros latest) {
+  loop_.wake_at(std::min(drained_at_ + kLinger, latest), [self = shared_from_this(), latest] {
+    const Micros now = self->loop_.now();
+    if (!self->is_open()) return;
+    if (now >= latest || now - self->drained_at_ >= kLinger) return self->close();
+    self->stay_until_quiet(latest);
+  });
 }
 
 void Connection::close() {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -47,6 +47,7 @@
   void send(std::initializer_list<std::string_view> pieces);
   void end_sending();   // once all that waits has gone out
   void close_gently();  // what waits goes out, then the end; a peer that does not end gets a reset
+  void look();          // reads at once what has come
   void close();
   void reset();
   void read_on(bool wanted);
@@ -56,6 +57,8 @@
  private:
   void ready(bool readable, bool writable);
   void receive();
+  void drain();
+  void stay_until_quiet(Micros latest);
   void flush();
   void shut_down();
   void update();
@@ -66,6 +69,7 @@
   std::unique_ptr<Watch> watch_;
   ConnectionOwner* owner_;
   std::string unsent_;
+  Micros drained_at_ = 0;
   bool connecting_, reading_ = true, ending_ = false, shut_ = false, leaving_ = false, peer_ended_ = false;
 };
 
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kSpareSockets = 24;  // for probes, discovery and clients that must be answered
 constexpr Micros kSecond = 1'000'000;
+constexpr Micros kIdKept = 5 * kSecond;              // after its tunnel's end
 constexpr Micros kSilence = 3 * kSecond;             // a sound connection brings a line back at once
 constexpr Micros kStillComing = 45 * kSecond / 100;  // so long clients come after the relay is told to end
 constexpr Micros kEmptyFor = kSecond / 4;            // before the end: what was told last must be read
@@ -48,7 +49,8 @@
   clients_ = std::make_unique<ClientSide>(
       loop, start.listen_on,
       [this](std::string_view line) { return std::make_shared<Exchange>(loop_, *relay_, line); },
-      [this](const std::shared_ptr<Exchange>& tun) { take(tun); });
+      [this](const std::shared_ptr<Exchange>& tun) { take(tun); },
+      [this] { return loop_.sockets() + kSpareSockets > sockets_; });
   look_for_silence();
   loop_.log().line(Topic::life, "%s is up, %zu backends known", start.name.c_str(), backends_.size());
 }
@@ -92,12 +94,15 @@
 // ---- What comes in --------------------------------------------------------------------------------------
 
 void Door::take(const std::shared_ptr<Exchange>& tun) {
-  if (const char* fault = tun->head.fault() ? tun->head.fault() : read_tunnel(*tun)) {
+  const char* fault = tun->head.fault() ? tun->head.fault() : read_tunnel(*tun);
+  if (!fault && id_known(tun)) fault = "its id is another's";
+  if (fault) {
     loop_.log().line(Topic::fault, "a first line was not understood: %s", fault);
     return tun->client->finish("ERR", "not_understood");
   }
   // Danger: a tunnel needs a second descriptor; with none left, it would be a setup that cannot be made and
   // a listener that cannot accept. What has not been sent anywhere can be declined.
+  clients_->make_room();
   if (loop_.sockets() + kSpareSockets > sockets_) return tun->client->finish("BUSY", "no_descriptors");
   const auto stood_at = backends_.find(tun->head.value("at"));
   if (stood_at == backends_.end()) return relay_->take(tun);
@@ -105,6 +110,22 @@
   servers_.start(tun, stood_at->second->address, tun->expires_at - loop_.now());
 }
 
+// Danger: the id of another's open tunnel. Every backend refuses it, and each refusal would speak against one
+// that is sound. An id is new with every connection, so it is known for a while after its end, too.
+bool Door::id_known(const std::shared_ptr<Exchange>& tun) {
+  for (const Micros now = loop_.now(); !ids_by_age_.empty() && ids_by_age_.front().first <= now;) {
+    const auto oldest = ids_by_age_.front().second;
+    ids_by_age_.pop_front();
+    if (oldest->second.expired())
+      ids_.erase(oldest);
+    else
+      ids_by_age_.emplace_back(now + kIdKept, oldest);
+  }
+  const auto [at, fresh] = ids_.try_emplace(std::string(tun->head.id()), tun);
+  if (fresh) ids_by_age_.emplace_back(loop_.now() + kIdKept, at);
+  return !fresh;
+}
+
 const char* Door::read_tunnel(Exchange& tun) {
   const auto named = [](const std::vector<std::string>& names, std::string_view name) {
     return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -2,9 +2,12 @@
 // Relay, and carries out what it asks. Decides nothing.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "net/client_side.hpp"
 #include "net/discovery.hpp"
@@ -41,6 +44,7 @@
 
   void take(const std::shared_ptr<Exchange>& tun);
   const char* read_tunnel(Exchange& tun);
+  bool id_known(const std::shared_ptr<Exchange>& tun);
   void list_heard(const List& list);
   void told(Exchange& tun, double figure);
   void look_for_silence();
@@ -55,6 +59,9 @@
   std::size_t sockets_;
   std::map<std::string, std::shared_ptr<Endpoint>, std::less<>> backends_;  // by uid
   std::vector<std::string> zones_;
+  using Ids = std::map<std::string, std::weak_ptr<Exchange>, std::less<>>;
+  Ids ids_;
+  std::deque<std::pair<Micros, Ids::iterator>> ids_by_age_;  // when to look at each next
   bool leaving_ = false;
   Discovery discovery_;
   Probes probes_;
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -29,9 +29,16 @@
     setup_over({Result::cancelled, loop_.now() - sent_at}, true, {});
     return;
   }
-  // It may only have ended its sending: so it is told, and the setup under way is not left to run for nobody.
+  if (how == Ended::broken) client = nullptr;
+  give_up_client("client_left");
+}
+
+void Exchange::client_spoke_early() { give_up_client("spoke_early"); }
+
+// It may only have ended its sending: so it is told, and the setup under way is not left to run for nobody.
+void Exchange::give_up_client(const char* reason) {
   relay_.client_gone(*this);
-  if (client && how == Ended::orderly) client->finish("ERR", "client_left");
+  if (client) client->finish("ERR", reason);
   if (server) abandon();
 }
 
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -54,6 +54,7 @@
   // Said by the client's side.
   void client_passes(std::string_view bytes);
   void client_ended(Ended how);
+  void client_spoke_early();  // more than its first line, before the answer to that
   // Said by the server's side, for the setup that is out or the backend that holds it.
   void came_up(std::string_view line, Micros took);
   void server_passes(std::string_view bytes);
@@ -72,6 +73,7 @@
   std::shared_ptr<Exchange> self() { return std::static_pointer_cast<Exchange>(shared_from_this()); }
   void setup_over(const Ending& ending, bool finished, const LoadReport& report);
   void part();
+  void give_up_client(const char* reason);
 
   Loop& loop_;
   Relay& relay_;
--- a/src/net/lines.hpp
+++ b/src/net/lines.hpp
@@ -39,7 +39,7 @@
     return {};
   }
   bool overlong() const { return overlong_; }
-  bool between_lines() const { return held_.empty(); }
+  std::string_view begun() const { return held_; }  // of the line that has not ended yet
 
  private:
   std::string held_;
