Connections that break singly are no strain, and a restart forgets its room

Checked by the module's own lines in a probe build: each lost tunnel cut its backend's room to what was held (Relay::opened and after_setup called cut_room on any reset), so within seconds every known backend counted as strained and general strain held. Ruled out: late lines and reports, few before the first declines.

Now a reset cuts room only within two seconds of another failure there; 'one moment' is the time between two cuts; a restart forgets the room.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -128,6 +128,7 @@
     // A restart: what was learned of the process before it no longer holds; the cold budget takes over.
     ep->doubt = 0;
     ep->aside = false;
+    ep->room = kNoLimit;
   }
   ep->size = size > 0 ? size : 0;
   if (!known || since != ep->listed_since) ep->since = ep->listed_since = since;
@@ -349,8 +350,8 @@
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
   if (ending.result == Result::connect_failed) unheard(ep);
   // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
-  if (ending.result == Result::timed_out || ending.result == Result::reset) cut_room(ep, 1);
-  if (ending.result == Result::timed_out) measured(2 * ending.took);  // it would have taken longer
+  if (ending.result == Result::reset) dropped(ep);
+  if (ending.result == Result::timed_out) cut_room(ep, 1), measured(2 * ending.took);  // it takes longer
   if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
   if (may_have_run(ending.result) && !tun.may_have_run_at) {
     tun.may_have_run_at = &ep;
@@ -405,13 +406,11 @@
   tun.next = [this, ep = tun.ep.get()](const Ending& ending) {
     // A backend that drops open tunnels is overdriven or dying; one told to leave may do as it likes.
     if (ending.result != Result::reset || ep->standing != Standing::ready) return;
-    const bool any =
-        std::any_of(ep->held.begin(), ep->held.end(), [](const Tunnel* other) { return other->open; });
+    dropped(*ep);
     // All lost in one moment is a broken link or process: that teaches nothing about room.
-    if (!any && ep->room_cut_at == host_.now())
+    if (std::none_of(ep->held.begin(), ep->held.end(), [](const Tunnel* other) { return other->open; }) &&
+        cut_within(*ep, kCutEvery))
       ep->room = kNoLimit;
-    else
-      cut_room(*ep, 1);
     judge(*ep, false);
   };
 }
@@ -593,6 +592,11 @@
   ep.presumed = false;
 }
 
+// Danger: connections break singly, everywhere; each taken for strain would soon close the fleet to all.
+void Relay::dropped(Backend& ep) {
+  if (ep.bad.sum(host_.now(), 2) > 0) cut_room(ep, 1);
+}
+
 // What is held and this, less what its standing spares it: where much is held a bound, else an agreed draw.
 bool Relay::fits(double held, double load, const Tunnel& tun, const Backend& ep) const {
   const double spared = (1 - standing_of(tun, ep)) * std::min(1.0, load / std::max(ep.full, load));
@@ -730,13 +734,11 @@
 }
 
 void Relay::queue_moves(Backend& ep, const char* why) {
-  bool any = false;
-  for (std::size_t i = 0; i < ep.held.size(); ++i) {
-    if (!ep.held[i]->open || ep.held[i]->queued) continue;
-    any = true;
-    queue_move(*ep.held[i]);
+  const std::size_t before = queued_;
+  for (Tunnel* tun : ep.held) {
+    if (tun->open) queue_move(*tun);
   }
-  if (any) host_.log("moving tunnels: backend " + std::to_string(ep.name) + " " + why);
+  if (queued_ > before) host_.log("moving tunnels: backend " + std::to_string(ep.name) + " " + why);
   run_movers();
 }
 
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -221,6 +221,7 @@
   bool cut_within(const Backend& ep, Micros time) const;
   double room_now(const Backend& ep) const;
   void cut_room(Backend& ep, double kept);
+  void dropped(Backend& ep);
   bool fits(double held, double load, const Tunnel& tun, const Backend& ep) const;
   double tunnel_load() const;
   void strained(Backend& ep, double kept);
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -191,6 +191,34 @@
   EXPECT_EQ(story.answers(story.arrive(100)), 0u);
 }
 
+TEST(Room, ConnectionsThatBreakSinglyCloseNoBackend) {
+  Story story(4);
+  for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
+  for (int round = 0; round < 8; ++round) {
+    story.host.pass(3 * kS);
+    for (const auto& ep : story.eps) story.fail(*ep->held.back(), Result::reset, true);
+  }
+  for (std::uint64_t key = 100; key <= 110; ++key) story.arrive(key);
+  EXPECT_TRUE(story.host.declined.empty());
+  EXPECT_TRUE(story.host.moved.empty());
+}
+
+// What crosses sockets in one moment is heard of over some milliseconds; and a new process is not the old
+// one.
+TEST(Room, ABackendThatDiedAndRestartedTakesTunnelsAgain) {
+  Story story(1);
+  for (std::uint64_t key = 1; key <= 10; ++key) story.open(key);
+  for (Backend& ep = *story.eps[0]; !ep.held.empty(); story.host.pass(kMs))
+    story.fail(*ep.held.back(), Result::reset, true);
+  for (std::uint64_t key = 11; key <= 20; ++key) story.open(key);
+  EXPECT_EQ(story.eps[0]->held.size(), 10u);
+  story.host.pass(5 * kS);
+  for (int i = 0; i < 6; ++i) story.fail(*story.eps[0]->held.back(), Result::reset, true);
+  story.relay.list_entry(story.eps[0], Standing::ready, 1, story.host.clock - 30 * kS);
+  for (std::uint64_t key = 21; key <= 30; ++key) story.open(key);
+  EXPECT_EQ(story.eps[0]->held.size(), 14u);
+}
+
 TEST(Room, WhenMostAreStrainedTheOthersTakeNoRush) {
   Story story(4);
   for (std::uint64_t key = 1; key <= 24; ++key) story.open(key);
