--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -45,6 +45,7 @@
 constexpr unsigned kSilentAfter = 4;    // setups and probes without any answer
 constexpr Micros kMoverTime = kSecond;  // a mover waits this long for its move at most
 constexpr Micros kQueueFullWait = kSecond / 10;
+constexpr Micros kEndMost = 9 * kSecond / 4;  // within it all are asked to leave a relay that ends
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
 constexpr double kProbeBudget = 0.002;  // of the result, spent on probes
 constexpr double kPurse = 8;            // probes that may be saved up
@@ -66,8 +67,7 @@
 double exact_rank(const Backend& ep) { return -std::log(ep.draw) / ep.weight; }
 double least_rank(const Backend& ep) { return (1 - ep.draw) / ep.weight; }
 
-// Where the tunnel's group stands in the order in which this backend's room is given out, 0 first: every
-// relay draws the same, so that what one sheds or refuses the others do too.
+// The group's place in the order in which this backend's room is given out, 0 first; the same at every relay.
 double standing_of(const Tunnel& tun, const Backend& ep) { return draw_of(mix(tun.hash_key), ep.place); }
 
 std::uint64_t key_of(const Tunnel& tun) { return tun.group_key ? tun.group_key : tun.client_key; }
@@ -98,14 +98,15 @@
       list_on_request_(terms.list_on_request), may_probe_(terms.may_probe), may_abandon_(terms.may_abandon),
       may_advise_(terms.may_advise), longest_advice_(terms.longest_advice), ask_within_(terms.ask_within),
       fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
-      regrowth_(warm_up_ / 2), answer_margin_(2 * std::max<Micros>(terms.step, 1000)),
-      shortest_goal_(10 * kSecond), born_(host.now()), cold_multiple_(terms.fall_multiple),
-      cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)), probe_price_(terms.probe_price),
-      cross_price_(terms.cross_price), asked_(kSecond), good_(kSecond), bad_(kSecond), setups_made_(kSecond),
-      setup_time_(kSecond) {
+      regrowth_(std::max(warm_up_, 3 * fall_window_) / 2),
+      answer_margin_(2 * std::max<Micros>(terms.step, 1000)), shortest_goal_(10 * kSecond), born_(host.now()),
+      cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
+      probe_price_(terms.probe_price), cross_price_(terms.cross_price), asked_(kSecond), good_(kSecond),
+      bad_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
   double least = 1e300;
   for (const Profile& profile : profiles_) {
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
+    end_over_ = std::min(kEndMost, std::max(end_over_, 3 * profile.client_timeout / 4));
     if (profile.payoff > 0) least = std::min(least, profile.payoff);
   }
   // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom light.
@@ -275,9 +276,8 @@
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. So the windows since its
-// start are dealt out: in each, as many relays have a turn as together send what it surely bears. Where
-// relays are many and clients few, most turns go unused and more relays get one; in a storm each has more to
-// send, and fewer. A relay that has just started sits out a turn that began before: it may have sent already.
+// start are dealt out: in each, as many relays have a turn as together send what it surely bears: more where
+// most turns go unused, fewer in a storm. One that has just started sits out a turn that began before.
 bool Relay::cold_budget_allows(const Tunnel& tun, const Backend& ep) const {
   const double warm = warm_share(ep);
   if (warm >= 1) return true;
@@ -314,19 +314,17 @@
 
 // The one place where a setup leaves.
 bool Relay::launch(Tunnel& tun, Backend& ep) {
-  if (tun.answered || tun.ep || tun.setups >= max_setups_)
-    return false;                                    // never two out, nothing after the answer
-  if (ep.standing != Standing::ready) return false;  // rule 3
+  if (tun.answered || tun.ep || tun.setups >= max_setups_) return false;      // never two, none once answered
+  if (ep.standing != Standing::ready) return false;                           // rule 3
   if (!effect_allows(tun, ep) || !cold_budget_allows(tun, ep)) return false;  // rules 2 and 4
   if (ep.since > 0) {
     const std::int64_t turn = cold_turn(ep);
     ep.cold_sent = ep.cold_turn == turn ? ep.cold_sent + 1 : 1;
     ep.cold_turn = turn;
   }
-  const Micros now = host_.now();
-  if (ep.aside) ep.next_trickle = now + ep.trickle_gap;
+  tun.sent_at = host_.now();
+  if (ep.aside) ep.next_trickle = tun.sent_at + ep.trickle_gap;
   ++tun.setups;
-  tun.sent_at = now;
   hold(tun, ep);
   tun.next = [this, &tun, &ep](const Ending& ending) { after_setup(tun, ep, ending); };
   host_.send_setup(tun, ep, setup_limit(tun));
@@ -389,7 +387,7 @@
   measured(took);
   heard_from(*tun.ep);
   judge(*tun.ep, true);
-  if (tun.ep->standing != Standing::ready || retiring_) queue_moves(*tun.ep, "takes no more");
+  if (tun.ep->standing != Standing::ready || retiring_) queue_move(tun), run_movers();
 }
 
 void Relay::adopt(const std::shared_ptr<Tunnel>& tun, const std::shared_ptr<Backend>& ep) {
@@ -420,8 +418,7 @@
   const auto ep = tun.ep;
   take_report(*tun.ep, report);
   let_go(tun);
-  const auto next = std::move(tun.next);
-  tun.next = nullptr;
+  const auto next = std::exchange(tun.next, nullptr);
   if (finished && !tun.answered) {
     tun.answered = true;
     if (ending.result == Result::opened) judge(*ep, true);
@@ -522,9 +519,8 @@
     }
   } else if (ep.doubt >= kAsideDoubt &&
              !cut_within(ep, 2 * kCutEvery)) {  // strain is the load's fault: room answers that
-    const auto aside =
-        std::count_if(fleet_.begin(), fleet_.end(), [](const auto& peer) { return peer->aside; });
-    if (2 * (aside + 1) <= std::ssize(fleet_)) set_aside(ep);  // rather an ill one than the rest drowned
+    const auto aside = [](const auto& peer) { return peer->aside; };  // rather one ill than the rest drowned
+    if (2 * std::count_if(fleet_.begin(), fleet_.end(), aside) + 2 <= std::ssize(fleet_)) set_aside(ep);
   }
 }
 
@@ -537,10 +533,8 @@
 // that is slow or refuses still answers, and moving what it holds would only feed a storm.
 void Relay::unheard(Backend& ep) {
   if (++ep.unanswered < kSilentAfter) return;
-  const bool others_heard = std::any_of(fleet_.begin(), fleet_.end(), [](const auto& peer) {
-    return peer->standing == Standing::ready && peer->unanswered == 0;
-  });
-  if (!others_heard) return;
+  const auto heard = [](const auto& peer) { return peer->standing == Standing::ready && !peer->unanswered; };
+  if (std::none_of(fleet_.begin(), fleet_.end(), heard)) return;
   if (!ep.aside) set_aside(ep);
   ep.silent = true;
   queue_moves(ep, "is silent");
@@ -576,8 +570,8 @@
   relieve(ep);
 }
 
-// Danger: on an overdriven backend every message comes late and what it drops lands on its neighbours, until
-// all drop. So strain teaches how much this relay may put there, and what fits nowhere is declined.
+// Danger: what an overdriven backend drops lands on its neighbours, until all drop. So strain teaches how
+// much this relay may put there, and what fits nowhere is declined.
 void Relay::cut_room(Backend& ep, double kept) {
   const Micros now = host_.now();
   if (ep.room_cut_at > 0 && now - ep.room_cut_at < kCutEvery) return;
@@ -617,13 +611,13 @@
   return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
-// Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut, most
-// of all to those of which this relay knows nothing. So those that hold tunnels keep them and take no more,
-// and the unknown are taken to be as short of room as the known.
+// Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut. So
+// those that hold tunnels keep them and take no more; the unknown are taken to be as short of room as the
+// known.
 void Relay::hold_others() {
   const Caps caps = caps_now();
-  if (!caps.most_strained) return;
   const Micros now = host_.now();
+  if (!caps.most_strained) return;
   if (now >= strained_until_) {
     strained_until_ = now + regrowth_;
     host_.log("most known backends strained: the others keep what they hold");
@@ -637,8 +631,7 @@
   }
 }
 
-// Moves what is over the room, in an order that all relays agree on, so that whole groups go, and go
-// together: first what belongs to another backend and would not be let in here now.
+// Moves what is over the room, in an order all relays agree on: whole groups, first what belongs elsewhere.
 void Relay::relieve(Backend& ep) {
   // By: over its share, foreign, standing and the group's size here.
   std::vector<std::pair<std::tuple<bool, bool, double>, Tunnel*>> open;
@@ -669,13 +662,13 @@
   const double told = *report.utilisation;
   // Danger: a backend that has just been emptied reports calm, and all that waits would rush to it: what it
   // held before strain is the bound.
-  if (told < kCalmLoad && ep.room < kNoLimit) ep.room = std::max(room_now(ep), ep.full);
+  if (told < kCalmLoad && room_now(ep) < ep.full) ep.room = ep.full;
   if (told <= kFullLoad) ep.calm_at = host_.now();
   if (told > kFullLoad) strained(ep, std::max(kDeepCut, kFullLoad / told));
 }
 
-// Danger: many relays each looking at every backend cost more than they learn: what is looked at is paid from
-// a purse that new clients fill. Doubt comes first; half of the purse is kept for it.
+// Danger: many relays each looking at every backend cost more than they learn: looks are paid from a purse
+// that new clients fill. Doubt comes first; half of the purse is kept for it.
 void Relay::look_around() {
   const Micros now = host_.now();
   // However quiet it is, all relays together look once a second.
@@ -722,10 +715,16 @@
   return std::max<std::size_t>(1, std::min(p / 2, std::max<std::size_t>(10, p / 3)));
 }
 
-// This relay is to end: every client is asked to come again elsewhere, and no more are taken in.
+// This relay is to end. Danger: asked all at once, clients come again at once, and backends drown in setups.
 void Relay::retire() {
   retiring_ = true;
-  for (const auto& ep : fleet_) queue_moves(*ep, "is left: this relay ends");
+  std::uniform_int_distribution<Micros> when(0, end_over_);
+  for (const auto& ep : fleet_) {
+    for (Tunnel* held : ep->held)
+      host_.wake_at(host_.now() + when(chance_), [this, weak = held->weak_from_this()] {
+        if (const auto tun = weak.lock(); tun && tun->open) queue_move(*tun), run_movers();
+      });
+  }
 }
 
 std::size_t Relay::queue_limit() const {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -249,8 +249,8 @@
   std::deque<std::weak_ptr<Tunnel>> to_move_;
   unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
-  Micros longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_, shortest_goal_,
-      born_;
+  Micros end_over_ = 0, longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_,
+         shortest_goal_, born_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   Caps caps_;
   Micros strained_until_ = 0;  // most were: the verdict stands for a while
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -72,6 +72,22 @@
   EXPECT_EQ(story.host.moved.size(), 30u);
 }
 
+TEST(Movers, ARelayThatEndsSendsItsClientsAwayOverTime) {
+  Story story(3);
+  for (std::uint64_t key = 1; key <= 60; ++key) story.open(key);
+  story.relay.retire();
+  std::size_t most = 0;
+  for (int i = 0; i < 16; ++i) {  // within three quarters of the client timeout
+    const std::size_t before = story.host.moved.size();
+    story.host.pass(100 * kMs);
+    most = std::max(most, story.host.moved.size() - before);
+    for (std::size_t k = before; k < story.host.moved.size(); ++k)
+      story.fail(*story.host.moved[k], Result::cancelled, true);
+  }
+  EXPECT_LE(most, 15u);
+  EXPECT_EQ(story.host.moved.size(), 60u);
+}
+
 TEST(Movers, TunnelsOpenAtTheStartMoveLikeTheOthers) {
   Story story(1);
   story.fresh(1);
@@ -219,6 +235,30 @@
   EXPECT_EQ(story.eps[0]->held.size(), 14u);
 }
 
+// A report of calm gives back what was held, and from there room only grows; also where warm-up is short.
+TEST(Room, CalmReportsNeverCloseABackend) {
+  SiteTerms terms = plain_terms();
+  terms.warm_up = kS;
+  Story story(1, terms);
+  Backend& ep = *story.eps[0];
+  for (std::uint64_t key = 1; key <= 10; ++key) story.open(key);
+  story.relay.delay_told(*ep.held[0], 500 * kMs);
+  const std::size_t moved = story.host.moved.size();
+  EXPECT_GT(moved, 0u);
+  for (Tunnel* tun : std::exchange(story.host.moved, {})) story.fail(*tun, Result::cancelled, true);
+  const std::uint64_t group = ep.held[0]->client_key;
+  story.host.pass(3300 * kMs);
+  for (int i = 0; i < 10; ++i) story.open(group);
+  const std::size_t declined = story.host.declined.size();
+  EXPECT_GT(declined, 0u);  // three warm-ups are no time for strain to pass
+  for (int i = 0; i < 12; ++i) {
+    story.host.pass(kS);
+    story.relay.probe_ended(ep, {Result::opened, kMs}, {0.2});
+    if (i > 3) story.open(group);
+  }
+  EXPECT_EQ(story.host.declined.size(), declined);
+}
+
 TEST(Room, WhenMostAreStrainedTheOthersTakeNoRush) {
   Story story(4);
   for (std::uint64_t key = 1; key <= 24; ++key) story.open(key);
