--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -260,9 +260,7 @@
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels held no cap shows it. So
   // home gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
-    const double fronts =
-        std::min<double>(relays_, static_cast<double>(zones.count()));  // zones with clients
-    const double part = home / caps.whole, own = std::min(0.99, part * fronts);
+    const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
     if (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)
       caps.home = 1;  // a group held in every zone costs more than the crossing
