A tunnel whose lines bring nothing back is moved after five setup goals, not three seconds

At fault: kSilence in net/door, a bare 3 s looked at every 0.5 s. Ruled out: declines (none), setups (one time-out).

--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -12,7 +12,6 @@
 constexpr std::size_t kSpareSockets = 24;  // for probes, discovery and clients that must be answered
 constexpr Micros kSecond = 1'000'000;
 constexpr Micros kIdKept = 5 * kSecond;              // after its tunnel's end
-constexpr Micros kSilence = 3 * kSecond;             // a sound connection brings a line back at once
 constexpr Micros kStillComing = 45 * kSecond / 100;  // so long clients come after the relay is told to end
 constexpr Micros kEmptyFor = kSecond / 4;            // before the end: what was told last must be read
 
@@ -210,8 +209,9 @@
 
 // A backend that goes silent breaks nothing: its clients' lines just bring nothing back.
 void Door::look_for_silence() {
-  servers_.silent_for(kSilence, [this](Exchange& tun) { relay_->left_unanswered(tun); });
-  loop_.wake_at(loop_.now() + kSecond / 2, [this] { look_for_silence(); });
+  const Micros goal = shortest_goal(facts_);  // a sound connection brings a line back at once
+  servers_.silent_for(5 * goal, [this](Exchange& tun) { relay_->left_unanswered(tun); });
+  loop_.wake_at(loop_.now() + goal / 2, [this] { look_for_silence(); });
 }
 
 // ---- What goes out --------------------------------------------------------------------------------------
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -183,7 +183,7 @@
   Town town(2);
   auto [here, there] = town.open("1");
   here.say("anyone?\r\n");
-  EXPECT_TRUE(town.until([&] { return here.ended(); }, 6500));
+  EXPECT_TRUE(town.until([&] { return here.ended(); }, 2200));
   EXPECT_EQ(here.heard(), "UP r\r\nMOVE\r\n");
 }
 
