In a storm of clients home weighs no more and is capped like the rest

Checked by a probe of the module's state once a second: home weight 8 all the time, home's cap twice the mean (Relay::caps_now, over_cap); both suppose that clients come evenly from all zones. Ruled out: start times, lists, reports (they told it, too rarely); a lower weight alone (tried and reverted, the cap held it there).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,6 +31,7 @@
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
+constexpr double kStorm = 8;        // times what asks within two seconds is more than what is held
 constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
 constexpr double kColdPart = 0.67;  // of the multiple that a cold backend bears, all that is sent on purpose
 constexpr double kColdTurns = 6;    // at most so many turns dealt for each tunnel that a cold backend bears
@@ -262,17 +263,19 @@
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    if (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)
-      caps.home = 1;  // a group held in every zone costs more than the crossing
+    // In strain a group held in every zone costs more than the crossing; in a storm come clients of other
+    // zones.
+    const bool storm = kStorm * (asked_.sum(now, 2) - 1) > static_cast<double>(held_);
+    if (storm || (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)) caps.home = 1;
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
   return caps;
 }
 
 bool Relay::over_cap(const Backend& ep) const {
-  const double mean = caps_.load_by_size * ep.size * warm_share(ep);
-  return ep.load >=
-         std::max((ep.zone == zone_ ? kHomeCapFactor : kCapFactor) * mean, kCapFloor * tunnel_load());
+  const double factor = ep.zone == zone_ && caps_.home > 1 ? kHomeCapFactor : kCapFactor;
+  const double cap = factor * caps_.load_by_size * ep.size * warm_share(ep);
+  return ep.load >= std::max(cap, kCapFloor * tunnel_load());
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. So the windows since its
@@ -336,8 +339,8 @@
 Micros Relay::setup_limit(const Tunnel& tun) const {
   const double made = setups_made_.sum(host_.now());
   const Micros usual = made > 0 ? static_cast<Micros>(4 * setup_time_.sum(host_.now()) / made) : 0;
-  const Micros left = tun.expires_at - host_.now() - 2 * answer_margin_;
-  return std::min(std::max(tun.profile->setup_goal, usual), left);
+  return std::min(std::max(tun.profile->setup_goal, usual),
+                  tun.expires_at - host_.now() - 2 * answer_margin_);
 }
 
 void Relay::measured(Micros took) {
@@ -701,10 +704,8 @@
   good ? heard_from(ep) : unheard(ep);
   // A good probe shows that the process can be reached, not that it serves: that counts for one set aside as
   // silent; for one set aside as ill it only opens the trickle.
-  if (good && ep.aside && !ep.silent)
-    ep.next_trickle = std::min(ep.next_trickle, host_.now());
-  else
-    judge(ep, good);
+  if (!good || !ep.aside || ep.silent) return judge(ep, good);
+  ep.next_trickle = std::min(ep.next_trickle, host_.now());
 }
 
 // ---- Movers ---------------------------------------------------------------------------------------------
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -400,5 +400,19 @@
   EXPECT_LE(home, 35u);
 }
 
+// The clients of a relay that went away come all at once: they do not belong at home, and would drown it.
+TEST(Scale, InAStormHomeTakesNoMoreThanTheRest) {
+  SiteTerms terms = plain_terms();
+  terms.cross_price = 0.02;
+  Story story(0, terms);
+  for (unsigned i = 0; i < 6; ++i) story.add(0, i % 3);
+  for (std::uint64_t key = 1; key <= 90; ++key) {
+    story.open(key);
+    story.host.pass(10 * kMs);
+  }
+  EXPECT_LE(story.eps[0]->held.size() + story.eps[3]->held.size(), 42u);
+  EXPECT_GE(story.eps[0]->held.size() + story.eps[3]->held.size(), 18u);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
