A storm is a quarter of what is held, one moment a tenth of a setup goal

At fault: kStorm (8) and cut_within(kCutEvery) in Relay::opened. Now 4 and a tenth of the shortest goal; on sockets a dead process's tunnels are reset within 15 ms.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,7 @@
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
-constexpr double kStorm = 8;        // times what asks within two seconds is more than what is held
+constexpr double kStorm = 4;        // times what asks within two seconds is more than what is held
 constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
 constexpr double kColdPart = 0.67;  // of the multiple that a cold backend bears, all that is sent on purpose
 constexpr double kColdTurns = 6;    // at most so many turns dealt for each tunnel that a cold backend bears
@@ -410,7 +410,7 @@
     dropped(*ep);
     // All lost in one moment is a broken link or process: that teaches nothing about room.
     if (std::none_of(ep->held.begin(), ep->held.end(), [](const Tunnel* other) { return other->open; }) &&
-        cut_within(*ep, kCutEvery))
+        cut_within(*ep, shortest_goal_ / 10))
       ep->room = kNoLimit;
     judge(*ep, false);
   };
