Only clients that come again make a storm, an eighth of what is held

At fault: caps_now counted all that asked. What a storm means is that clients of others come, and those come again (the clients say so).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,7 @@
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
-constexpr double kStorm = 4;        // times what asks within two seconds is more than what is held
+constexpr double kStorm = 8;        // times what asks within two seconds is more than what is held
 constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
 constexpr double kColdPart = 0.67;  // of the multiple that a cold backend bears, all that is sent on purpose
 constexpr double kColdTurns = 6;    // at most so many turns dealt for each tunnel that a cold backend bears
@@ -102,8 +102,8 @@
       regrowth_(std::max(warm_up_, 3 * fall_window_) / 2),
       answer_margin_(2 * std::max<Micros>(terms.step, 1000)), shortest_goal_(10 * kSecond), born_(host.now()),
       cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
-      probe_price_(terms.probe_price), cross_price_(terms.cross_price), asked_(kSecond), good_(kSecond),
-      bad_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
+      probe_price_(terms.probe_price), cross_price_(terms.cross_price), asked_(kSecond), returned_(kSecond),
+      good_(kSecond), bad_(kSecond), setups_made_(kSecond), setup_time_(kSecond) {
   double least = 1e300;
   for (const Profile& profile : profiles_) {
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
@@ -149,7 +149,6 @@
   host_.wake_at(host_.now() + jittered(wait), [this] { host_.follow_list(); });
 }
 
-// Half of it to all of it.
 Micros Relay::jittered(Micros most) {
   return static_cast<Micros>(std::uniform_real_distribution(0.5, 1.0)(chance_) * static_cast<double>(most));
 }
@@ -158,6 +157,7 @@
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
   asked_.add(host_.now(), 1);
+  if (tun->returning) returned_.add(host_.now(), 1);
   if (!tun->returning) {
     ++new_clients_;
     purse_ = std::min(kPurse, purse_ + (probe_price_ > 0 ? kProbeBudget / probe_price_ : kPurse));
@@ -265,7 +265,7 @@
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
     // In strain a group held in every zone costs more than the crossing; in a storm come clients of other
     // zones.
-    const bool storm = kStorm * (asked_.sum(now, 2) - 1) > static_cast<double>(held_);
+    const bool storm = kStorm * (returned_.sum(now, 2) - 1) > static_cast<double>(held_);
     if (storm || (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)) caps.home = 1;
   }
   caps.load_by_size = caps.size > 0 ? load / caps.size : 0;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -192,7 +192,7 @@
     bool strained = false, most_strained = false;
   };
 
-  Micros jittered(Micros most);
+  Micros jittered(Micros most);  // half of it to all of it
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
   void rank(Tunnel& tun);
@@ -255,7 +255,7 @@
   Caps caps_;
   Micros strained_until_ = 0;  // most were: the verdict stands for a while
   std::size_t new_clients_ = 0;
-  TimeRing asked_, good_, bad_, setups_made_, setup_time_;
+  TimeRing asked_, returned_, good_, bad_, setups_made_, setup_time_;
 };
 
 }  // namespace cherryrail
