Read once more: one check for short descriptors, dead and doubled lines out

The check for descriptors running short stood in Door::take and in the callback for the client side: now Door::full. The guard in Discovery::list_line could never hold (a feed that is neither followed nor former is destroyed); the two opposite ifs in Relay::take are one; a needless swap in hold_others is undone, two comments no longer trail off. The stories looked up a tunnel's backend by hand in three places: now Town::holder, their assertions as they were.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,7 +31,7 @@
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
 constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
-constexpr double kStorm = 8;        // times what asks within two seconds is more than what is held
+constexpr double kStorm = 8;        // times what comes again in two seconds is more than what is held
 constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
 constexpr double kColdPart = 0.67;  // of the multiple that a cold backend bears, all that is sent on purpose
 constexpr double kColdTurns = 6;    // at most so many turns dealt for each tunnel that a cold backend bears
@@ -157,8 +157,9 @@
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
   asked_.add(host_.now(), 1);
-  if (tun->returning) returned_.add(host_.now(), 1);
-  if (!tun->returning) {
+  if (tun->returning) {
+    returned_.add(host_.now(), 1);
+  } else {
     ++new_clients_;
     purse_ = std::min(kPurse, purse_ + (probe_price_ > 0 ? kProbeBudget / probe_price_ : kPurse));
   }
@@ -263,8 +264,7 @@
   if (cross_price_ > 0 && home > 0 && home < caps.whole) {
     const double part = home / caps.whole, own = std::min(0.99, part * static_cast<double>(zones.count()));
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    // In strain a group held in every zone costs more than the crossing; in a storm come clients of other
-    // zones.
+    // In strain a group held in every zone costs more than crossing; in a storm others' clients come.
     const bool storm = kStorm * (returned_.sum(now, 2) - 1) > static_cast<double>(held_);
     if (storm || (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)) caps.home = 1;
   }
@@ -615,12 +615,11 @@
 }
 
 // Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut. So
-// those that hold tunnels keep them and take no more; the unknown are taken to be as short of room as the
-// known.
+// those that hold tunnels keep them and take no more; the unknown are taken to be as short as the known.
 void Relay::hold_others() {
   const Caps caps = caps_now();
-  const Micros now = host_.now();
   if (!caps.most_strained) return;
+  const Micros now = host_.now();
   if (now >= strained_until_) {
     strained_until_ = now + regrowth_;
     host_.log("most known backends strained: the others keep what they hold");
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -130,7 +130,6 @@
 }
 
 void Discovery::list_line(Feed& feed, const std::string& line) {
-  if (&feed != feed_.get() && &feed != former_.get()) return;
   List list;
   try {
     list = read_list(line);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -48,8 +48,7 @@
   clients_ = std::make_unique<ClientSide>(
       loop, start.listen_on,
       [this](std::string_view line) { return std::make_shared<Exchange>(loop_, *relay_, line); },
-      [this](const std::shared_ptr<Exchange>& tun) { take(tun); },
-      [this] { return loop_.sockets() + kSpareSockets > sockets_; });
+      [this](const std::shared_ptr<Exchange>& tun) { take(tun); }, [this] { return full(); });
   look_for_silence();
   loop_.log().line(Topic::life, "%s is up, %zu backends known", start.name.c_str(), backends_.size());
 }
@@ -90,6 +89,8 @@
   });
 }
 
+bool Door::full() const { return loop_.sockets() + kSpareSockets > sockets_; }
+
 // ---- What comes in --------------------------------------------------------------------------------------
 
 void Door::take(const std::shared_ptr<Exchange>& tun) {
@@ -102,7 +103,7 @@
   // Danger: a tunnel needs a second descriptor; with none left, it would be a setup that cannot be made and
   // a listener that cannot accept. What has not been sent anywhere can be declined.
   clients_->make_room();
-  if (loop_.sockets() + kSpareSockets > sockets_) return tun->client->finish("BUSY", "no_descriptors");
+  if (full()) return tun->client->finish("BUSY", "no_descriptors");
   const auto stood_at = backends_.find(tun->head.value("at"));
   if (stood_at == backends_.end()) return relay_->take(tun);
   tun->stood_at = stood_at->second;
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -44,6 +44,7 @@
 
   void take(const std::shared_ptr<Exchange>& tun);
   const char* read_tunnel(Exchange& tun);
+  bool full() const;  // descriptors run short
   bool id_known(const std::shared_ptr<Exchange>& tun);
   void list_heard(const List& list);
   void told(Exchange& tun, double figure);
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -1,4 +1,4 @@
-// GLib's main loop as the rest sees it: sockets that become ready, alarms, things to do soon, SIGTERM.
+// GLib's main loop as the rest sees it: sockets that become ready, alarms, things to do soon, signals.
 #pragma once
 
 #include <glib.h>
@@ -63,6 +63,7 @@
   void sockets_ready();
   void alarms_due();
   void set_alarm();
+  void on_signal(int signal, std::function<void()> then);
   template <class Call>
   void guarded(const Call& call);
 
@@ -77,8 +78,6 @@
   std::deque<std::function<void()>> soon_;
   std::array<epoll_event, 256> batch_{};
   std::size_t batch_size_ = 0, batch_at_ = 0, sockets_ = 0;
-  void on_signal(int signal, std::function<void()> then);
-
   // Each stays where it is: GLib holds its address.
   struct Told {
     Loop* loop;
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -287,6 +287,12 @@
     EXPECT_TRUE(until([&] { return here.heard() == "UP r\r\n"; }));
     return {std::move(here), std::move(there)};
   }
+  // Which backend holds that end.
+  std::size_t holder(const End& there) const {
+    std::size_t at = 0;
+    while (backends.at(at).port() != there.port()) ++at;
+    return at;
+  }
   // What the relay asks of discovery; an answer to it has begun.
   std::string watched() {
     watch = End();
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -169,7 +169,7 @@
 TEST(Net, MoveWaitsForTheEndOfTheLine) {
   Town town(2);
   auto [here, there] = town.open("1");
-  const std::size_t at = there.port() == town.backends[0].port() ? 0 : 1;
+  const std::size_t at = town.holder(there);
   there.say("half a li");
   EXPECT_TRUE(town.until([&] { return here.heard().ends_with("half a li"); }));  // no line is held back
   town.list(R"({"rev":5,"all":false,"targets":[)" + town.target(at, "leaving") + "]}");
@@ -309,9 +309,7 @@
   EXPECT_TRUE(town.until([&] { return former.ended(); }));
   here.say("still there\r\n");
   EXPECT_TRUE(town.until([&] { return there.heard().ends_with("still there\r\n"); }));
-  const std::size_t at = there.port() == town.backends[0].port()   ? 0
-                         : there.port() == town.backends[1].port() ? 1
-                                                                   : 2;
+  const std::size_t at = town.holder(there);
   town.list(R"({"rev":8,"all":false,"targets":[)" + town.target(at, "leaving") + "]}");
   EXPECT_TRUE(town.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }));
 }
@@ -333,7 +331,7 @@
 TEST(Net, ALowerVersionIsTakenOnlyOnceItStays) {
   Town town(2);
   auto [here, there] = town.open("1");
-  const std::size_t at = there.port() == town.backends[0].port() ? 0 : 1;
+  const std::size_t at = town.holder(there);
   const std::string lower = R"({"rev":2,"all":true,"targets":[)" + town.target(1 - at, "active") + "]}";
   town.list(lower);
   EXPECT_TRUE(town.until([&] { return town.watch.ended(); }));
