Strain is measured by the message goals that the settings tell

Ruled out: lost or late lines (echoes take 0.1 ms), a wrong list, a short purse (probes came, and told x0 of 0.4 to 0.9). At fault: Relay::delay_told took a third of the setup goal (100 ms) for nearing and the goal (300 ms) for past it, while the settings tell goals of their own for messages (domain.message_aim), which read_profile never read.

Now: strain is a message longer than the shortest message goal, a deep cut one longer than twice the longest. Where none is told, a third of the setup goal stands in. An echo counts as late by its profile's goal.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -7,8 +7,7 @@
 //   1. the sequential test that sets an ill backend aside, against its peers, and the doubling trickle back;
 //   2. silence: a backend that answers nothing while others do is emptied as if it drained;
 //   3. probes, paid from a purse that new clients fill;
-//   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined, in
-//      an order of groups that all relays draw alike;
+//   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined;
 //   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend;
 //   6. home: backends in the relay's own zone weigh more, as far as the zone's size bears.
 #include "brain.hpp"
@@ -29,7 +28,7 @@
 constexpr double kCapFloor = 2;                      // tunnels; the design's floor
 constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
 constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
-constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past the goal and nearing it
+constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past all goals and past one
 constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
 constexpr double kStorm = 8;        // times what comes again in two seconds is more than what is held
 constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
@@ -107,6 +106,8 @@
   double least = 1e300;
   for (const Profile& profile : profiles_) {
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
+    shortest_message_ = std::min(shortest_message_, profile.message_goal);
+    longest_message_ = std::max(longest_message_, profile.message_goal);
     end_over_ = std::min(kEndMost, std::max(end_over_, 3 * profile.client_timeout / 4));
     if (profile.payoff > 0) least = std::min(least, profile.payoff);
   }
@@ -563,8 +564,9 @@
 void Relay::delay_told(Tunnel& tun, Micros message_time) {
   if (!tun.ep) return;
   heard_from(*tun.ep);
-  if (message_time * 3 <= shortest_goal_) return;
-  strained(*tun.ep, message_time > shortest_goal_ ? kDeepCut : kSlightCut);
+  // Danger: measured by the setup goal, a backend passed for sound while no message on it came in time.
+  if (message_time <= shortest_message_) return;
+  strained(*tun.ep, message_time > 2 * longest_message_ ? kDeepCut : kSlightCut);
 }
 
 void Relay::strained(Backend& ep, double kept) {
@@ -719,12 +721,11 @@
 void Relay::retire() {
   retiring_ = true;
   std::uniform_int_distribution<Micros> when(0, end_over_);
-  for (const auto& ep : fleet_) {
+  for (const auto& ep : fleet_)
     for (Tunnel* held : ep->held)
       host_.wake_at(host_.now() + when(chance_), [this, weak = held->weak_from_this()] {
         if (const auto tun = weak.lock(); tun && tun->open) queue_move(*tun), run_movers();
       });
-  }
 }
 
 std::size_t Relay::queue_limit() const {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -40,6 +40,7 @@
 struct Profile {
   Micros setup_goal = 0;
   Micros client_timeout = 0;
+  Micros message_goal = 0;  // on an open tunnel
   double payoff = 1;
   Effect effect = Effect::repeatable;
   RepeatScope scope = RepeatScope::all;
@@ -250,7 +251,7 @@
   unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
   Micros end_over_ = 0, longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_,
-         shortest_goal_, born_;
+         shortest_goal_, shortest_message_ = 10'000'000, longest_message_ = 0, born_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   Caps caps_;
   Micros strained_until_ = 0;  // most were: the verdict stands for a while
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -61,7 +61,7 @@
   // Only what is late is told: an echo shows that lines pass, not how laden the backend is, and the module
   // looks less often at what it has heard from.
   const Micros asked = std::exchange(asked_at_, 0), took = asked > 0 ? loop_.now() - asked : 0;
-  if (3 * took > profile->setup_goal) relay_.delay_told(*this, took);
+  if (took > profile->message_goal) relay_.delay_told(*this, took);
 }
 
 void Exchange::server_ended(Ended how, const Ending& ending, const LoadReport& report,
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -81,6 +81,10 @@
   profile.index = index;
   profile.setup_goal = pairs.time(at + "setup_goal");
   profile.client_timeout = pairs.time(at + "client_timeout");
+  const std::string_view message = item_of(pairs.word("domain.message_aim"), index);
+  profile.message_goal = is_absent(message)
+                             ? profile.setup_goal / 3
+                             : micros_of(Pairs::number_in("domain.message_aim", message, 0, 1e9));
   profile.window = pairs.time(at + "window");
   profile.payoff = pairs.number(at + "payoff", 1);
   profile.effect = pairs.choice<Effect>(at + "semantics", {{"idempotent", Effect::repeatable},
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -70,6 +70,7 @@
   Profile profile;
   profile.setup_goal = 400 * kMs;
   profile.client_timeout = 2 * kS;
+  profile.message_goal = 150 * kMs;
   profile.window = 5 * kS;
   profile.effect = effect;
   terms.profiles = {profile};
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -67,7 +67,9 @@
 TEST(Link, SettingsWithoutAValueAreAbsent) {
   const Facts facts =
       read_facts(split_settings("profiles.count=1\nprofiles.0.payoff=null\ntenants.count=2\n"
-                                "domain.tenant_quota_connections=7.0,null\n"));
+                                "domain.tenant_quota_connections=7.0,null\nprofiles.0.setup_goal=300\n"
+                                "domain.message_aim=null\n"));
+  EXPECT_EQ(facts.terms.profiles[0].message_goal, 100'000);  // a third of the setup goal, where none is told
   EXPECT_EQ(facts.terms.profiles[0].payoff, 1);
   EXPECT_EQ(facts.terms.tenant_shares, (std::vector<double>{7, 0}));
 }
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -207,6 +207,18 @@
   EXPECT_EQ(story.answers(story.arrive(100)), 0u);
 }
 
+// Messages have a goal of their own: past it nothing is earned there, however far off the setup goal is.
+TEST(Room, MessagesPastTheirGoalAreStrain) {
+  SiteTerms terms = plain_terms();
+  terms.profiles[0].message_goal = 60 * kMs;
+  Story story(2, terms);
+  for (std::uint64_t key = 1; key <= 20; ++key) story.open(key);
+  story.relay.delay_told(*story.eps[0]->held[0], 55 * kMs);
+  EXPECT_TRUE(story.host.moved.empty());
+  story.relay.delay_told(*story.eps[0]->held[0], 100 * kMs);  // a quarter of the setup goal
+  EXPECT_FALSE(story.host.moved.empty());
+}
+
 TEST(Room, ConnectionsThatBreakSinglyCloseNoBackend) {
   Story story(4);
   for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
