In strain no backend takes over twice the mean, and one under the cap takes its part

At fault: Relay::choose took the over-capped as long as they had no learned room, and never one whose room was full.

Now: while anything is strained no backend takes over twice the mean; one that does not fit but is under the cap, with no cut for two seconds, ranks with the over-capped. Not in general strain, with fewer than three ready, or where a relay holds under two tunnels a backend: there a room is an agreed draw and the cap says nothing.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,11 +23,10 @@
 
 constexpr Micros kSecond = 1'000'000;
 
-constexpr double kCapFactor = 1.25;                  // of the mean load, as the design has it
-constexpr double kHomeCapFactor = 2;                 // the same for a backend in the relay's own zone
-constexpr double kCapFloor = 2;                      // tunnels; the design's floor
-constexpr double kCalmLoad = 0.5;                    // a backend that says it is loaded less is calm again
-constexpr double kFullLoad = 0.8;                    // a backend that says it is loaded more is overdriven
+constexpr double kCapFactor = 1.25;   // of the mean load, as the design has it
+constexpr double kWideCapFactor = 2;  // the same in the relay's own zone; in strain the most for any
+constexpr double kCapFloor = 2;       // tunnels; the design's floor
+constexpr double kCalmLoad = 0.5, kFullLoad = 0.8;   // told less, it is calm again; told more, overdriven
 constexpr double kDeepCut = 0.7, kSlightCut = 0.93;  // of the load, at messages past all goals and past one
 constexpr double kHomeZone = 8;     // times the weight for a backend that is not across a zone
 constexpr double kStorm = 8;        // times what comes again in two seconds is more than what is held
@@ -47,8 +46,7 @@
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kEndMost = 9 * kSecond / 4;  // within it all are asked to leave a relay that ends
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
-constexpr double kProbeBudget = 0.002;  // of the result, spent on probes
-constexpr double kPurse = 8;            // probes that may be saved up
+constexpr double kProbeBudget = 0.002, kPurse = 8;  // of the result, spent on probes; probes saved up
 
 std::uint64_t mix(std::uint64_t x) {
   x ^= x >> 30;
@@ -194,6 +192,7 @@
   caps_ = caps_now();
   const double load = expected_load(tun);
   if (retiring_ || (caps_.strained && over_share(tun))) return nullptr;
+  const bool strict = caps_.most_strained || caps_.tunnels_each < kCapFloor || caps_.ready < kFewKnown;
   rank(tun);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || (best[0] && least_rank(*ep) >= best_rank[0])) continue;
@@ -204,8 +203,14 @@
     const double extra = ep->groups.contains(tun.hash_key) ? 0
                          : ep.get() == tun.first           ? std::min(kStranger, caps_.tunnels_each)
                                                            : kStranger;
-    if (!tun.mid_flow && !fits(ep->load + load * extra, load, tun, *ep)) continue;
-    const int tier = ep->aside && now < ep->next_trickle ? 2 : over_cap(*ep) && !tun.mid_flow ? 1 : 0;
+    const bool fit = tun.mid_flow || fits(ep->load + load * extra, load, tun, *ep);
+    const double cap = ep->zone == zone_ && caps_.home > 1 ? kWideCapFactor : kCapFactor;
+    const bool over = !tun.mid_flow && over_cap(*ep, cap);
+    // Danger: what strained backends shed would all go to the one not yet strained, and down it in its turn.
+    // So it takes twice the mean at most, and one that was strained but is under the cap takes its part.
+    if (over && caps_.strained && over_cap(*ep, kWideCapFactor)) continue;
+    if (!fit && (strict || over || cut_within(*ep, 2 * kCutEvery))) continue;
+    const int tier = ep->aside && now < ep->next_trickle ? 2 : over || !fit ? 1 : 0;
     const double rank = exact_rank(*ep);
     if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
   }
@@ -273,8 +278,7 @@
   return caps;
 }
 
-bool Relay::over_cap(const Backend& ep) const {
-  const double factor = ep.zone == zone_ && caps_.home > 1 ? kHomeCapFactor : kCapFactor;
+bool Relay::over_cap(const Backend& ep, double factor) const {
   const double cap = factor * caps_.load_by_size * ep.size * warm_share(ep);
   return ep.load >= std::max(cap, kCapFloor * tunnel_load());
 }
@@ -377,12 +381,8 @@
 void Relay::answer(Tunnel& tun, Answer how) {
   if (tun.answered) return;
   tun.answered = true;
-  if (how == Answer::declined) {
-    const Micros advice = jittered(longest_advice_ / 2);
-    host_.decline(tun, may_advise_ ? advice : 0);
-  } else if (how == Answer::closed_with_error) {
-    host_.close_with_error(tun);
-  }
+  if (how == Answer::declined) host_.decline(tun, may_advise_ ? jittered(longest_advice_ / 2) : 0);
+  if (how == Answer::closed_with_error) host_.close_with_error(tun);
 }
 
 void Relay::established(Tunnel& tun, Micros took) {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -199,7 +199,7 @@
   void rank(Tunnel& tun);
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
-  bool over_cap(const Backend& ep) const;
+  bool over_cap(const Backend& ep, double factor) const;
   bool cold_budget_allows(const Tunnel& tun, const Backend& ep) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -280,6 +280,20 @@
   EXPECT_LE(story.eps[3]->held.size(), before);
 }
 
+// Nor do the few that are not strained take it all while the strained ones run nearly empty.
+TEST(Room, WhatIsShedIsSharedUnderTheCap) {
+  Story story(4);
+  for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
+  for (std::size_t i = 0; i < 2; ++i) story.relay.delay_told(*story.eps[i]->held[0], kS);
+  for (Tunnel* tun : std::exchange(story.host.moved, {})) story.fail(*tun, Result::cancelled, true);
+  story.host.pass(2 * kS);
+  std::size_t held = 0, most = 0;
+  for (std::uint64_t key = 100; key < 200; ++key) story.open(key);
+  for (const auto& ep : story.eps) held += ep->held.size(), most = std::max(most, ep->held.size());
+  EXPECT_LE(most, held / 2 + 1);  // twice the mean of four
+  EXPECT_GT(story.eps[0]->held.size() + story.eps[1]->held.size(), held / 4);
+}
+
 // A group is paid for by every backend that holds any of it: in strain its members stay together.
 TEST(Room, InStrainAGroupDoesNotSpread) {
   Story story(2);
