A backend that has just reported calm is not shut by the verdict of general strain

Ruled out: the cap (it would have taken them), turns (the backend is warm), the purse (the report had come). At fault: Relay::hold_others presumed room for any backend without a learned one, whatever it had reported since.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,11 +38,10 @@
 constexpr double kFewKnown = 3;     // of fewer backends no relay tells that strain is general
 constexpr double kNoLimit = 1e300;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
-constexpr double kIllShare = 0.9;       // an ill backend fails this share of what it gets
-constexpr double kAsideDoubt = 6.5;     // about 1 in 700 to set a healthy one aside
-constexpr unsigned kWinsToReturn = 3;   // the design's breaker: closed after 3 successes
-constexpr unsigned kSilentAfter = 4;    // setups and probes without any answer
-constexpr Micros kMoverTime = kSecond;  // a mover waits this long for its move at most
+constexpr double kIllShare = 0.9;                        // an ill backend fails this share of what it gets
+constexpr double kAsideDoubt = 6.5;                      // about 1 in 700 to set a healthy one aside
+constexpr unsigned kWinsToReturn = 3, kSilentAfter = 4;  // successes, as the design has it; no answers
+constexpr Micros kMoverTime = kSecond;                   // a mover waits this long for its move at most
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kEndMost = 9 * kSecond / 4;  // within it all are asked to leave a relay that ends
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
@@ -616,8 +615,8 @@
   return ep.full - (ep.full - ep.room) * bend * bend * bend + (bend < 0 ? -bend * bend * bend * ep.full : 0);
 }
 
-// Danger: when most of what it knows is strained, what is shed would rush to the backends not yet cut. So
-// those that hold tunnels keep them and take no more; the unknown are taken to be as short as the known.
+// Danger: when most of what it knows is strained, what is shed would rush to those not yet cut. So they keep
+// what they hold, and the unknown are taken to be as short as the known; one that just told calm stays open.
 void Relay::hold_others() {
   const Caps caps = caps_now();
   if (!caps.most_strained) return;
@@ -627,7 +626,8 @@
     host_.log("most known backends strained: the others keep what they hold");
   }
   for (const auto& peer : fleet_) {
-    if (!peer->held.empty() && peer->room < kNoLimit) continue;
+    const bool calm = peer->calm_at > peer->room_cut_at && now - peer->calm_at < 2 * kCutEvery;
+    if (calm || (!peer->held.empty() && peer->room < kNoLimit)) continue;
     peer->presumed = true;  // no evidence: or the verdict would feed on itself
     peer->full = std::max(peer->load, tunnel_load());
     peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? kUnknown * caps.room_left : 1));
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -280,6 +280,17 @@
   EXPECT_LE(story.eps[3]->held.size(), before);
 }
 
+TEST(Room, WhenMostAreStrainedOneThatHasJustReportedCalmStaysOpen) {
+  Story story(4);
+  for (std::uint64_t key = 1; key <= 24; ++key) story.open(key);
+  story.relay.probe_ended(*story.eps[3], {Result::opened, kMs}, {0.1});
+  story.host.pass(kS);
+  for (std::size_t i = 0; i < 3; ++i) story.relay.delay_told(*story.eps[i]->held[0], kS);
+  const std::size_t before = story.eps[3]->held.size();
+  for (std::uint64_t key = 100; key <= 105; ++key) story.arrive(key);
+  EXPECT_GT(story.eps[3]->held.size(), before);
+}
+
 // Nor do the few that are not strained take it all while the strained ones run nearly empty.
 TEST(Room, WhatIsShedIsSharedUnderTheCap) {
   Story story(4);
