One reader for a number in a list of settings, for tenant shares and message goals

Read once more: the absent check and the cut out of a list stood twice in read_profile and read_facts; Pairs::number_at serves both, bounds and messages as before. Where no message goal is told, a third of the setup goal is now rounded to the microsecond instead of cut off. Nothing else found worth a change: the two verdict stories look alike but set up different evidence.

--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -10,6 +10,15 @@
 // A setting without a value stands empty or as the word null.
 bool is_absent(std::string_view text) { return text.empty() || text == "null"; }
 
+std::string_view item_of(std::string_view list, std::size_t index) {
+  while (index-- > 0) {
+    const std::size_t comma = list.find(',');
+    if (comma == std::string_view::npos) return "";
+    list.remove_prefix(comma + 1);
+  }
+  return list.substr(0, list.find(','));
+}
+
 // Reads single values out of the settings, checked; what is wrong is said with its key.
 class Pairs {
  public:
@@ -26,6 +35,11 @@
     return number_in(key, found->second, least, most);
   }
 
+  // One of a list of numbers.
+  double number_at(std::string_view key, std::size_t index, double otherwise, double most) const {
+    const std::string_view item = item_of(word(key), index);
+    return is_absent(item) ? otherwise : number_in(key, item, 0, most);
+  }
   static double number_in(std::string_view key, std::string_view text, double least, double most) {
     double value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -66,25 +80,14 @@
   const Settled& pairs_;
 };
 
-std::string_view item_of(std::string_view list, std::size_t index) {
-  while (index-- > 0) {
-    const std::size_t comma = list.find(',');
-    if (comma == std::string_view::npos) return "";
-    list.remove_prefix(comma + 1);
-  }
-  return list.substr(0, list.find(','));
-}
-
 Profile read_profile(const Pairs& pairs, std::size_t index) {
   const std::string at = "profiles." + std::to_string(index) + ".";
   Profile profile;
   profile.index = index;
   profile.setup_goal = pairs.time(at + "setup_goal");
   profile.client_timeout = pairs.time(at + "client_timeout");
-  const std::string_view message = item_of(pairs.word("domain.message_aim"), index);
-  profile.message_goal = is_absent(message)
-                             ? profile.setup_goal / 3
-                             : micros_of(Pairs::number_in("domain.message_aim", message, 0, 1e9));
+  profile.message_goal = micros_of(
+      pairs.number_at("domain.message_aim", index, static_cast<double>(profile.setup_goal) / 3000, 1e9));
   profile.window = pairs.time(at + "window");
   profile.payoff = pairs.number(at + "payoff", 1);
   profile.effect = pairs.choice<Effect>(at + "semantics", {{"idempotent", Effect::repeatable},
@@ -122,11 +125,8 @@
   if (profiles == 0) Pairs::fail("profiles.count", pairs.word("profiles.count"), "a count of at least one");
   for (std::size_t i = 0; i < profiles; ++i) terms.profiles.push_back(read_profile(pairs, i));
   const unsigned tenants = pairs.whole("tenants.count", 0, 0, 1e6);
-  for (std::size_t i = 0; i < tenants; ++i) {
-    const std::string_view share = item_of(pairs.word("domain.tenant_quota_connections"), i);
-    terms.tenant_shares.push_back(
-        is_absent(share) ? 0 : Pairs::number_in("domain.tenant_quota_connections", share, 0, 1e12));
-  }
+  for (std::size_t i = 0; i < tenants; ++i)
+    terms.tenant_shares.push_back(pairs.number_at("domain.tenant_quota_connections", i, 0, 1e12));
   terms.relays = pairs.whole("balancers", 1, 1, 65535);
   terms.me = pairs.whole("me", 0, 0, 65535);
   terms.zone = pairs.whole("zone", 0, 0, 255);
