--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -155,8 +155,10 @@
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
   asked_.add(host_.now(), 1);
-  tun->returning ? returned_.add(host_.now(), 1) : void(++new_clients_);
-  if (!tun->tries_again) purse_ = std::min(kPurse, purse_ + kProbeBudget / probe_price_);
+  if (tun->returning)
+    returned_.add(host_.now(), 1);
+  else
+    ++new_clients_, purse_ = std::min(kPurse, purse_ + kProbeBudget / probe_price_);
   tun->hash_key = key_of(*tun);
   if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
   // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
@@ -672,8 +674,7 @@
 }
 
 // Danger: many relays each looking at every backend cost more than they learn: looks are paid from a purse
-// that clients fill, also after a break, when looks matter most, but not by trying again and again. Doubt and
-// strain come first, half of it is theirs; a dead one must not eat it all.
+// that new clients fill. Doubt and strain come first, half of it is theirs; a dead one must not eat it all.
 void Relay::look_around() {
   const Micros now = host_.now();
   // However quiet it is, all relays together look once a second.
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -129,7 +129,6 @@
   std::optional<double> hinted_load;  // work a second
   bool mid_flow = false;              // its packets flowed elsewhere until now
   bool returning = false;             // after a break, a move or a try before
-  bool tries_again = false;           // after a try that was not opened
 
   // Kept by the Relay.
   std::shared_ptr<Backend> ep;              // holds the setup that is out, or the open tunnel
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -148,8 +148,7 @@
     if (const std::string_view tenant = tun.head.value(name); !tenant.empty())
       tun.tenant = named(facts_.tenant_names, tenant);
   }
-  tun.tries_again = tun.head.value("r") == "1";
-  tun.returning = tun.tries_again || tun.head.value("again") == "1";
+  tun.returning = tun.head.value("r") == "1" || tun.head.value("again") == "1";
   return nullptr;
 }
 
