--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -44,7 +44,7 @@
 constexpr Micros kQueueFullWait = kSecond / 10;
 constexpr Micros kEndMost = 9 * kSecond / 4;  // within it all are asked to leave a relay that ends
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
-constexpr double kProbeBudget = 0.002, kPurse = 8;  // of the result, spent on probes; probes saved up
+constexpr double kProbeBudget = 0.002, kPurse = 20;  // of the result, spent on probes; probes saved up
 
 std::uint64_t mix(std::uint64_t x) {
   x ^= x >> 30;
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -106,7 +106,7 @@
   Micros heard_at = 0, probed_at = 0, calm_at = 0;
   TimeRing good{1'000'000}, bad{1'000'000};
   double told = 0;           // by its latest report: load asked over what it can do
-  TimeRing landed{200'000};  // load that a report read now may not know of yet
+  TimeRing landed{125'000};  // load that a report read now may not know of yet
   std::int64_t cold_turn = -1;
   unsigned cold_sent = 0;
 };
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -486,6 +486,24 @@
   EXPECT_LE(story.host.probed.size(), 30u);  // a client pays for one
 }
 
+// In a break no new client pays; what was saved up lasts until the backends are calm again.
+TEST(Scale, WhatWasSavedUpLastsThroughABreak) {
+  SiteTerms terms = plain_terms();
+  terms.may_probe = true;
+  terms.probe_price = 0.002;
+  terms.relays = 200;
+  Story story(4, terms);
+  for (std::uint64_t key = 1; key <= 30; ++key) story.open(key);
+  for (int i = 0; i < 30; ++i) {
+    for (const auto& ep : story.eps) {
+      if (!ep->held.empty()) story.relay.delay_told(*ep->held[0], 200 * kMs);
+      if (ep->probe_out) story.relay.probe_ended(*ep, {Result::opened, kMs}, {});
+    }
+    story.host.pass(100 * kMs);
+  }
+  EXPECT_GE(story.host.probed.size(), 16u);
+}
+
 // A zone with one backend of ten is not drowned by its own clients.
 TEST(Scale, HomeTakesNoMoreThanItsPartOfTheFleetBears) {
   SiteTerms terms = plain_terms();
