--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -86,6 +86,14 @@
   return terms;
 }
 
+inline SiteTerms probing_terms(unsigned relays) {
+  SiteTerms terms = plain_terms();
+  terms.may_probe = true;
+  terms.probe_price = 0.002;
+  terms.relays = relays;
+  return terms;
+}
+
 // A relay on a fake host with some ready backends, and short words for what happens to it.
 struct Story {
   FakeHost host;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -290,11 +290,7 @@
 }
 
 TEST(Room, WhatIsStrainedIsLookedAtAndTheDeadDoNotEatThePurse) {
-  SiteTerms terms = plain_terms();
-  terms.may_probe = true;
-  terms.probe_price = 0.002;
-  terms.relays = 2;
-  Story story(4, terms);
+  Story story(4, probing_terms(2));
   for (std::uint64_t key = 1; key <= 20; ++key) story.open(key);
   story.probe(*story.eps[0], Result::connect_failed, 200);
   ASSERT_TRUE(story.eps[0]->aside);
@@ -302,7 +298,7 @@
   const auto looks = [&](std::size_t i) {
     return std::count(story.host.probed.begin(), story.host.probed.end(), story.eps[i].get());
   };
-  for (int i = 0; i < 50; ++i) {  // answered, but still told of here
+  for (int i = 0; i < 50; ++i) {  // every look fails at once
     const std::size_t seen = story.host.probed.size();
     story.host.pass(20 * kMs);
     for (std::size_t at = seen; at < story.host.probed.size(); ++at)
@@ -472,11 +468,7 @@
 }
 
 TEST(Scale, ManyBackendsInDoubtArePaidForFromThePurse) {
-  SiteTerms terms = plain_terms();
-  terms.may_probe = true;
-  terms.probe_price = 0.002;
-  terms.relays = 200;
-  Story story(60, terms);
+  Story story(60, probing_terms(200));
   for (std::uint64_t key = 1; key <= 20; ++key) {
     Tunnel& tun = story.arrive(key);
     while (tun.ep) story.fail(tun, Result::connect_failed);
@@ -488,11 +480,7 @@
 
 // In a break no new client pays; what was saved up lasts until the backends are calm again.
 TEST(Scale, WhatWasSavedUpLastsThroughABreak) {
-  SiteTerms terms = plain_terms();
-  terms.may_probe = true;
-  terms.probe_price = 0.002;
-  terms.relays = 200;
-  Story story(4, terms);
+  Story story(4, probing_terms(200));
   for (std::uint64_t key = 1; key <= 30; ++key) story.open(key);
   for (int i = 0; i < 30; ++i) {
     for (const auto& ep : story.eps) {
