--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -124,19 +124,40 @@
   const bool known = std::find(fleet_.begin(), fleet_.end(), ep) != fleet_.end();
   if (!known && standing != Standing::gone) fleet_.push_back(ep);
   ep->place = mix(ep->name + 0x9e3779b97f4a7c15ULL);
-  if (known && since > ep->listed_since) {
-    // A restart: what was learned of the process before it no longer holds; the cold budget takes over.
-    ep->doubt = 0;
-    ep->aside = false;
-    ep->room = kNoLimit;
-  }
+  if (known && since > ep->listed_since) restarted(*ep);
   ep->size = size > 0 ? size : 0;
   if (!known || since != ep->listed_since) ep->since = ep->listed_since = since;
-  ep->standing = standing;
-  if (standing != Standing::ready) queue_moves(*ep, standing == Standing::draining ? "drains" : "is gone");
+  if (!known && ep->banned) ep->banned_at = host_.now();
+  ep->listed = standing;
+  stands(*ep);
   if (standing == Standing::gone && ep->held.empty()) std::erase(fleet_, ep);
 }
 
+void Relay::stands(Backend& ep) {
+  const bool out = ep.banned && ep.listed == Standing::ready;
+  ep.standing = out ? Standing::draining : ep.listed;
+  if (ep.standing == Standing::ready) return;
+  queue_moves(ep, out ? "is banned" : ep.standing == Standing::draining ? "drains" : "is gone");
+}
+
+// What was learned of the process before it no longer holds; the cold budget takes over.
+void Relay::restarted(Backend& ep) {
+  ep.doubt = 0;
+  ep.aside = false;
+  ep.room = kNoLimit;
+}
+
+// An operator's word, above the list's until it is taken back. Danger: what comes back was most likely
+// restarted, and the list is late: unless that has told of a start since, it is cold from now on.
+void Relay::ban(Backend& ep, bool banned) {
+  if (std::exchange(ep.banned, banned) == banned) return;
+  host_.log("backend " + std::to_string(ep.name) + (banned ? " banned" : " called back"));
+  if (banned) ep.banned_at = host_.now();
+  if (!banned && ep.listed_since < ep.banned_at) ep.since = host_.now();
+  if (!banned) restarted(ep);
+  stands(ep);
+}
+
 void Relay::list_read() { list_failures_ = 0; }
 
 void Relay::list_failed() {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -82,6 +82,7 @@
   std::uint64_t name = 0;  // the same at every relay; hashed, never ordered by
   unsigned zone = 0, cell = 0;
   Standing standing = Standing::ready;
+  bool banned = false;  // by an operator, before it is listed first; from then on through ban()
 
   // Read for every backend at every choice: kept close together.
   bool aside = false;
@@ -96,7 +97,8 @@
   std::uint64_t place = 0;      // its name, hashed
   double draw = 0, weight = 1;  // for the tunnel that is landing now
 
-  Micros listed_since = 0;
+  Standing listed = Standing::ready;  // what the list says; `standing` counts the ban in
+  Micros listed_since = 0, banned_at = 0;
   std::map<std::uint64_t, unsigned> groups;  // how many of each hash key are held
   double doubt = 0;                          // the sequential test: log odds that it is ill
   bool silent = false, probe_out = false;
@@ -169,6 +171,7 @@
   const std::vector<Profile>& profiles() const { return profiles_; }
   // The list. The front makes a Backend once for each name and changes it only through list_entry.
   void list_entry(const std::shared_ptr<Backend>& ep, Standing standing, double size, Micros since);
+  void ban(Backend& ep, bool banned);
   void list_read();
   void list_failed();
   // A tunnel's life.
@@ -196,6 +199,8 @@
   };
 
   Micros jittered(Micros most);  // half of it to all of it
+  void stands(Backend& ep);
+  void restarted(Backend& ep);
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
   void rank(Tunnel& tun);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <exception>
 
-#include "net/door.hpp"
+#include "ops/operation.hpp"
 
 namespace {
 
@@ -13,8 +13,9 @@
   start.sockets = cherryrail::net::allow_descriptors(start.sockets);
   cherryrail::net::Loop loop;
   cherryrail::net::Door door(loop, start);
-  loop.on_terminate([&door] { door.leave(); });
-  loop.on_reload([&door, &path] { door.reload(path); });
+  cherryrail::ops::Operation operation(loop, door, start);
+  loop.on_terminate([&operation] { operation.leave(); });
+  loop.on_reload([&operation, &path] { operation.reload(path); });
   loop.run();
 }
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -1,7 +1,6 @@
 #include "net/client_side.hpp"
 
 #include <algorithm>
-#include <stdexcept>
 #include <string>
 #include <utility>
 
@@ -11,9 +10,7 @@
 namespace {
 
 constexpr Micros kFirstLine = 2'000'000;  // a connection that asks for no tunnel may stay so long
-constexpr Micros kAcceptPause = 20'000;   // with no descriptor left
 constexpr int kPingsAtOnce = 4;           // in one read; the front waits for each answer
-constexpr int kBacklog = 4096, kAtOnce = 64;
 
 }  // namespace
 
@@ -116,25 +113,9 @@
   bool up_ = false, over_ = false;
 };
 
-ClientSide::ClientSide(Loop& loop, const Address& listen_on, Make make, Take take, Full full)
-    : loop_(loop), make_(std::move(make)), take_(std::move(take)), full_(std::move(full)) {
-  GError* error = nullptr;
-  listening_.reset(g_socket_new(g_socket_address_get_family(listen_on.get()), G_SOCKET_TYPE_STREAM,
-                                G_SOCKET_PROTOCOL_TCP, &error));
-  if (listening_) {
-    g_socket_set_blocking(listening_.get(), FALSE);
-    g_socket_set_listen_backlog(listening_.get(), kBacklog);
-  }
-  if (!listening_ || !g_socket_bind(listening_.get(), listen_on.get(), TRUE, &error) ||
-      !g_socket_listen(listening_.get(), &error)) {
-    const std::string why = error ? error->message : "unknown";
-    g_clear_error(&error);
-    throw std::runtime_error("cannot listen: " + why);
-  }
-  watch_ =
-      std::make_unique<Watch>(loop_, g_socket_get_fd(listening_.get()), [this](bool, bool) { accept(); });
-  watch_->want(true, false);
-}
+ClientSide::ClientSide(Loop& loop, SocketPtr listening, Make make, Take take, Full full)
+    : loop_(loop), make_(std::move(make)), take_(std::move(take)), full_(std::move(full)),
+      listener_(loop, std::move(listening), [this](SocketPtr socket) { come(std::move(socket)); }) {}
 
 ClientSide::~ClientSide() = default;
 
@@ -143,26 +124,7 @@
                                                 [](const auto& one) { return one.second->has_tunnel(); }));
 }
 
-void ClientSide::accept() {
-  for (int i = 0; i < kAtOnce; ++i) {
-    GError* error = nullptr;
-    SocketPtr socket(g_socket_accept(listening_.get(), nullptr, &error));
-    if (!socket) {
-      const bool no_more = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-      if (!no_more) {
-        // Danger: with no descriptor left the listener stays ready, and the loop would spin on it.
-        loop_.log().line(Topic::fault, "cannot take a client in: %s", error->message);
-        watch_->want(false, false);
-        loop_.wake_at(loop_.now() + kAcceptPause, [this] { watch_->want(true, false); });
-      }
-      g_clear_error(&error);
-      return;
-    }
-    take_in(std::move(socket));
-  }
-}
-
-void ClientSide::take_in(SocketPtr socket) {
+void ClientSide::come(SocketPtr socket) {
   // What has its answer needs its descriptor no longer than it takes to read that.
   while (!on_their_way_.empty()) {
     const auto oldest = on_their_way_.front().lock();
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -10,6 +10,7 @@
 
 #include "net/connection.hpp"
 #include "net/exchange.hpp"
+#include "net/listener.hpp"
 
 namespace cherryrail::net {
 
@@ -21,30 +22,29 @@
   using Full = std::function<bool()>;
 
   // `make` gives an exchange for a first line; `take` takes it in once the client stands in it. `full` tells
-  // when descriptors run short.
-  ClientSide(Loop& loop, const Address& listen_on, Make make, Take take, Full full);
+  // when descriptors run short. Nobody is taken in until that is asked for.
+  ClientSide(Loop& loop, SocketPtr listening, Make make, Take take, Full full);
   ~ClientSide();
   std::size_t tunnels() const;  // how many clients have one, or wait for it
+  void take_in(bool wanted) { listener_.take_in(wanted); }
   // Gives up a connection that serves nobody: the longest on its way out, else the longest without a word.
   void make_room();
 
  private:
   class Client;
-  void accept();
-  void take_in(SocketPtr socket);
+  void come(SocketPtr socket);
   void look_whether_quiet(const std::shared_ptr<Client>& client, Micros at);
 
   Loop& loop_;
   Make make_;
   Take take_;
   Full full_;
-  SocketPtr listening_;
-  std::unique_ptr<Watch> watch_;
   std::map<std::uint64_t, std::shared_ptr<Client>> clients_;  // in the order in which they came
   std::set<std::uint64_t> quiet_;                             // those that have asked for no tunnel
   std::deque<std::weak_ptr<Connection>> on_their_way_;        // they have their answer and may still read it
   std::uint64_t last_ = 0;
   bool making_room_ = false;
+  Listener listener_;
 };
 
 }  // namespace cherryrail::net
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kSpareSockets = 24;  // for probes, discovery and clients that must be answered
 constexpr Micros kSecond = 1'000'000;
+constexpr Micros kFirstList = kSecond;               // so long a relay that knows backends waits for news
 constexpr Micros kIdKept = 5 * kSecond;              // after its tunnel's end
 constexpr Micros kStillComing = 45 * kSecond / 100;  // so long clients come after the relay is told to end
 constexpr Micros kEmptyFor = kSecond / 4;            // before the end: what was told last must be read
@@ -34,9 +35,13 @@
 
 Door::Door(Loop& loop, const Start& start)
     : loop_(loop), listen_(start.listen), settled_(start.settled), facts_(start.facts),
-      sockets_(start.sockets), zones_(start.facts.zone_names),
+      sockets_(start.sockets), kept_back_(kSpareSockets), zones_(start.facts.zone_names),
       discovery_(
-          loop, start.discovery, start.known.version, [this](const List& list) { list_heard(list); },
+          loop, start.discovery, start.known.version,
+          [this](const List& list) {
+            list_heard(list);
+            if (relay_ && !backends_.empty()) serve();
+          },
           [this] { relay_->list_failed(); }),
       probes_(loop, start.facts.reports_on_probe ? "STATS" : "PING", start.facts.connect_within,
               std::max(start.facts.connect_within, shortest_goal(start.facts) / 2), start.facts.idle_after),
@@ -46,18 +51,36 @@
   relay_ = std::make_unique<Relay>(*this, facts_.terms, start.seed);
   list_heard(start.known);
   clients_ = std::make_unique<ClientSide>(
-      loop, start.listen_on,
+      loop, start.clients_fd >= 0 ? listening_already(start.clients_fd) : listen_at(start.listen_on),
       [this](std::string_view line) { return std::make_shared<Exchange>(loop_, *relay_, line); },
       [this](const std::shared_ptr<Exchange>& tun) { take(tun); }, [this] { return full(); });
   look_for_silence();
+  // Danger: with an old list, setups go to backends that have left. But discovery may be down for long, and a
+  // relay that never begins serves nobody.
+  if (start.clients_fd < 0) serve();
+  loop_.wake_at(loop_.now() + kFirstList, [this] { serve(); });
   loop_.log().line(Topic::life, "%s is up, %zu backends known", start.name.c_str(), backends_.size());
 }
 
 Door::~Door() = default;
 
-void Door::leave() {
+void Door::on_ready(std::function<void()> then) {
+  on_ready_ = std::move(then);
+  if (ready_) loop_.soon(on_ready_);
+}
+
+void Door::serve() {
+  if (ready_ || leaving_) return;
+  ready_ = true;
+  clients_->take_in(true);
+  if (on_ready_) on_ready_();
+}
+
+void Door::leave(bool succeeded) {
   if (std::exchange(leaving_, true)) return;
   loop_.log().line(Topic::life, "told to end: %zu clients to move", clients_->tunnels());
+  // Danger: what this process takes in now it can serve for a moment only; the next one has it for good.
+  if (succeeded) clients_->take_in(false);
   // Danger: while clients are still sent here, one that is moved at once may come straight back and be
   // declined.
   loop_.wake_at(loop_.now() + kStillComing, [this] {
@@ -89,7 +112,14 @@
   });
 }
 
-bool Door::full() const { return loop_.sockets() + kSpareSockets > sockets_; }
+bool Door::full() const { return loop_.sockets() + kept_back_ > sockets_; }
+
+void Door::ban(const std::set<std::string>& uids) {
+  const auto before = std::exchange(banned_, uids);
+  for (const auto& [uid, ep] : backends_) {
+    if (before.contains(uid) != uids.contains(uid)) relay_->ban(*ep, uids.contains(uid));
+  }
+}
 
 // ---- What comes in --------------------------------------------------------------------------------------
 
@@ -170,6 +200,7 @@
       ep = std::make_shared<Endpoint>();
       ep->uid = entry.uid;
       ep->name = key_of("uid " + entry.uid);  // hashed as a text: the same at every relay
+      ep->banned = banned_.contains(entry.uid);
     }
     if (const Address address = parse_address(entry.endpoint)) ep->address = address;
     ep->zone = zone_of(entry.zone);
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,8 +23,18 @@
  public:
   Door(Loop& loop, const Start& start);
   ~Door() override;
+  // Calls `then` once clients can be placed, and takes them in from then on.
+  void on_ready(std::function<void()> then);
+  bool ready() const { return ready_ && !leaving_; }
   // Once no more are sent here, moves every client, answers those that come all the same, and quits the loop.
-  void leave();
+  // Where another process already takes them in, this one stops that at once.
+  void leave(bool succeeded = false);
+  // Whether operators may speak of that backend: the list has named it, or it is banned.
+  bool knows(const std::string& uid) const { return backends_.contains(uid) || banned_.contains(uid); }
+  // Those, and no others, are left out from now on.
+  void ban(const std::set<std::string>& uids);
+  // More descriptors than the usual are kept back: for operators.
+  void keep_back(std::size_t sockets) { kept_back_ += sockets; }
   // Reads the configuration again and takes what may change under way: where discovery is and how many
   // descriptors there are. One that cannot be used leaves the old one in force.
   void reload(const std::string& path);
@@ -47,6 +58,7 @@
   bool full() const;  // descriptors run short
   bool id_known(const std::shared_ptr<Exchange>& tun);
   void list_heard(const List& list);
+  void serve();
   void told(Exchange& tun, double figure);
   void look_for_silence();
   void look_whether_empty(Micros empty_since);
@@ -57,13 +69,15 @@
   std::string listen_;
   Settled settled_;
   Facts facts_;
-  std::size_t sockets_;
+  std::size_t sockets_, kept_back_;
   std::map<std::string, std::shared_ptr<Endpoint>, std::less<>> backends_;  // by uid
   std::vector<std::string> zones_;
   using Ids = std::map<std::string, std::weak_ptr<Exchange>, std::less<>>;
   Ids ids_;
   std::deque<std::pair<Micros, Ids::iterator>> ids_by_age_;  // when to look at each next
-  bool leaving_ = false;
+  std::set<std::string> banned_;                             // by operators; some may be on no list
+  bool ready_ = false, leaving_ = false;
+  std::function<void()> on_ready_;
   Discovery discovery_;
   Probes probes_;
   ServerSide servers_;
--- /dev/null
+++ b/src/net/listener.cpp
@@ -0,0 +1,71 @@
+#include "net/listener.hpp"
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace cherryrail::net {
+namespace {
+
+constexpr Micros kAcceptPause = 20'000;  // with no descriptor left
+constexpr int kBacklog = 4096, kAtOnce = 64;
+
+[[noreturn]] void cannot(const char* what, GError* error) {
+  const std::string why = error ? error->message : "unknown";
+  g_clear_error(&error);
+  throw std::runtime_error(what + why);
+}
+
+}  // namespace
+
+SocketPtr listen_at(const Address& address) {
+  GError* error = nullptr;
+  SocketPtr socket(g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
+                                G_SOCKET_PROTOCOL_TCP, &error));
+  if (socket) g_socket_set_listen_backlog(socket.get(), kBacklog);
+  if (!socket || !g_socket_bind(socket.get(), address.get(), TRUE, &error) ||
+      !g_socket_listen(socket.get(), &error))
+    cannot("cannot listen: ", error);
+  return socket;
+}
+
+SocketPtr listening_already(int fd) {
+  GError* error = nullptr;
+  SocketPtr socket(g_socket_new_from_fd(fd, &error));
+  if (!socket) cannot("cannot take the inherited socket: ", error);
+  return socket;
+}
+
+Listener::Listener(Loop& loop, SocketPtr socket, Taken taken)
+    : loop_(loop), socket_(std::move(socket)), taken_(std::move(taken)) {
+  g_socket_set_blocking(socket_.get(), FALSE);
+  watch_ = std::make_unique<Watch>(loop_, g_socket_get_fd(socket_.get()), [this](bool, bool) { accept(); });
+}
+
+void Listener::take_in(bool wanted) {
+  wanted_ = wanted;
+  watch_->want(wanted, false);
+}
+
+void Listener::accept() {
+  for (int i = 0; i < kAtOnce && wanted_; ++i) {
+    GError* error = nullptr;
+    SocketPtr socket(g_socket_accept(socket_.get(), nullptr, &error));
+    if (!socket) {
+      const bool no_more = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+      if (!no_more) {
+        // Danger: with no descriptor left the listener stays ready, and the loop would spin on it.
+        loop_.log().line(Topic::fault, "cannot take a connection in: %s", error->message);
+        watch_->want(false, false);
+        loop_.wake_at(loop_.now() + kAcceptPause, [this, alive = std::weak_ptr<bool>(alive_)] {
+          if (!alive.expired()) watch_->want(wanted_, false);
+        });
+      }
+      g_clear_error(&error);
+      return;
+    }
+    taken_(std::move(socket));
+  }
+}
+
+}  // namespace cherryrail::net
--- /dev/null
+++ b/src/net/listener.hpp
@@ -0,0 +1,32 @@
+// A listening socket on the loop: gives on what connects, as long as that is wanted.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "net/connection.hpp"
+
+namespace cherryrail::net {
+
+// Throw std::runtime_error. The second takes over a socket that listens already; `fd` is closed with it.
+SocketPtr listen_at(const Address& address);
+SocketPtr listening_already(int fd);
+
+class Listener {
+ public:
+  using Taken = std::function<void(SocketPtr)>;
+  Listener(Loop& loop, SocketPtr socket, Taken taken);
+  void take_in(bool wanted);
+
+ private:
+  void accept();
+
+  Loop& loop_;
+  SocketPtr socket_;
+  Taken taken_;
+  bool wanted_ = false;
+  std::unique_ptr<Watch> watch_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+}  // namespace cherryrail::net
--- a/src/net/start.cpp
+++ b/src/net/start.cpp
@@ -1,6 +1,7 @@
 #include "net/start.hpp"
 
 #include <sys/resource.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <cstdlib>
@@ -47,6 +48,38 @@
   return from_outside ? from_outside : "";
 }
 
+// Danger: a wrong descriptor, taken on trust, would be some file or another's socket, and no client would
+// come.
+int inherited_socket(const Address& listen_on) {
+  const char* named = std::getenv("EDGE_SOCKET_FD");
+  if (!named || !*named) return -1;
+  const std::string text = named;
+  guint64 number = 0;
+  if (!g_ascii_string_to_unsigned(named, 10, 3, 1 << 20, &number, nullptr))
+    throw BadSetting("EDGE_SOCKET_FD: '" + text + "' is not the number of a descriptor");
+  const int fd = static_cast<int>(number);
+  int type = 0, listens = 0;
+  socklen_t size = sizeof(int);
+  if (getsockopt(fd, SOL_SOCKET, SO_TYPE, &type, &size) != 0 || type != SOCK_STREAM ||
+      getsockopt(fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &size) != 0 || listens == 0)
+    throw BadSetting("EDGE_SOCKET_FD: descriptor " + text + " is not a listening TCP socket");
+  sockaddr_storage at{};
+  socklen_t length = sizeof(at);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length);
+  const Address bound(g_socket_address_new_from_native(&at, length), Unref{});
+  const auto place = [](const Address& address) {
+    auto* inet = G_IS_INET_SOCKET_ADDRESS(address.get()) ? G_INET_SOCKET_ADDRESS(address.get()) : nullptr;
+    return std::pair(inet ? g_inet_socket_address_get_address(inet) : nullptr,
+                     inet ? g_inet_socket_address_get_port(inet) : 0);
+  };
+  const auto [host, port] = place(bound);
+  const auto [wanted_host, wanted_port] = place(listen_on);
+  if (!host || port != wanted_port ||
+      !(g_inet_address_equal(host, wanted_host) || g_inet_address_get_is_any(host)))
+    throw BadSetting("EDGE_SOCKET_FD: descriptor " + text + " does not listen where `listen` says");
+  return fd;
+}
+
 }  // namespace
 
 Start read_start(const std::string& path) {
@@ -74,6 +107,15 @@
   start.discovery = text_of(root, "discovery", "EDGE_DISCOVERY");
   if (!parse_address(start.discovery))
     throw BadSetting("discovery: '" + start.discovery + "' is not an address and a port");
+  start.clients_fd = inherited_socket(start.listen_on);
+  start.mgmt = text_of(root, "mgmt", "EDGE_MGMT");
+  if (!start.mgmt.empty()) {
+    start.mgmt_on = parse_address(start.mgmt);
+    if (!start.mgmt_on) throw BadSetting("mgmt: '" + start.mgmt + "' is not an address and a port");
+    if (start.mgmt == start.listen)
+      throw BadSetting("mgmt: clients connect there; it needs a place of its own");
+  }
+  if (const char* folder = std::getenv("TMPDIR")) start.kept_in = folder;
   start.seed = key_of(text_of(root, "seed", ""));
 
   start.sockets = kUsualSockets;
--- a/src/net/start.hpp
+++ b/src/net/start.hpp
@@ -13,6 +13,10 @@
 struct Start {
   std::string name, listen, discovery;
   Address listen_on;
+  int clients_fd = -1;  // the clients' listening socket, where the platform holds it
+  std::string mgmt;     // where operators call; empty where they do not
+  Address mgmt_on;
+  std::string kept_in;  // a folder that every process standing in for this relay shares; empty without one
   std::uint64_t seed = 0;
   std::size_t sockets = 0;  // descriptors that the process may hold
   Settled settled;          // the settings as the file has them
@@ -20,8 +24,8 @@
   List known;  // the list of backends as this relay last had it
 };
 
-// From the file that EDGE_CONFIG or `path` names; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY stand in for what
-// the file leaves out. Throws BadSetting naming the faulty key.
+// From the file that EDGE_CONFIG or `path` names; EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_MGMT stand
+// in for what the file leaves out. Throws BadSetting naming the faulty key.
 Start read_start(const std::string& path);
 Start read_start_text(const std::string& text);
 
--- /dev/null
+++ b/src/ops/calls.cpp
@@ -0,0 +1,157 @@
+#include "ops/calls.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cherryrail::ops {
+namespace {
+
+using net::Connection;
+using net::Topic;
+
+constexpr Micros kCallWithin = 5'000'000;  // a connection whose call is not whole by then is closed
+constexpr const char* reason_of(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
+    case 411:
+      return "Length Required";
+    case 413:
+      return "Content Too Large";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
+    case 503:
+      return "Service Unavailable";
+    case 505:
+      return "HTTP Version Not Supported";
+    default:
+      return "Internal Server Error";
+  }
+}
+
+}  // namespace
+
+Reply refusal(int status, const std::string& why) { return {status, nlohmann::json{{"error", why}}.dump()}; }
+
+Reply look_up(const std::vector<Row>& table, const Call& call) {
+  bool path_known = false;
+  for (const Row& row : table) {
+    if (row.path != call.path()) continue;
+    path_known = true;
+    if (row.method != call.method()) continue;
+    try {
+      return row.handler(call.body());
+    } catch (const std::exception& failure) {
+      return refusal(500, failure.what());
+    }
+  }
+  return path_known ? refusal(405, "that path takes another method") : refusal(404, "no such path");
+}
+
+class Calls::Caller final : public net::ConnectionOwner {
+ public:
+  explicit Caller(Calls& calls) : calls_(calls), began_(calls.loop_.now()), heard_at_(began_) {}
+  ~Caller() {
+    if (connection_) connection_->close();
+  }
+
+  void start(net::SocketPtr socket) {
+    connection_ = Connection::accepted(calls_.loop_, std::move(socket), *this);
+    connection_->look();
+  }
+  Micros heard_at() const { return heard_at_; }
+  bool answered() const { return answered_; }
+  bool gone() const { return !connection_->is_open(); }
+  void drop(const char* reason) {
+    leave_line(reason);
+    answered_ = true;
+    connection_->close();
+  }
+  void look_at_clock() {
+    if (!answered_) refuse(refusal(408, "the call did not come whole"));
+  }
+
+  void received(std::string_view bytes) override {
+    heard_at_ = calls_.loop_.now();
+    switch (call_.feed(bytes)) {
+      case Call::State::more:
+        return;
+      case Call::State::bad:
+        return refuse(refusal(call_.fault(), "the call cannot be read"));
+      case Call::State::whole:
+        return answer(look_up(calls_.table_, call_));
+    }
+  }
+  void ended() override { refuse(refusal(400, "the call ended before it was whole")); }
+  void broken() override { leave("caller_left"); }
+
+ private:
+  void refuse(const Reply& reply) { answer(reply); }
+  void answer(const Reply& reply) {
+    const std::string length = std::to_string(reply.text.size() + 1), status = std::to_string(reply.status);
+    connection_->send(
+        {"HTTP/1.1 ", status, " ", reason_of(reply.status),
+         "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: ", length});
+    connection_->send({"\r\n\r\n", reply.text, "\n"});
+    connection_->close_gently();
+    leave(status.c_str());
+  }
+  void leave_line(const char* reason) {
+    calls_.loop_.log().line(Topic::connection, "call=%s %s end=%s ms=%lld",
+                            call_.method().empty() ? "-" : call_.method().c_str(),
+                            call_.path().empty() ? "-" : call_.path().substr(0, 80).c_str(), reason,
+                            static_cast<long long>((calls_.loop_.now() - began_) / 1000));
+  }
+  void leave(const char* reason) {
+    if (std::exchange(answered_, true)) return;
+    leave_line(reason);
+  }
+
+  Calls& calls_;
+  Micros began_, heard_at_;
+  std::shared_ptr<Connection> connection_;
+  Call call_;
+  bool answered_ = false;
+};
+
+Calls::Calls(net::Loop& loop, const net::Address& listen_on, std::vector<Row> table)
+    : loop_(loop), table_(std::move(table)),
+      listener_(loop, net::listen_at(listen_on),
+                [this](net::SocketPtr socket) { take_in(std::move(socket)); }) {
+  listener_.take_in(true);
+}
+
+Calls::~Calls() = default;
+
+// Danger: callers that hold a connection and never end their call would keep the next one out. So there is
+// always room for one more: first those that have their answer go, then the one that has said nothing
+// longest.
+void Calls::take_in(net::SocketPtr socket) {
+  std::erase_if(callers_, [](const auto& caller) { return caller->gone(); });
+  if (callers_.size() >= kCallers) {
+    const auto last = std::min_element(callers_.begin(), callers_.end(), [](const auto& a, const auto& b) {
+      return std::pair(!a->answered(), a->heard_at()) < std::pair(!b->answered(), b->heard_at());
+    });
+    (*last)->drop("no_room");
+    callers_.erase(last);
+  }
+  const auto caller = std::make_shared<Caller>(*this);
+  callers_.push_back(caller);
+  caller->start(std::move(socket));
+  loop_.wake_at(loop_.now() + kCallWithin, [weak = std::weak_ptr<Caller>(caller)] {
+    if (const auto late = weak.lock()) late->look_at_clock();
+  });
+}
+
+}  // namespace cherryrail::ops
--- /dev/null
+++ b/src/ops/takeover.hpp
@@ -0,0 +1,41 @@
+// Two processes that stand in for one relay, one after the other: how the first learns that the next serves.
+#pragma once
+
+#include <string>
+
+namespace cherryrail::ops {
+
+// A descriptor that is closed with its owner.
+class Handle {
+ public:
+  explicit Handle(int fd = -1) : fd_(fd) {}
+  Handle(Handle&& other) noexcept;
+  Handle& operator=(Handle&& other) noexcept;
+  ~Handle();
+  int get() const { return fd_; }
+  explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_;
+};
+
+// A name in the shared folder, bound to a socket of the process that announced itself last. It needs no
+// cleaning up: nobody answers at the name of a process that has died.
+class Succession {
+ public:
+  // Without a folder there is no succession.
+  Succession(const std::string& folder, const std::string& name);
+
+  // From now on this process is the one that serves. False if it cannot be said.
+  bool announce();
+  // A connection to the process that has announced itself, if that is another than this one.
+  Handle heir() const;
+  int listening() const { return listening_.get(); }
+
+ private:
+  Handle folder_, listening_;
+  std::string name_;
+  unsigned long long own_ = 0;  // the file that is this process's own
+};
+
+}  // namespace cherryrail::ops
--- a/tests/helpers.hpp
+++ b/tests/helpers.hpp
@@ -190,6 +190,7 @@
     getsockname(fd_, reinterpret_cast<sockaddr*>(&at), &size);
     return ntohs(at.sin_port);
   }
+  int fd() const { return fd_; }
   End accept() const { return End(::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK)); }
   explicit operator bool() const { return fd_ >= 0; }
   void say(std::string_view text) const { EXPECT_EQ(offer(text), text.size()); }
@@ -235,13 +236,16 @@
   End discovery = End::listening();
   End watch;  // the relay's at discovery, once it has come
   net::Loop loop;
+  net::Start start;
   std::unique_ptr<net::Door> door;
   int port = 0;
 
-  explicit Town(std::size_t count, std::size_t sockets = 500, const std::string& extra = "") {
+  explicit Town(std::size_t count, std::size_t sockets = 500, const std::string& extra = "",
+                bool opened = true) {
     for (std::size_t i = 0; i < count; ++i) backends.push_back(End::listening());
     port = End::listening().port();
-    door = std::make_unique<net::Door>(loop, net::read_start_text(told(sockets, extra)));
+    start = net::read_start_text(told(sockets, extra));
+    if (opened) door = std::make_unique<net::Door>(loop, start);
   }
   std::string target(std::size_t i, const char* state) const {
     return R"({"uid":"s-)" + std::to_string(i) + R"(","endpoint":"127.0.0.1:)" +
--- /dev/null
+++ b/tests/ops_test.cpp
@@ -0,0 +1,222 @@
+// What operators and the platform ask beside the traffic: calls, bans, and a second process for the first.
+#include <sys/stat.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+#include "helpers.hpp"
+#include "ops/operation.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+// A folder of its own for each story, gone with it.
+struct Folder {
+  std::string path = ::testing::TempDir() + "cherryrail-XXXXXX";
+  Folder() { EXPECT_NE(mkdtemp(path.data()), nullptr); }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string file(const char* name) const { return path + "/" + name; }
+};
+
+// A relay with an operator's door.
+struct Office : Town {
+  Folder folder;
+  int desk = 0;
+  std::unique_ptr<ops::Operation> operation;
+
+  explicit Office(std::size_t count) : Town(count, 500, "", false) {
+    desk = End::listening().port();
+    start.mgmt = "127.0.0.1:" + std::to_string(desk);
+    start.mgmt_on = net::parse_address(start.mgmt);
+    start.kept_in = folder.path;
+    door = std::make_unique<net::Door>(loop, start);
+    operation = std::make_unique<ops::Operation>(loop, *door, start);
+  }
+  End caller(std::string_view text) const {
+    End end = End::to(desk);
+    end.say(text);
+    return end;
+  }
+  std::string answer(End end) {
+    EXPECT_TRUE(until([&] { return end.ended(); }));
+    return end.heard().substr(0, 12);
+  }
+  static std::string post(const std::string& path, const std::string& body) {
+    return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
+  }
+  std::string call(const char* what, const std::string& who) {
+    return answer(caller(post(std::string("/backends/") + what, "{\"who\":\"" + who + "\"}")));
+  }
+  std::string uid(std::size_t i) const { return "s-" + std::to_string(i); }
+};
+
+TEST(Calls, EachBadCallIsToldSoAndNoneDelaysTheNext) {
+  Office office(1);
+  const std::string many(20000, 'x');
+  const std::pair<std::string, const char*> calls[] = {
+      {"GET /ready HTTP/1.1\r\n\r\n", "HTTP/1.1 200"},
+      {"GET /ready?now HTTP/1.0\r\n\r\n", "HTTP/1.1 200"},
+      {"GET /nowhere HTTP/1.1\r\n\r\n", "HTTP/1.1 404"},
+      {"POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 405"},
+      {"GET /backends/disable HTTP/1.1\r\n\r\n", "HTTP/1.1 405"},
+      {"POST /backends/disable HTTP/1.1\r\n\r\n{\"who\":\"s-0\"}", "HTTP/1.1 411"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 413"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", "HTTP/1.1 413"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n", "HTTP/1.1 400"},
+      {"POST /backends/disable HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 501"},
+      {Office::post("/backends/disable", "who?"), "HTTP/1.1 400"},
+      {Office::post("/backends/disable", "{\"who\":7}"), "HTTP/1.1 400"},
+      {Office::post("/backends/disable", "[\"who\"]"), "HTTP/1.1 400"},
+      {Office::post("/backends/disable", "{\"who\":\"s-9\"}"), "HTTP/1.1 404"},
+      {Office::post("/backends/enable", "{\"who\":\"s-9\"}"), "HTTP/1.1 404"},
+      {"GET /" + many + " HTTP/1.1\r\n\r\n", "HTTP/1.1 431"},
+      {"\x16\x03\x01\r\n\r\n", "HTTP/1.1 400"},
+      {"GET /ready HTTP/9\r\n\r\n", "HTTP/1.1 505"}};
+  for (const auto& [call, answer] : calls)
+    EXPECT_EQ(office.answer(office.caller(call)), answer) << call.substr(0, 80);
+  End half = office.caller("POST /backends/disable HTTP/1.1\r\nContent-Le");
+  half.end_sending();
+  EXPECT_EQ(office.answer(std::move(half)), "HTTP/1.1 400");
+  office.open("1");  // and nothing of it banned the only backend
+}
+
+TEST(Calls, ACallMayComeInPiecesOfAnySize) {
+  const std::string text =
+      "\r\nPOST /backends/disable?x=1 HTTP/1.1\r\ncontent-LENGTH:  7\r\n\r\n{\"a\":1}GET /";
+  for (std::size_t step = 1; step <= text.size(); ++step) {
+    ops::Call call;
+    for (std::size_t at = 0; at < text.size(); at += step) call.feed(std::string_view(text).substr(at, step));
+    EXPECT_EQ(call.state(), ops::Call::State::whole) << step;
+    EXPECT_EQ(call.path(), "/backends/disable");
+    EXPECT_EQ(call.body(), "{\"a\":1}");  // what follows is not of this call
+  }
+}
+
+// Callers that hold a connection with no whole call must not keep the next one out, nor clients.
+TEST(Calls, CallersThatSayNothingGiveWayToOneThatCalls) {
+  Office office(1);
+  std::vector<End> idle;
+  for (int i = 0; i < 40; ++i) idle.push_back(office.caller(i % 2 ? "GET /rea" : ""));
+  EXPECT_EQ(office.answer(office.caller("GET /ready HTTP/1.1\r\n\r\n")), "HTTP/1.1 200");
+  EXPECT_TRUE(office.until([&] { return idle.front().ended(); }));  // the longest idle went first
+  EXPECT_FALSE(idle.back().ended());
+  office.open("1");
+}
+
+TEST(Calls, AnAddressInUseEndsTheStartNamingTheKey) {
+  Town town(1);
+  End taken = End::listening();
+  town.start.mgmt = "127.0.0.1:" + std::to_string(taken.port());
+  town.start.mgmt_on = net::parse_address(town.start.mgmt);
+  try {
+    ops::Operation operation(town.loop, *town.door, town.start);
+    FAIL() << "it started";
+  } catch (const BadSetting& bad) {
+    EXPECT_TRUE(std::string(bad.what()).starts_with("mgmt: ")) << bad.what();
+  }
+}
+
+// The list knows nothing of the ban: it goes on naming the backend ready, and must not bring it back.
+TEST(Bans, ABannedBackendIsEmptiedAndGetsNothingWhateverTheListSays) {
+  Office office(2);
+  auto [here, there] = office.open("1");
+  const std::size_t at = office.holder(there);
+  EXPECT_EQ(office.call("disable", office.uid(at)), "HTTP/1.1 200");
+  EXPECT_EQ(office.call("disable", office.uid(at)), "HTTP/1.1 200");
+  EXPECT_TRUE(office.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }));
+  office.list(R"({"rev":5,"all":true,"targets":[)" + office.target(1 - at, "active") +
+              "]}");  // it is removed,
+  office.list(R"({"rev":6,"all":true,"targets":[)" + office.target(0, "active") + "," +
+              office.target(1, "active") + "]}");  // and comes back
+  for (int i = 2; i < 12; ++i) EXPECT_EQ(office.holder(office.open(std::to_string(i)).second), 1 - at);
+  EXPECT_EQ(office.call("enable", office.uid(at)), "HTTP/1.1 200");  // once undoes both
+  EXPECT_TRUE(office.until(
+      [&] {
+        static int flow = 100;
+        return office.holder(office.open(std::to_string(++flow)).second) == at;
+      },
+      5000));
+}
+
+TEST(Bans, TheyHoldInTheProcessThatComesNextAndADamagedFileEndsNothing) {
+  Office office(2);
+  EXPECT_EQ(office.call("disable", "s-1"), "HTTP/1.1 200");
+  ops::Operation next(office.loop, *office.door, [&] {
+    net::Start start = office.start;
+    start.mgmt = "127.0.0.1:" + std::to_string(End::listening().port());
+    start.mgmt_on = net::parse_address(start.mgmt);
+    return start;
+  }());
+  for (int i = 0; i < 6; ++i) EXPECT_EQ(office.holder(office.open(std::to_string(i)).second), 0u);
+  const std::string file = office.folder.file("cherryrail-n.bans");
+  ASSERT_TRUE(std::filesystem::exists(file));
+  ops::Bans other(file);
+  EXPECT_TRUE(other.names().contains("s-1"));
+  std::ofstream(file) << "{\"bans\":[7";
+  EXPECT_FALSE(other.look());
+  EXPECT_NE(other.fault().find("damaged"), std::string::npos);
+  EXPECT_TRUE(other.names().contains("s-1"));  // what is known holds on
+  EXPECT_TRUE(other.change("s-0", true));      // and the next change mends the file
+  EXPECT_EQ(ops::Bans(file).names(), (std::set<std::string>{"s-0", "s-1"}));
+}
+
+// Each of the two processes is called: neither loses what the other was told.
+TEST(Bans, TwoProcessesKeepOneSet) {
+  Folder folder;
+  ops::Bans one(folder.file("b")), two(folder.file("b"));
+  EXPECT_TRUE(one.change("x", true));
+  EXPECT_TRUE(two.change("y", true));
+  EXPECT_TRUE(one.look());
+  EXPECT_EQ(one.names(), (std::set<std::string>{"x", "y"}));
+  EXPECT_TRUE(one.change("x", false));
+  EXPECT_TRUE(two.look());
+  EXPECT_EQ(two.names(), std::set<std::string>{"y"});
+  EXPECT_FALSE(two.look());  // nothing new
+  ops::Bans nowhere("/nonexistent/b");
+  EXPECT_FALSE(nowhere.change("x", true));
+  EXPECT_TRUE(nowhere.names().contains("x"));  // it holds here all the same
+}
+
+TEST(Succession, TheLastToAnnounceItselfIsTheHeirOfTheOthers) {
+  Folder folder;
+  ops::Succession none("", "n");
+  EXPECT_FALSE(none.announce());
+  EXPECT_FALSE(none.heir());
+  ops::Succession first(folder.path, "n");
+  EXPECT_TRUE(first.announce());
+  EXPECT_FALSE(first.heir());  // nobody but itself
+  {
+    ops::Succession second(folder.path, "n");
+    EXPECT_FALSE(first.heir());  // it runs, but does not serve yet
+    EXPECT_TRUE(second.announce());
+    EXPECT_TRUE(first.heir());
+    EXPECT_FALSE(second.heir());
+  }
+  EXPECT_FALSE(first.heir());  // it has died
+}
+
+TEST(Succession, AnInheritedDescriptorThatIsNotOursIsNamed) {
+  Town town(1);
+  const auto fault = [&](int fd) {
+    setenv("EDGE_SOCKET_FD", std::to_string(fd).c_str(), 1);
+    std::string what;
+    try {
+      net::read_start_text(town.told(500));
+    } catch (const BadSetting& bad) {
+      what = bad.what();
+    }
+    unsetenv("EDGE_SOCKET_FD");
+    return what;
+  };
+  End elsewhere = End::listening(), stream = End::to(town.port);
+  EXPECT_NE(fault(9999).find("EDGE_SOCKET_FD"), std::string::npos);
+  EXPECT_NE(fault(stream.fd()).find("not a listening"), std::string::npos);
+  EXPECT_NE(fault(elsewhere.fd()).find("does not listen where"), std::string::npos);
+  town.port = elsewhere.port();
+  EXPECT_EQ(fault(elsewhere.fd()), "");
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
