A replaced process hands its open tunnels to its successor instead of moving the clients

Need: each replacement moved every client. Change: open tunnels and clients that have asked for nothing yet go over a Unix socket with their descriptors, between two lines; what waits for its answer goes once it has it; what cannot go is moved. The one that is replaced sends nothing to cold backends any more.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <bitset>
 #include <cmath>
+#include <limits>
 #include <tuple>
 #include <utility>
 
@@ -96,7 +97,8 @@
       fall_window_(std::max<Micros>(1, terms.fall_window)), warm_up_(std::max<Micros>(1, terms.warm_up)),
       regrowth_(std::max(warm_up_, 3 * fall_window_) / 2),
       answer_margin_(2 * std::max<Micros>(terms.step, 1000)), shortest_goal_(10 * kSecond), born_(host.now()),
-      cold_multiple_(terms.fall_multiple), cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
+      turns_from_(born_), cold_multiple_(terms.fall_multiple),
+      cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
       probe_price_(std::max(terms.probe_price, kProbeBudget / kPurse)), cross_price_(terms.cross_price),
       asked_(kSecond), returned_(kSecond), good_(kSecond), bad_(kSecond), setups_made_(kSecond),
       setup_time_(kSecond) {
@@ -309,7 +311,7 @@
   const double warm = warm_share(ep);
   if (warm >= 1) return true;
   const std::int64_t turn = cold_turn(ep);
-  if (ep.since + turn * fall_window_ < born_) return false;
+  if (ep.since + turn * fall_window_ < turns_from_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
   const double budget = kColdPart * cold_multiple_ * warm * caps_.calm * relays * window *
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
@@ -417,7 +419,7 @@
   tun->hash_key = key_of(*tun);
   hold(*tun, *ep);
   opened(*tun);
-  if (ep->standing != Standing::ready) queue_move(*tun);
+  if (ep->standing != Standing::ready) queue_move(*tun), run_movers();
 }
 
 void Relay::opened(Tunnel& tun) {
@@ -697,6 +699,7 @@
 // Danger: many relays each looking at every backend cost more than they learn: looks are paid from a purse
 // that new clients fill. Doubt and strain come first, half of it is theirs; a dead one must not eat it all.
 void Relay::look_around() {
+  if (!may_probe_) return;
   const Micros now = host_.now();
   // However quiet it is, all relays together look once a second.
   purse_ = std::min(kPurse, purse_ + static_cast<double>(shortest_goal_ / 2) / kSecond / relays_);
@@ -740,9 +743,9 @@
 }
 
 // This relay is to end. Danger: asked all at once, clients come again at once, and backends drown in setups.
-void Relay::retire() {
+void Relay::retire(Micros within) {
   retiring_ = true;
-  std::uniform_int_distribution<Micros> when(0, end_over_);
+  std::uniform_int_distribution<Micros> when(0, within);
   for (const auto& ep : fleet_)
     for (Tunnel* held : ep->held)
       host_.wake_at(host_.now() + when(chance_), [this, weak = held->weak_from_this()] {
@@ -750,6 +753,12 @@
       });
 }
 
+// Danger: two processes with one relay's turn would send a cold backend twice what it was dealt.
+void Relay::succeeded() {
+  turns_from_ = std::numeric_limits<Micros>::max();
+  may_probe_ = false;
+}
+
 std::size_t Relay::queue_limit() const {
   const std::size_t p = std::max<std::size_t>(1, open_ - queued_);
   return std::min(std::max(20 * movers(), p), 5 * p);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -185,8 +185,11 @@
   void load_told(Tunnel& tun, double load);
   void delay_told(Tunnel& tun, Micros message_time);
   void left_unanswered(Tunnel& tun);  // lines on it have brought nothing back for seconds
-  // Before the end: moves every client and declines those that still come.
-  void retire();
+  // Before the end: moves every client, within the usual time or less, and declines those that still come.
+  void retire() { retire(end_over_); }
+  void retire(Micros within);
+  // Another process stands in for this relay from now on: turns at cold backends and the purse are its own.
+  void succeeded();
 
  private:
   enum class Answer : std::uint8_t { opened, declined, closed_with_error };
@@ -258,7 +261,7 @@
   unsigned relays_, me_, zone_, max_setups_, list_failures_ = 0;
   bool list_on_request_, may_probe_, may_abandon_, may_advise_;
   Micros end_over_ = 0, longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_,
-         shortest_goal_, shortest_message_ = 10'000'000, longest_message_ = 0, born_;
+         shortest_goal_, shortest_message_ = 10'000'000, longest_message_ = 0, born_, turns_from_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   Caps caps_;
   Micros strained_until_ = 0;  // most were: the verdict stands for a while
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "net/lines.hpp"
 
@@ -22,6 +23,29 @@
     began_ = quiet_since_ = side_.loop_.now();
     connection_ = Connection::accepted(side_.loop_, std::move(socket), *this);
   }
+  void stand(SocketPtr socket, const std::shared_ptr<Exchange>& exchange) {
+    exchange_ = exchange;
+    exchange_->client = this;
+    up_ = true;
+    start(std::move(socket));
+  }
+  void has_waited(Micros time) { quiet_since_ -= time; }
+  std::optional<Handed> to_hand() const {
+    if (over_ || exchange_) return over_ ? std::nullopt : exchange_->to_hand();
+    if (!connection_->settled()) return {};
+    Handed handed;
+    handed.begun = lines_.begun();
+    handed.waited = side_.loop_.now() - quiet_since_;
+    handed.client = connection_->descriptor();
+    return handed;
+  }
+  const Exchange* exchange() const { return exchange_.get(); }
+  void gone() { exchange_ ? exchange_->gone() : handed(); }
+  int settled() const override { return !over_ && connection_->settled() ? connection_->descriptor() : -1; }
+  void handed() override {
+    connection_->close();
+    leave("handed_over");
+  }
   bool has_tunnel() const { return exchange_ && !over_; }
   bool quiet() const { return !exchange_ && !over_; }
   Micros quiet_since() const { return quiet_since_; }
@@ -136,15 +160,40 @@
     g_socket_send(socket.get(), "BUSY\r\n", 6, nullptr, nullptr);
     return loop_.log().line(Topic::fault, "a client is turned away: descriptors run short");
   }
-  const std::uint64_t number = ++last_;
-  const auto client = std::make_shared<Client>(*this, number);
-  clients_.emplace(number, client);
-  quiet_.insert(number);
+  come(std::move(socket), "", 0);
+}
+
+std::shared_ptr<ClientSide::Client> ClientSide::admit() {
+  const auto client = std::make_shared<Client>(*this, ++last_);
+  clients_.emplace(last_, client);
+  return client;
+}
+
+void ClientSide::come(SocketPtr socket, std::string_view begun, Micros waited) {
+  const auto client = admit();
+  quiet_.insert(last_);
   client->start(std::move(socket));
-  look_whether_quiet(client, loop_.now() + kFirstLine);
+  client->has_waited(waited);
+  look_whether_quiet(client, loop_.now() + std::max<Micros>(0, kFirstLine - waited));
+  if (!begun.empty()) client->received(begun);
   client->look();  // most have said by now what they want
 }
 
+void ClientSide::stands(SocketPtr socket, const std::shared_ptr<Exchange>& exchange) {
+  admit()->stand(std::move(socket), exchange);
+}
+
+void ClientSide::hand_over(const Give& give) {
+  std::vector<std::shared_ptr<Client>> all;
+  for (const auto& [number, client] : clients_) all.push_back(client);
+  for (const auto& client : all) {
+    auto handed = client->to_hand();
+    if (!handed) continue;
+    if (!give(std::move(*handed), client->exchange())) return;
+    client->gone();
+  }
+}
+
 // Danger: hundreds that connect and say nothing, or ask for a sign of life and stay, would hold all
 // descriptors; then clients with a tunnel to open find none, nor setups, probes and discovery.
 void ClientSide::make_room() {
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -26,13 +26,22 @@
   ClientSide(Loop& loop, SocketPtr listening, Make make, Take take, Full full);
   ~ClientSide();
   std::size_t tunnels() const;  // how many clients have one, or wait for it
+  bool empty() const { return clients_.empty(); }
   void take_in(bool wanted) { listener_.take_in(wanted); }
+  // Between two processes. `give` tells whether another process has what it was told of; where it says no,
+  // the rest waits. Then both of what came from there: a client that has asked for nothing, or one with a
+  // tunnel.
+  using Give = std::function<bool(Handed, const Exchange*)>;
+  void hand_over(const Give& give);
+  void come(SocketPtr socket, std::string_view begun, Micros waited);
+  void stands(SocketPtr socket, const std::shared_ptr<Exchange>& exchange);
   // Gives up a connection that serves nobody: the longest on its way out, else the longest without a word.
   void make_room();
 
  private:
   class Client;
   void come(SocketPtr socket);
+  std::shared_ptr<Client> admit();
   void look_whether_quiet(const std::shared_ptr<Client>& client, Micros at);
 
   Loop& loop_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -3,10 +3,12 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <stdexcept>
 #include <utility>
 
 namespace cherryrail::net {
@@ -41,6 +43,14 @@
   return address ? Address(address, Unref{}) : nullptr;
 }
 
+SocketPtr socket_of(int fd) {
+  Error error;
+  SocketPtr socket(g_socket_new_from_fd(fd, error.out()));
+  if (socket) return socket;
+  ::close(fd);
+  throw std::runtime_error(std::string("cannot take a socket over: ") + error.error->message);
+}
+
 std::shared_ptr<Connection> Connection::accepted(Loop& loop, SocketPtr socket, ConnectionOwner& owner) {
   return std::make_shared<Connection>(loop, std::move(socket), owner, false);
 }
@@ -94,6 +104,12 @@
   if (readable && is_open()) receive();
 }
 
+bool Connection::settled() const {
+  return socket_ && !connecting_ && unsent_.empty() && !ending_ && !peer_ended_ && !leaving_;
+}
+
+int Connection::descriptor() const { return socket_ ? g_socket_get_fd(socket_.get()) : -1; }
+
 void Connection::look() {
   const auto keep = shared_from_this();
   if (is_open() && !connecting_ && reading_ && !peer_ended_) receive();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -19,6 +19,9 @@
 using SocketPtr = std::unique_ptr<GSocket, Unref>;
 using Address = std::shared_ptr<GSocketAddress>;
 
+// Takes over a socket that exists already; `fd` is closed with it. Throws std::runtime_error.
+SocketPtr socket_of(int fd);
+
 // "10.0.0.4:7070" or "[::1]:7070"; empty where it is neither.
 Address parse_address(const std::string& text);
 
@@ -53,6 +56,9 @@
   void read_on(bool wanted);
   bool is_open() const { return socket_ != nullptr; }
   std::size_t waiting() const { return unsent_.size(); }
+  // Whether the socket alone is the whole of it: both ends still send, and nothing lies here.
+  bool settled() const;
+  int descriptor() const;
 
  private:
   void ready(bool readable, bool writable);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -51,7 +51,7 @@
   relay_ = std::make_unique<Relay>(*this, facts_.terms, start.seed);
   list_heard(start.known);
   clients_ = std::make_unique<ClientSide>(
-      loop, start.clients_fd >= 0 ? listening_already(start.clients_fd) : listen_at(start.listen_on),
+      loop, start.clients_fd >= 0 ? socket_of(start.clients_fd) : listen_at(start.listen_on),
       [this](std::string_view line) { return std::make_shared<Exchange>(loop_, *relay_, line); },
       [this](const std::shared_ptr<Exchange>& tun) { take(tun); }, [this] { return full(); });
   look_for_silence();
@@ -76,11 +76,9 @@
   if (on_ready_) on_ready_();
 }
 
-void Door::leave(bool succeeded) {
+void Door::leave() {
   if (std::exchange(leaving_, true)) return;
   loop_.log().line(Topic::life, "told to end: %zu clients to move", clients_->tunnels());
-  // Danger: what this process takes in now it can serve for a moment only; the next one has it for good.
-  if (succeeded) clients_->take_in(false);
   // Danger: while clients are still sent here, one that is moved at once may come straight back and be
   // declined.
   loop_.wake_at(loop_.now() + kStillComing, [this] {
@@ -89,6 +87,54 @@
   });
 }
 
+// Danger: what this process takes in now it can serve for a moment only; the next one has it for good.
+void Door::succeeded() {
+  if (std::exchange(leaving_, true)) return;
+  loop_.log().line(Topic::life, "told to end: %zu clients to hand over", clients_->tunnels());
+  clients_->take_in(false);
+  relay_->succeeded();
+}
+
+bool Door::hand_over(const Give& give) {
+  clients_->hand_over([&give](Handed handed, const Exchange* tun) {
+    if (tun) handed.backend = static_cast<const Endpoint&>(*tun->ep).uid;
+    return give(handed);
+  });
+  return clients_->empty();
+}
+
+void Door::move_rest() {
+  loop_.log().line(Topic::life, "%zu clients could not be handed over: moving them", clients_->tunnels());
+  relay_->retire(0);
+  look_whether_empty(loop_.now());
+}
+
+Micros Door::longest_wait() const {
+  Micros longest = 0;
+  for (const Profile& profile : relay_->profiles()) longest = std::max(longest, profile.client_timeout);
+  return longest;
+}
+
+void Door::take_over(const Handed& handed) {
+  SocketPtr client = socket_of(handed.client);
+  if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
+  SocketPtr server = socket_of(handed.server);
+  const auto tun = std::make_shared<Exchange>(loop_, *relay_, handed.head);
+  if (const char* fault = tun->head.fault() ? tun->head.fault() : read_tunnel(*tun))
+    return loop_.log().line(Topic::fault, "a tunnel handed over is not understood: %s", fault);
+  id_known(tun);
+  auto& ep = backends_[handed.backend];
+  if (!ep) {  // it has left the list since: its tunnels are to be moved
+    ep = std::make_shared<Endpoint>();
+    ep->uid = handed.backend;
+    ep->name = key_of("uid " + ep->uid);
+    relay_->list_entry(ep, Standing::gone, 1, 0);
+  }
+  clients_->stands(std::move(client), tun);
+  servers_.stands(tun, std::move(server));
+  tun->stands_at(ep, handed.waited);
+}
+
 // Danger: half a file, or one with a wrong value, must not end the process or be taken in part.
 void Door::reload(const std::string& path) {
   try {
@@ -112,6 +158,11 @@
   });
 }
 
+// Danger: the clients of a relay that is replaced are served already; the spare descriptors are for new ones.
+bool Door::can_take_over() const { return loop_.sockets() + kept_back_ / 2 <= sockets_; }
+
+void Door::end_when_empty() { look_whether_empty(loop_.now()); }
+
 bool Door::full() const { return loop_.sockets() + kept_back_ > sockets_; }
 
 void Door::ban(const std::set<std::string>& uids) {
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -28,7 +28,18 @@
   bool ready() const { return ready_ && !leaving_; }
   // Once no more are sent here, moves every client, answers those that come all the same, and quits the loop.
   // Where another process already takes them in, this one stops that at once.
-  void leave(bool succeeded = false);
+  void leave();
+  // Instead: takes nobody in any more, for another process does, and gives that process what it holds as far
+  // as that can go now. True once nothing is left.
+  using Give = std::function<bool(const Handed&)>;
+  void succeeded();
+  bool hand_over(const Give& give);
+  void move_rest();  // what could not be given
+  // What another process has given; the descriptors are closed with what comes of it.
+  void take_over(const Handed& handed);
+  bool can_take_over() const;  // there are descriptors for one more
+  void end_when_empty();
+  Micros longest_wait() const;
   // Whether operators may speak of that backend: the list has named it, or it is banned.
   bool knows(const std::string& uid) const { return backends_.contains(uid) || banned_.contains(uid); }
   // Those, and no others, are left out from now on.
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -91,6 +91,30 @@
   });
 }
 
+std::optional<Handed> Exchange::to_hand() const {
+  if (!open || !between_lines_ || client_left_ || !client || !server) return {};
+  Handed handed;
+  handed.client = client->settled();
+  handed.server = server->settled();
+  if (handed.client < 0 || handed.server < 0) return {};
+  handed.head = head.line();
+  handed.waited = unanswered_for(loop_.now());
+  return handed;
+}
+
+void Exchange::gone() {
+  const auto keep = self();
+  client->handed();
+  server->handed();
+  setup_over({Result::cancelled, loop_.now() - sent_at}, true, {});
+}
+
+void Exchange::stands_at(const std::shared_ptr<Backend>& holder, Micros waited) {
+  sent_at = loop_.now();
+  if (waited > 0) asked_at_ = loop_.now() - waited;
+  relay_.adopt(self(), holder);
+}
+
 void Exchange::decline(Micros hold_off) {
   if (!client) return;
   std::array<char, 32> line{'B', 'U', 'S', 'Y', ' '};
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -4,8 +4,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string_view>
 
+#include "net/handed.hpp"
 #include "net/head.hpp"
 #include "net/loop.hpp"
 
@@ -22,6 +24,8 @@
   virtual void finish(std::string_view last_line, const char* reason) = 0;  // a line, if any, then the end
   virtual void drop(const char* reason) = 0;                                // a reset, as the backend's
   virtual void read_on(bool wanted) = 0;
+  virtual int settled() const = 0;  // its descriptor, if that alone is the whole of this end; else -1
+  virtual void handed() = 0;        // another process has it
 
  protected:
   ~ClientEnd() = default;
@@ -35,6 +39,8 @@
   virtual void abandon() = 0;  // nobody waits any longer: the connection ends, and nothing more is told
   virtual void drop() = 0;     // the same with a reset
   virtual void read_on(bool wanted) = 0;
+  virtual int settled() const = 0;
+  virtual void handed() = 0;
 
  protected:
   ~ServerEnd() = default;
@@ -65,6 +71,11 @@
   void abandon();
   void move();
 
+  // Between two processes. What can go now is told with its descriptors still its own; `gone` lets go of it.
+  std::optional<Handed> to_hand() const;
+  void gone();
+  void stands_at(const std::shared_ptr<Backend>& holder, Micros waited);  // both ends have come over
+
   bool client_left() const { return client_left_; }
   // How long a line of the client has waited for any from the backend.
   Micros unanswered_for(Micros now) const { return asked_at_ > 0 ? now - asked_at_ : 0; }
--- /dev/null
+++ b/src/net/handed.hpp
@@ -0,0 +1,18 @@
+// A connection that goes from one process to the next: a client that has asked for nothing yet, or a tunnel.
+#pragma once
+
+#include <string>
+
+#include "brain.hpp"
+
+namespace cherryrail::net {
+
+struct Handed {
+  std::string begun;             // what a client without a tunnel has written so far
+  std::string head;              // a tunnel's first line
+  std::string backend;           // and where it is open
+  Micros waited = 0;             // for its first line; or since a line of the client, yet unanswered, went on
+  int client = -1, server = -1;  // descriptors; whose they are, the function that takes this says
+};
+
+}  // namespace cherryrail::net
--- a/src/net/head.hpp
+++ b/src/net/head.hpp
@@ -23,6 +23,7 @@
   const char* fault() const { return fault_; }
   std::string_view value(std::string_view name) const;  // empty if the list does not have it
   std::string_view id() const { return id_; }
+  const std::string& line() const { return line_; }
   std::uint64_t flow() const { return flow_; }
 
   // The line in three pieces, with another figure for how long its sender waits.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -29,13 +29,6 @@
   return socket;
 }
 
-SocketPtr listening_already(int fd) {
-  GError* error = nullptr;
-  SocketPtr socket(g_socket_new_from_fd(fd, &error));
-  if (!socket) cannot("cannot take the inherited socket: ", error);
-  return socket;
-}
-
 Listener::Listener(Loop& loop, SocketPtr socket, Taken taken)
     : loop_(loop), socket_(std::move(socket)), taken_(std::move(taken)) {
   g_socket_set_blocking(socket_.get(), FALSE);
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -8,9 +8,8 @@
 
 namespace cherryrail::net {
 
-// Throw std::runtime_error. The second takes over a socket that listens already; `fd` is closed with it.
+// Throws std::runtime_error.
 SocketPtr listen_at(const Address& address);
-SocketPtr listening_already(int fd);
 
 class Listener {
  public:
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -60,6 +60,12 @@
     });
   }
 
+  void stand(SocketPtr socket) {
+    exchange_->server = this;
+    step_ = Step::up;
+    connection_ = Connection::accepted(side_.loop_, std::move(socket), *this);
+  }
+
   void connected() override {
     const Head::Pieces head = exchange_->head.with_wait(until_ - side_.loop_.now());
     step_ = Step::sending;
@@ -113,11 +119,20 @@
   }
   void abandon() override {
     if (connection_) connection_->close();
-    leave();
+    leave("given_up");
   }
   void drop() override {
     if (connection_) connection_->reset();
-    leave();
+    leave("given_up");
+  }
+  int settled() const override {
+    // After its last words it is about to end.
+    const bool over = last_ == Reply::bye || last_ == Reply::move;
+    return step_ == Step::up && !over && connection_->settled() ? connection_->descriptor() : -1;
+  }
+  void handed() override {
+    connection_->close();
+    leave("handed_over");
   }
   void read_on(bool wanted) override {
     if (connection_) connection_->read_on(wanted);
@@ -173,9 +188,9 @@
     if (connection_) connection_->close();
     forget();
   }
-  void leave() {
+  void leave(const char* reason) {
     if (std::exchange(step_, Step::over) == Step::over) return;
-    leave_line("given_up");
+    leave_line(reason);
     exchange_->server = nullptr;
     forget();
   }
@@ -213,6 +228,13 @@
   server->start(to, server);
 }
 
+void ServerSide::stands(const std::shared_ptr<Exchange>& exchange, SocketPtr socket) {
+  const std::uint64_t number = ++last_;
+  const auto server = std::make_shared<Server>(*this, number, exchange, 0);
+  servers_.emplace(number, server);
+  server->stand(std::move(socket));
+}
+
 void ServerSide::silent_for(Micros wait, const std::function<void(Exchange&)>& tell) {
   std::vector<std::shared_ptr<Server>> silent;
   for (const auto& [number, server] : servers_) {
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -20,6 +20,8 @@
   ServerSide(Loop& loop, Micros connect_limit, ReadReport read_report, Told told);
   ~ServerSide();
   void start(const std::shared_ptr<Exchange>& exchange, const Address& to, Micros limit);
+  // One that another process has set up.
+  void stands(const std::shared_ptr<Exchange>& exchange, SocketPtr socket);
   // Calls `tell` for each tunnel whose client has waited so long for a line, once a wait.
   void silent_for(Micros wait, const std::function<void(Exchange&)>& tell);
 
--- a/src/ops/operation.cpp
+++ b/src/ops/operation.cpp
@@ -1,5 +1,8 @@
 #include "ops/operation.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -10,6 +13,8 @@
 
 using net::Topic;
 
+constexpr Micros kHandAgain = 20'000;
+constexpr int kTakenAtOnce = 64;
 constexpr Micros kLookAtBans = 100'000;  // a call to the other process holds here so much later at most
 
 // The name of a file that is this relay's own among those that share the folder.
@@ -35,13 +40,22 @@
 
 }  // namespace
 
+// A process that stood in for this relay before: what it still sends.
+struct Operation::Predecessor {
+  Handle from;
+  std::unique_ptr<net::Watch> watch;
+};
+
 Operation::Operation(net::Loop& loop, net::Door& door, const net::Start& start)
     : loop_(loop), door_(door), bans_(path_of(start, "bans")),
       succession_(start.clients_fd >= 0 ? start.kept_in : "", file_name(start.name, "serves")) {
   if (start.clients_fd >= 0) {
     door_.on_ready([this] {
       if (!succession_.announce())
-        loop_.log().line(Topic::fault, "cannot tell a predecessor that this serves");
+        return loop_.log().line(Topic::fault, "cannot tell a predecessor that this serves");
+      greeter_ =
+          std::make_unique<net::Watch>(loop_, succession_.listening(), [this](bool, bool) { greet(); });
+      greeter_->want(true, false);
     });
   }
   if (start.mgmt.empty()) return;
@@ -86,7 +100,67 @@
   loop_.wake_at(loop_.now() + kLookAtBans, [this] { look_at_bans(); });
 }
 
-void Operation::leave() { door_.leave(static_cast<bool>(succession_.heir())); }
+Operation::~Operation() = default;
+
+void Operation::leave() {
+  if (std::exchange(handing_, true)) return;
+  heir_ = succession_.heir();
+  if (!heir_) return door_.leave();
+  door_.succeeded();
+  hand_over(loop_.now() + door_.longest_wait());
+}
+
+// Danger: a successor that dies half-way takes with it what it has been given; the rest is moved, as without
+// one. What cannot go between two lines within the time that any client waits is moved, too.
+void Operation::hand_over(Micros until) {
+  bool alive = true;
+  const bool all_gone = door_.hand_over([this, &alive](const net::Handed& handed) {
+    const Gave gave = give(heir_, handed);
+    alive = alive && gave != Gave::never;
+    return gave == Gave::yes;
+  });
+  if (all_gone) return door_.end_when_empty();
+  if (!alive || loop_.now() >= until) return door_.move_rest();
+  loop_.wake_at(loop_.now() + kHandAgain, [this, until] { hand_over(until); });
+}
+
+void Operation::greet() {
+  Handle from(accept4(succession_.listening(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+  ucred who{};
+  socklen_t size = sizeof(who);
+  // Danger: whoever can open the folder could hand in connections of his own.
+  if (!from || getsockopt(from.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != geteuid())
+    return;
+  const auto one = std::make_shared<Predecessor>();
+  one->from = std::move(from);
+  predecessors_.push_back(one);
+  one->watch =
+      std::make_unique<net::Watch>(loop_, one->from.get(), [this, weak = std::weak_ptr(one)](bool, bool) {
+        if (const auto here = weak.lock()) receive(*here);
+      });
+  one->watch->want(true, false);
+}
+
+// Danger: a message that is read without descriptors left to hold what it brings loses a tunnel.
+void Operation::receive(Predecessor& from) {
+  for (int i = 0; i < kTakenAtOnce; ++i) {
+    if (!door_.can_take_over()) {
+      from.watch->want(false, false);
+      return loop_.wake_at(loop_.now() + kHandAgain, [this] {
+        for (const auto& one : predecessors_) one->watch->want(true, false);
+      });
+    }
+    bool over = false;
+    const auto handed = taken(from.from, over);
+    if (over) return void(predecessors_.remove_if([&from](const auto& one) { return one.get() == &from; }));
+    if (!handed) return;
+    try {
+      door_.take_over(*handed);
+    } catch (const std::runtime_error& failure) {
+      loop_.log().line(Topic::fault, "what was handed over is lost: %s", failure.what());
+    }
+  }
+}
 
 void Operation::reload(const std::string& path) { door_.reload(path); }
 
--- a/src/ops/operation.hpp
+++ b/src/ops/operation.hpp
@@ -1,6 +1,7 @@
 // What operators and the platform ask of a running relay beside its traffic: calls, bans, replacement.
 #pragma once
 
+#include <list>
 #include <memory>
 #include <string>
 
@@ -15,12 +16,18 @@
  public:
   // Throws BadSetting if operators cannot call where `mgmt` says.
   Operation(net::Loop& loop, net::Door& door, const net::Start& start);
+  ~Operation();
+  // Told to end: gives what it holds to the process that stands in for it from now on, if there is one.
   void leave();
   void reload(const std::string& path);
 
  private:
+  struct Predecessor;
   Reply ban(const std::string& body, bool banned);
   void heed_bans();
+  void hand_over(Micros until);
+  void greet();
+  void receive(Predecessor& from);
   void look_at_bans();
 
   net::Loop& loop_;
@@ -29,6 +36,10 @@
   std::string last_fault_;
   Succession succession_;
   std::unique_ptr<Calls> calls_;
+  Handle heir_;
+  bool handing_ = false;
+  std::unique_ptr<net::Watch> greeter_;
+  std::list<std::shared_ptr<Predecessor>> predecessors_;
 };
 
 }  // namespace cherryrail::ops
--- a/src/ops/takeover.cpp
+++ b/src/ops/takeover.cpp
@@ -6,13 +6,21 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <array>
+#include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 namespace cherryrail::ops {
 namespace {
 
+constexpr std::size_t kLongestMessage = 16384;
+constexpr Micros kLongestWaited = 60'000'000;
+
 // The names of sockets are short, those of folders need not be: so the folder is named by its descriptor.
 sockaddr_un address_of(const Handle& folder, const std::string& name) {
   sockaddr_un at{};
@@ -69,4 +77,71 @@
   return there;
 }
 
+Gave give(const Handle& to, const net::Handed& handed) {
+  const auto binary = [](const std::string& text) {
+    return nlohmann::json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
+  };
+  std::vector<std::uint8_t> text = nlohmann::json::to_cbor({{"begun", binary(handed.begun)},
+                                                            {"head", binary(handed.head)},
+                                                            {"backend", binary(handed.backend)},
+                                                            {"waited", handed.waited}});
+  std::array<int, 2> fds{handed.client, handed.server};
+  const std::size_t room = (handed.server < 0 ? 1 : 2) * sizeof(int);
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(fds))> control{};
+  iovec part{text.data(), text.size()};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = control.data();
+  message.msg_controllen = CMSG_SPACE(room);
+  cmsghdr* header = CMSG_FIRSTHDR(&message);
+  header->cmsg_level = SOL_SOCKET;
+  header->cmsg_type = SCM_RIGHTS;
+  header->cmsg_len = CMSG_LEN(room);
+  std::memcpy(CMSG_DATA(header), fds.data(), room);
+  if (sendmsg(to.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0) return Gave::yes;
+  // Too many descriptors on their way, too, is a matter of time.
+  return errno == EPIPE || errno == ECONNRESET || errno == ENOTCONN ? Gave::never : Gave::later;
+}
+
+std::optional<net::Handed> taken(const Handle& from, bool& over) {
+  std::array<std::uint8_t, kLongestMessage> text;  // NOLINT: filled by the read
+  std::array<int, 2> fds{-1, -1};
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(fds))> control{};
+  iovec part{text.data(), text.size()};
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = control.data();
+  message.msg_controllen = control.size();
+  const ssize_t got = recvmsg(from.get(), &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
+  over = got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+  if (got <= 0) return {};
+  for (cmsghdr* one = CMSG_FIRSTHDR(&message); one; one = CMSG_NXTHDR(&message, one)) {
+    if (one->cmsg_level == SOL_SOCKET && one->cmsg_type == SCM_RIGHTS)
+      std::memcpy(fds.data(), CMSG_DATA(one), std::min(sizeof(fds), one->cmsg_len - CMSG_LEN(0)));
+  }
+  net::Handed handed;
+  handed.client = fds[0];
+  handed.server = fds[1];
+  try {
+    const auto json = nlohmann::json::from_cbor(text.data(), text.data() + got);
+    const auto words = [&json](const char* key) {
+      const auto& bytes = json.at(key).get_binary();
+      return std::string(bytes.begin(), bytes.end());
+    };
+    handed.begun = words("begun");
+    handed.head = words("head");
+    handed.backend = words("backend");
+    handed.waited = std::clamp<Micros>(json.at("waited").get<Micros>(), 0, kLongestWaited);
+    if (handed.client >= 0 && handed.head.empty() == (handed.server < 0)) return handed;
+  } catch (const nlohmann::json::exception&) {
+    // Not understood: as if it had not been sent.
+  }
+  for (const int fd : fds) {
+    if (fd >= 0) close(fd);
+  }
+  return {};
+}
+
 }  // namespace cherryrail::ops
--- a/src/ops/takeover.hpp
+++ b/src/ops/takeover.hpp
@@ -1,8 +1,13 @@
-// Two processes that stand in for one relay, one after the other: how the first learns that the next serves.
+// Two processes that stand in for one relay, one after the other: how the first learns that the next serves,
+// and how it gives that one what it holds.
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 
+#include "net/handed.hpp"
+
 namespace cherryrail::ops {
 
 // A descriptor that is closed with its owner.
@@ -38,4 +43,10 @@
   unsigned long long own_ = 0;  // the file that is this process's own
 };
 
+// One message between the two, with its descriptors.
+enum class Gave : std::uint8_t { yes, later, never };  // never: nobody is there any more
+Gave give(const Handle& to, const net::Handed& handed);
+// Empty if there is nothing now; `over` tells whether there will be more. The descriptors are the caller's.
+std::optional<net::Handed> taken(const Handle& from, bool& over);
+
 }  // namespace cherryrail::ops
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -197,6 +197,132 @@
   EXPECT_FALSE(first.heir());  // it has died
 }
 
+// One relay, of which there may be two processes: both have the clients' listening socket.
+struct House : Town {
+  Folder folder;
+  End listening = End::listening();
+  struct Process {
+    net::Door door;
+    std::unique_ptr<ops::Operation> operation;
+    Process(net::Loop& loop, const net::Start& start)
+        : door(loop, start), operation(std::make_unique<ops::Operation>(loop, door, start)) {}
+    bool empty() {
+      return door.hand_over([](const net::Handed&) { return false; });
+    }
+  };
+  std::vector<End> watches;
+  std::unique_ptr<Process> first, second;
+
+  explicit House(std::size_t count) : Town(count, 500, "", false) {
+    port = listening.port();
+    start = net::read_start_text(told(500));
+    start.kept_in = folder.path;
+    first = process();
+  }
+  std::unique_ptr<Process> process() {
+    start.clients_fd = dup(listening.fd());
+    auto made = std::make_unique<Process>(loop, start);
+    watched();
+    list(R"({"rev":5,"all":false,"targets":[]})");
+    watches.push_back(std::exchange(watch, End()));
+    EXPECT_TRUE(until([&] { return made->door.ready(); }, 500));
+    until([] { return false; }, 20);
+    return made;
+  }
+  void replace() {
+    second = process();
+    first->operation->leave();
+  }
+};
+
+TEST(Handover, OpenTunnelsGoOnAndNeitherEndNotices) {
+  House house(2);
+  auto [here, there] = house.open("1");
+  auto [torn, half] = house.open("2");
+  half.say("half a li");
+  ASSERT_TRUE(house.until([&] { return torn.heard().ends_with("half a li"); }));
+  house.replace();
+  house.until([] { return false; }, 60);
+  half.say("ne\r\n");
+  house.until([] { return false; }, 60);
+  EXPECT_TRUE(house.first->empty());
+  here.say("to you\r\n");
+  there.say("to you, too\r\n");
+  EXPECT_TRUE(house.until([&] { return there.heard().ends_with("to you\r\n"); }));
+  EXPECT_TRUE(house.until([&] { return here.heard() == "UP r\r\nto you, too\r\n"; }));
+  half.say("BYE\r\n");
+  half.close();
+  EXPECT_TRUE(house.until([&] { return torn.ended(); }));
+  EXPECT_EQ(torn.heard(), "UP r\r\nhalf a line\r\nBYE\r\n");
+  End thief = house.client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(house.until([&] { return thief.heard() == "ERR\r\n"; }));  // its id went over with it
+}
+
+// Nobody that the first process took in is refused: some have written half a line, some wait for their
+// answer.
+TEST(Handover, ClientsWithoutATunnelAreServedAllTheSame) {
+  House house(1);
+  End slow = house.client("OPEN 5 5 c=ta"), silent = house.client("");
+  End waits = house.client("OPEN 6 6 c=talk,d=1200\r\n");
+  End setup = house.setup();
+  house.until([] { return false; }, 30);
+  house.replace();
+  house.until([] { return false; }, 60);
+  slow.say("lk,d=1200\r\n");
+  End other = house.setup();
+  other.say("UP 5\r\n");
+  EXPECT_TRUE(house.until([&] { return slow.heard() == "UP 5\r\n"; }));
+  setup.say("UP 6\r\n");
+  EXPECT_TRUE(house.until([&] { return waits.heard() == "UP 6\r\n"; }));
+  house.until([] { return false; }, 60);
+  EXPECT_TRUE(house.first->empty());
+  waits.say("still\r\n");
+  EXPECT_TRUE(house.until([&] { return setup.heard().ends_with("still\r\n"); }));
+  silent.say("OPEN 7 7 c=talk,d=1200\r\n");
+  EXPECT_TRUE(house.setup());
+}
+
+// It was given the socket and died: what was not given to it is moved, not lost.
+TEST(Handover, ASuccessorThatDiesLeavesTheClientsToBeMoved) {
+  House house(1);
+  auto [here, there] = house.open("1");
+  there.say("half a li");
+  ASSERT_TRUE(house.until([&] { return here.heard().ends_with("half a li"); }));
+  house.replace();
+  house.second->operation.reset();
+  there.say("ne\r\n");
+  EXPECT_TRUE(house.until([&] { return here.ended(); }, 1000));
+  EXPECT_EQ(here.heard(), "UP r\r\nhalf a line\r\nMOVE\r\n");
+}
+
+TEST(Handover, WithoutASuccessorItEndsAsEver) {
+  House house(1);
+  auto [here, there] = house.open("1");
+  house.first->operation->leave();
+  auto late = house.open("2");  // it goes on taking clients in for a moment
+  EXPECT_TRUE(house.until([&] { return here.ended() && late.first.ended(); }));
+  EXPECT_EQ(here.heard(), "UP r\r\nMOVE\r\n");
+}
+
+// Its successor takes it from here, wherever the list has it now.
+TEST(Handover, ATunnelWhoseBackendHasLeftTheListIsMovedByTheSuccessor) {
+  House house(2);
+  auto [here, there] = house.open("1");
+  const std::size_t at = house.holder(there);
+  house.second = house.process();
+  net::Handed handed;
+  handed.head = "OPEN 9 9 c=talk,d=1200";
+  handed.backend = "s-left";
+  End one = End::listening(), client = End::to(one.port()), theirs = one.accept();
+  End two = End::listening(), server = End::to(two.port());
+  handed.client = dup(theirs.fd());
+  handed.server = dup(server.fd());
+  theirs.close();
+  house.second->door.take_over(handed);
+  EXPECT_TRUE(house.until([&] { return client.heard() == "MOVE\r\n"; }));
+  EXPECT_FALSE(here.ended()) << at;
+}
+
 TEST(Succession, AnInheritedDescriptorThatIsNotOursIsNamed) {
   Town town(1);
   const auto fault = [&](int fd) {
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -521,5 +521,58 @@
   EXPECT_GE(story.eps[0]->held.size() + story.eps[3]->held.size(), 18u);
 }
 
+// An operator's word stands above the list's, until it is taken back once.
+TEST(Bans, ABannedBackendGetsNothingWhateverTheListSays) {
+  Story story(2);
+  Backend& out = *story.eps[0];
+  while (story.sent_to(out) == 0) story.open(story.tuns.size() + 1);
+  story.relay.ban(out, true);
+  EXPECT_FALSE(story.host.moved.empty());
+  const std::size_t before = story.sent_to(out);
+  story.list(0, Standing::ready);
+  story.list(0, Standing::gone);
+  story.list(0, Standing::ready);
+  for (std::uint64_t key = 100; key < 130; ++key) story.open(key);
+  EXPECT_EQ(story.sent_to(out), before);
+  story.relay.ban(out, true);
+  story.relay.ban(out, false);
+  EXPECT_EQ(out.standing, Standing::ready);
+  story.relay.ban(out, true);
+  story.list(0, Standing::draining);
+  story.relay.ban(out, false);
+  EXPECT_EQ(out.standing, Standing::draining);  // the list's own word is not undone with it
+}
+
+// The list is late: what is called back was most likely restarted meanwhile, and full load would push it
+// over.
+TEST(Bans, WhatIsCalledBackIsColdUntilTheListTellsItsStart) {
+  Story story(2);
+  Backend& out = *story.eps[0];
+  story.relay.ban(out, true);
+  story.host.pass(3 * kS);
+  story.relay.ban(out, false);
+  EXPECT_EQ(out.since, story.host.clock);
+  story.relay.list_entry(story.eps[0], Standing::ready, 1, story.host.clock - kS);
+  EXPECT_EQ(out.since, story.host.clock - kS);
+  story.relay.ban(out, true);
+  story.host.pass(3 * kS);
+  story.relay.list_entry(story.eps[0], Standing::ready, 1, story.host.clock - kS);  // told while it is out
+  story.relay.ban(out, false);
+  EXPECT_EQ(out.since, story.host.clock - kS);
+}
+
+// Two processes with one relay's turns would send a cold backend twice what it may get.
+TEST(Bans, ARelayWithASuccessorSendsNothingToAColdBackend) {
+  Story story(1);
+  Backend& cold = story.add(story.host.clock);
+  story.relay.succeeded();
+  for (int i = 0; i < 40; ++i) {
+    story.open(static_cast<std::uint64_t>(i) + 1);
+    story.host.pass(kS / 4);
+  }
+  EXPECT_EQ(story.sent_to(cold), 0u);
+  EXPECT_EQ(story.sent_to(*story.eps[0]), 40u);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
