--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -137,10 +137,9 @@
 
 void Relay::stands(Backend& ep) {
   const bool out = ep.banned && ep.listed == Standing::ready;
-  const Standing before = std::exchange(ep.standing, out ? Standing::draining : ep.listed);
-  if (ep.standing == Standing::gone) return queue_moves(ep, "is gone");
-  if (ep.standing == before) return;
-  if (ep.standing == Standing::draining) queue_spread(ep, out ? "is banned" : "drains", end_over_);
+  ep.standing = out ? Standing::draining : ep.listed;
+  if (ep.standing == Standing::ready) return;
+  queue_moves(ep, out ? "is banned" : ep.standing == Standing::draining ? "drains" : "is gone");
 }
 
 // What was learned of the process before it no longer holds; the cold budget takes over.
@@ -743,24 +742,15 @@
   return std::max<std::size_t>(1, std::min(p / 2, std::max<std::size_t>(10, p / 3)));
 }
 
-// This relay is to end.
+// This relay is to end. Danger: asked all at once, clients come again at once, and backends drown in setups.
 void Relay::retire(Micros within) {
   retiring_ = true;
-  for (const auto& ep : fleet_) queue_spread(*ep, "has a relay that ends", within);
-}
-
-// Danger: asked all at once, by all relays, clients come again at once, and every other backend's messages
-// are late with their setups: that passes for strain, and clients are declined for seconds.
-void Relay::queue_spread(Backend& ep, const char* why, Micros within) {
   std::uniform_int_distribution<Micros> when(0, within);
-  if (!ep.held.empty()) host_.log("moving tunnels: backend " + std::to_string(ep.name) + " " + why);
-  for (Tunnel* held : ep.held)
-    host_.wake_at(host_.now() + when(chance_), [this, weak = held->weak_from_this()] {
-      const auto tun = weak.lock();
-      if (!tun || !tun->open || (!retiring_ && tun->ep->standing == Standing::ready)) return;
-      queue_move(*tun);
-      run_movers();
-    });
+  for (const auto& ep : fleet_)
+    for (Tunnel* held : ep->held)
+      host_.wake_at(host_.now() + when(chance_), [this, weak = held->weak_from_this()] {
+        if (const auto tun = weak.lock(); tun && tun->open) queue_move(*tun), run_movers();
+      });
 }
 
 // Danger: two processes with one relay's turn would send a cold backend twice what it was dealt.
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -242,7 +242,6 @@
   std::size_t movers() const;
   std::size_t queue_limit() const;
   void queue_moves(Backend& ep, const char* why);
-  void queue_spread(Backend& ep, const char* why, Micros within);
   void queue_move(Tunnel& tun);
   void run_movers();
 
