--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -754,9 +754,36 @@
 }
 
 // Danger: two processes with one relay's turn would send a cold backend twice what it was dealt.
-void Relay::succeeded() {
+Memory Relay::succeeded() {
+  Memory memory{born_, turns_from_, strained_until_, new_clients_, purse_, {}};
+  for (const auto& ep : fleet_)
+    memory.backends.push_back({ep->name, ep->since, ep->listed_since, ep->room_cut_at, ep->doubt, ep->room,
+                               ep->full, ep->aside, ep->silent, ep->presumed, ep->cold_turn, ep->cold_sent});
   turns_from_ = std::numeric_limits<Micros>::max();
   may_probe_ = false;
+  return memory;
+}
+
+// Danger: a relay that forgets at each replacement is always young: it rushes to what it had set aside, sits
+// out every cold backend's turns, and takes for warm what it alone knows to be cold.
+void Relay::remember(const Memory& memory) {
+  born_ = std::min(born_, memory.born);
+  turns_from_ = std::min(turns_from_, memory.turns_from);
+  strained_until_ = std::max(strained_until_, memory.strained_until);
+  new_clients_ += memory.new_clients;
+  purse_ = std::clamp(memory.purse, 0.0, kPurse);
+  for (const Memory::Of& of : memory.backends) {
+    const auto known =
+        std::find_if(fleet_.begin(), fleet_.end(), [&of](const auto& ep) { return ep->name == of.name; });
+    if (known == fleet_.end()) continue;
+    Backend& ep = **known;
+    ep.cold_turn = of.cold_turn, ep.cold_sent = of.cold_sent;
+    if (ep.listed_since != of.listed_since) continue;  // restarted since: nothing of it holds
+    ep.since = std::max(ep.since, of.since);
+    ep.doubt = of.doubt, ep.room = of.room, ep.full = of.full, ep.room_cut_at = of.room_cut_at;
+    ep.presumed = of.presumed;
+    if (of.aside && !ep.aside) set_aside(ep), ep.silent = of.silent;
+  }
 }
 
 std::size_t Relay::queue_limit() const {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -118,6 +118,22 @@
   Micros took = 0;
 };
 
+// What a relay has learned, for the process that stands in for it from now on.
+struct Memory {
+  struct Of {
+    std::uint64_t name = 0;
+    Micros since = 0, listed_since = 0, room_cut_at = 0;
+    double doubt = 0, room = 0, full = 0;
+    bool aside = false, silent = false, presumed = false;
+    std::int64_t cold_turn = -1;
+    unsigned cold_sent = 0;
+  };
+  Micros born = 0, turns_from = 0, strained_until = 0;
+  std::size_t new_clients = 0;
+  double purse = 0;
+  std::vector<Of> backends;
+};
+
 struct LoadReport {
   std::optional<double> utilisation;  // load asked over what it can do
 };
@@ -189,7 +205,9 @@
   void retire() { retire(end_over_); }
   void retire(Micros within);
   // Another process stands in for this relay from now on: turns at cold backends and the purse are its own.
-  void succeeded();
+  // What was learned is for that process to remember.
+  Memory succeeded();
+  void remember(const Memory& memory);
 
  private:
   enum class Answer : std::uint8_t { opened, declined, closed_with_error };
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -88,11 +88,11 @@
 }
 
 // Danger: what this process takes in now it can serve for a moment only; the next one has it for good.
-void Door::succeeded() {
-  if (std::exchange(leaving_, true)) return;
+Memory Door::succeeded() {
+  leaving_ = true;
   loop_.log().line(Topic::life, "told to end: %zu clients to hand over", clients_->tunnels());
   clients_->take_in(false);
-  relay_->succeeded();
+  return relay_->succeeded();
 }
 
 bool Door::hand_over(const Give& give) {
@@ -116,6 +116,7 @@
 }
 
 void Door::take_over(const Handed& handed) {
+  if (handed.memory) return relay_->remember(*handed.memory);
   SocketPtr client = socket_of(handed.client);
   if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
   SocketPtr server = socket_of(handed.server);
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -32,7 +32,7 @@
   // Instead: takes nobody in any more, for another process does, and gives that process what it holds as far
   // as that can go now. True once nothing is left.
   using Give = std::function<bool(const Handed&)>;
-  void succeeded();
+  Memory succeeded();
   bool hand_over(const Give& give);
   void move_rest();  // what could not be given
   // What another process has given; the descriptors are closed with what comes of it.
--- a/src/net/handed.hpp
+++ b/src/net/handed.hpp
@@ -1,6 +1,8 @@
-// A connection that goes from one process to the next: a client that has asked for nothing yet, or a tunnel.
+// What goes from one process to the next: a client that has asked for nothing yet, a tunnel, or what was
+// learned.
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "brain.hpp"
@@ -12,6 +14,7 @@
   std::string head;              // a tunnel's first line
   std::string backend;           // and where it is open
   Micros waited = 0;             // for its first line; or since a line of the client, yet unanswered, went on
+  std::optional<Memory> memory;  // then there is nothing else
   int client = -1, server = -1;  // descriptors; whose they are, the function that takes this says
 };
 
--- a/src/ops/operation.cpp
+++ b/src/ops/operation.cpp
@@ -106,7 +106,9 @@
   if (std::exchange(handing_, true)) return;
   heir_ = succession_.heir();
   if (!heir_) return door_.leave();
-  door_.succeeded();
+  net::Handed learned;
+  learned.memory = door_.succeeded();
+  give(heir_, learned);
   hand_over(loop_.now() + door_.longest_wait());
 }
 
--- a/src/ops/takeover.cpp
+++ b/src/ops/takeover.cpp
@@ -18,7 +18,7 @@
 namespace cherryrail::ops {
 namespace {
 
-constexpr std::size_t kLongestMessage = 16384;
+constexpr std::size_t kLongestMessage = 131072;
 constexpr Micros kLongestWaited = 60'000'000;
 
 // The names of sockets are short, those of folders need not be: so the folder is named by its descriptor.
@@ -37,6 +37,36 @@
 
 Handle unix_socket() { return Handle(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)); }
 
+nlohmann::json written(const Memory& memory) {
+  auto backends = nlohmann::json::array();
+  for (const Memory::Of& of : memory.backends)
+    backends.push_back({of.name, of.since, of.listed_since, of.room_cut_at, of.doubt, of.room, of.full,
+                        of.aside, of.silent, of.presumed, of.cold_turn, of.cold_sent});
+  return {{"born", memory.born},
+          {"turns_from", memory.turns_from},
+          {"strained_until", memory.strained_until},
+          {"new_clients", memory.new_clients},
+          {"purse", memory.purse},
+          {"backends", backends}};
+}
+
+Memory read_memory(const nlohmann::json& json) {
+  Memory memory;
+  json.at("born").get_to(memory.born);
+  json.at("turns_from").get_to(memory.turns_from);
+  json.at("strained_until").get_to(memory.strained_until);
+  json.at("new_clients").get_to(memory.new_clients);
+  json.at("purse").get_to(memory.purse);
+  for (const auto& one : json.at("backends")) {
+    Memory::Of of;
+    auto next = [&one, at = std::size_t{0}](auto& value) mutable { one.at(at++).get_to(value); };
+    next(of.name), next(of.since), next(of.listed_since), next(of.room_cut_at), next(of.doubt), next(of.room);
+    next(of.full), next(of.aside), next(of.silent), next(of.presumed), next(of.cold_turn), next(of.cold_sent);
+    memory.backends.push_back(of);
+  }
+  return memory;
+}
+
 }  // namespace
 
 Handle::Handle(Handle&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
@@ -81,10 +111,12 @@
   const auto binary = [](const std::string& text) {
     return nlohmann::json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
   };
-  std::vector<std::uint8_t> text = nlohmann::json::to_cbor({{"begun", binary(handed.begun)},
-                                                            {"head", binary(handed.head)},
-                                                            {"backend", binary(handed.backend)},
-                                                            {"waited", handed.waited}});
+  nlohmann::json json{{"begun", binary(handed.begun)},
+                      {"head", binary(handed.head)},
+                      {"backend", binary(handed.backend)},
+                      {"waited", handed.waited}};
+  if (handed.memory) json["memory"] = written(*handed.memory);
+  std::vector<std::uint8_t> text = nlohmann::json::to_cbor(json);
   std::array<int, 2> fds{handed.client, handed.server};
   const std::size_t room = (handed.server < 0 ? 1 : 2) * sizeof(int);
   alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(fds))> control{};
@@ -94,18 +126,23 @@
   message.msg_iovlen = 1;
   message.msg_control = control.data();
   message.msg_controllen = CMSG_SPACE(room);
-  cmsghdr* header = CMSG_FIRSTHDR(&message);
-  header->cmsg_level = SOL_SOCKET;
-  header->cmsg_type = SCM_RIGHTS;
-  header->cmsg_len = CMSG_LEN(room);
-  std::memcpy(CMSG_DATA(header), fds.data(), room);
+  if (handed.client < 0) {
+    message.msg_control = nullptr;
+    message.msg_controllen = 0;
+  } else {
+    cmsghdr* header = CMSG_FIRSTHDR(&message);
+    header->cmsg_level = SOL_SOCKET;
+    header->cmsg_type = SCM_RIGHTS;
+    header->cmsg_len = CMSG_LEN(room);
+    std::memcpy(CMSG_DATA(header), fds.data(), room);
+  }
   if (sendmsg(to.get(), &message, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0) return Gave::yes;
   // Too many descriptors on their way, too, is a matter of time.
   return errno == EPIPE || errno == ECONNRESET || errno == ENOTCONN ? Gave::never : Gave::later;
 }
 
 std::optional<net::Handed> taken(const Handle& from, bool& over) {
-  std::array<std::uint8_t, kLongestMessage> text;  // NOLINT: filled by the read
+  std::vector<std::uint8_t> text(kLongestMessage);
   std::array<int, 2> fds{-1, -1};
   alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(fds))> control{};
   iovec part{text.data(), text.size()};
@@ -126,6 +163,10 @@
   handed.server = fds[1];
   try {
     const auto json = nlohmann::json::from_cbor(text.data(), text.data() + got);
+    if (const auto memory = json.find("memory"); memory != json.end()) {
+      handed.memory = read_memory(*memory);
+      return handed;
+    }
     const auto words = [&json](const char* key) {
       const auto& bytes = json.at(key).get_binary();
       return std::string(bytes.begin(), bytes.end());
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -323,6 +323,33 @@
   EXPECT_FALSE(here.ended()) << at;
 }
 
+TEST(Succession, WhatWasLearnedArrivesAsItWas) {
+  Folder folder;
+  ops::Succession first(folder.path, "n"), second(folder.path, "n");
+  ASSERT_TRUE(second.announce());
+  const ops::Handle to = first.heir();
+  ASSERT_TRUE(to);
+  const ops::Handle from(accept(second.listening(), nullptr, nullptr));
+  net::Handed handed;
+  handed.memory =
+      Memory{5, 6, 7, 8, 2.5, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
+  EXPECT_EQ(ops::give(to, handed), ops::Gave::yes);
+  bool over = false;
+  const auto got = ops::taken(from, over);
+  ASSERT_TRUE(got && got->memory && got->memory->backends.size() == 1);
+  EXPECT_EQ(got->memory->new_clients, 8u);
+  const Memory::Of& of = got->memory->backends[0];
+  EXPECT_EQ(of.name, 0xffffffffffffffffULL);
+  EXPECT_EQ(of.room, 1e300);
+  EXPECT_EQ(of.cold_turn, -1);
+  EXPECT_EQ(of.cold_sent, 9u);
+  EXPECT_TRUE(of.aside && of.presumed && !of.silent);
+  // What cannot be understood costs nothing but itself.
+  EXPECT_EQ(send(to.get(), "rubbish", 7, 0), 7);
+  EXPECT_FALSE(ops::taken(from, over));
+  EXPECT_FALSE(over);
+}
+
 TEST(Succession, AnInheritedDescriptorThatIsNotOursIsNamed) {
   Town town(1);
   const auto fault = [&](int fd) {
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -574,5 +574,29 @@
   EXPECT_EQ(story.sent_to(*story.eps[0]), 40u);
 }
 
+// Replaced again and again, a relay that forgets is always young: what it alone knows would be lost.
+TEST(Bans, ASuccessorRemembersWhatWasLearned) {
+  Story story(3), next(3);
+  for (int i = 0; i < 200 && !story.eps[0]->aside; ++i) {
+    Tunnel& tun = story.arrive(static_cast<std::uint64_t>(i) + 1);
+    if (tun.ep.get() == story.eps[0].get())
+      story.fail(tun, Result::error);
+    else if (tun.ep)
+      story.relay.established(tun, 20 * kMs);
+  }
+  ASSERT_TRUE(story.eps[0]->aside);
+  story.relay.ban(*story.eps[1], true);
+  story.host.pass(kS);
+  story.relay.ban(*story.eps[1], false);  // cold from now on, as far as this relay can know
+  next.host.clock = story.host.clock;
+  next.relay.remember(story.relay.succeeded());
+  EXPECT_TRUE(next.eps[0]->aside);
+  EXPECT_EQ(next.eps[1]->since, story.eps[1]->since);
+  Story later(3);
+  later.relay.list_entry(later.eps[0], Standing::ready, 1, later.host.clock - kS);
+  later.relay.remember(story.relay.succeeded());
+  EXPECT_FALSE(later.eps[0]->aside);  // the list tells of a start that the other did not know of
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
