--- a/src/ops/operation.cpp
+++ b/src/ops/operation.cpp
@@ -122,7 +122,9 @@
     return gave == Gave::yes;
   });
   if (all_gone) return door_.end_when_empty();
-  if (!alive || loop_.now() >= until) return door_.move_rest();
+  // Two replacements soon after each other: the one that has gone may have a successor of its own.
+  if (!alive) heir_ = succession_.heir();
+  if (!heir_ || loop_.now() >= until) return door_.move_rest();
   loop_.wake_at(loop_.now() + kHandAgain, [this, until] { hand_over(until); });
 }
 
