Many relays ask for a lost list spread over a time that grows with them

Ruled out: the parser and the watch (4 relays whose watch stood heard every change), and discovery being down (refusals came after a wait). At fault: list_failed asked again within a quarter of a second whatever the number of relays. Change: the wait grows with it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,6 +43,8 @@
 constexpr unsigned kWinsToReturn = 3, kSilentAfter = 4;  // successes, as the design has it; no answers
 constexpr Micros kMoverTime = kSecond;                   // a mover waits this long for its move at most
 constexpr Micros kQueueFullWait = kSecond / 10;
+constexpr Micros kAskAgain = kSecond / 4;     // after a first failed call for the list, where few relays ask
+constexpr unsigned kFewAsk = 4;               // so many relays do not crowd the list's service
 constexpr Micros kEndMost = 9 * kSecond / 4;  // within it all are asked to leave a relay that ends
 constexpr Micros kTrickleStart = kSecond, kTrickleLongest = 5 * kSecond;
 constexpr double kProbeBudget = 0.002, kPurse = 20;  // of the result, spent on probes; probes saved up
@@ -164,11 +166,18 @@
 
 void Relay::list_failed() {
   if (!list_on_request_) return;
-  // Relays that lost the list together must not ask for it together, nor late against ask_within.
-  const Micros longest = ask_within_ > 0 ? ask_within_ / 4 : 2 * kSecond;
-  const Micros wait = std::min(longest, (kSecond / 4) << std::min(list_failures_++, 6u));
-  host_.wake_at(host_.now() + jittered(wait), [this] { host_.follow_list(); });
-}
+  // Relays that lost the list together must not ask for it together, nor late against ask_within. Danger: it
+  // is one service for all: asked by many as soon as by a few, it serves no call before that has waited in
+  // vain.
+  const Micros within = ask_within_ > 0 ? ask_within_ : 8 * kSecond, few = std::min(within / 4, kAskAgain);
+  const Micros many = std::min<Micros>(within, few / kFewAsk * relays_);
+  const unsigned doublings = std::min(list_failures_++, 6u);
+  const Micros wait = relays_ <= kFewAsk ? jittered(std::min(within / 4, few << doublings))
+                                         : spread(std::min(within, many << doublings));
+  host_.wake_at(host_.now() + wait, [this] { host_.follow_list(); });
+}
+
+Micros Relay::spread(Micros most) { return std::uniform_int_distribution<Micros>(0, most)(chance_); }
 
 Micros Relay::jittered(Micros most) {
   return static_cast<Micros>(std::uniform_real_distribution(0.5, 1.0)(chance_) * static_cast<double>(most));
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -220,6 +220,7 @@
   };
 
   Micros jittered(Micros most);  // half of it to all of it
+  Micros spread(Micros most);    // none of it to all of it
   void stands(Backend& ep);
   void restarted(Backend& ep);
   void place(Tunnel& tun);
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -598,5 +598,30 @@
   EXPECT_FALSE(later.eps[0]->aside);  // the list tells of a start that the other did not know of
 }
 
+// Discovery is one service for all: asked by dozens within a second, it serves no call before that has waited
+// in vain, and nobody ever hears the list again. Few relays ask again at once.
+TEST(List, ManyRelaysThatLostItTogetherDoNotAskTogether) {
+  const auto asked_in_a_second = [](unsigned relays) {
+    std::map<Micros, int> seconds;
+    for (unsigned i = 0; i < relays; ++i) {
+      SiteTerms terms = plain_terms();
+      terms.list_on_request = true;
+      terms.relays = relays;
+      FakeHost host;
+      Relay relay(host, terms, 100 + i);
+      relay.list_failed();
+      host.pass(terms.ask_within);
+      EXPECT_EQ(host.followed.size(), 2u);  // at the start, and in time after the failure
+      if (host.followed.size() == 2) ++seconds[(host.followed[1] - host.followed[0]) / kS];
+    }
+    int most = 0;
+    for (const auto& [second, count] : seconds) most = std::max(most, count);
+    return most;
+  };
+  EXPECT_LE(asked_in_a_second(48), 28);
+  EXPECT_LE(asked_in_a_second(200), 36);
+  EXPECT_EQ(asked_in_a_second(3), 3);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
