In a crowd a client that goes on writing its line outlives those that write nothing

Need: less room. While descriptors run short the oldest unfinished connection went first, though it may be a sound client on a slow link; and one that took its full two seconds to write met the limit for silence. Now the one that has written nothing for longest goes, and a first line may take 2.6 s (an error is owed within 3 s). Each connection costs one walk over those that wait.

--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -10,8 +10,10 @@
 namespace cherryrail::net {
 namespace {
 
-constexpr Micros kFirstLine = 2'000'000;  // a connection that asks for no tunnel may stay so long
-constexpr int kPingsAtOnce = 4;           // in one read; the front waits for each answer
+// A connection that asks for no tunnel may stay so long: sound clients may take two seconds to write their
+// line.
+constexpr Micros kFirstLine = 2'600'000;
+constexpr int kPingsAtOnce = 4;  // in one read; the front waits for each answer
 
 }  // namespace
 
@@ -20,7 +22,7 @@
   Client(ClientSide& side, std::uint64_t number) : side_(side), number_(number) {}
 
   void start(SocketPtr socket) {
-    began_ = quiet_since_ = side_.loop_.now();
+    began_ = quiet_since_ = wrote_at_ = side_.loop_.now();
     connection_ = Connection::accepted(side_.loop_, std::move(socket), *this);
   }
   void stand(SocketPtr socket, const std::shared_ptr<Exchange>& exchange) {
@@ -49,6 +51,7 @@
   bool has_tunnel() const { return exchange_ && !over_; }
   bool quiet() const { return !exchange_ && !over_; }
   Micros quiet_since() const { return quiet_since_; }
+  Micros wrote_at() const { return wrote_at_; }  // a part of its first line, or when it came
   void look() { connection_->look(); }
 
   // Danger: a connection that has not asked for a tunnel yet may be anybody's. What can be no first line is
@@ -70,6 +73,7 @@
       side_.quiet_.erase(number_);
       return rest.empty() ? side_.take_(exchange_) : finish("ERR", "spoke_early");
     }
+    if (!lines_.begun().empty()) wrote_at_ = side_.loop_.now();
     if (lines_.overlong()) return finish("ERR", "overlong_line");
     if (!may_begin(lines_.begun())) finish("ERR", "not_understood");
   }
@@ -133,7 +137,7 @@
   std::shared_ptr<Connection> connection_;
   std::shared_ptr<Exchange> exchange_;
   Lines lines_;
-  Micros began_ = 0, quiet_since_ = 0;
+  Micros began_ = 0, quiet_since_ = 0, wrote_at_ = 0;
   bool up_ = false, over_ = false;
 };
 
@@ -202,10 +206,16 @@
     on_their_way_.pop_front();
   }
   if (std::exchange(making_room_, true)) return;  // a line found on the way asks for room itself
-  while (full_() && !quiet_.empty()) {
-    const auto oldest = clients_.at(*quiet_.begin());
-    oldest->look();  // its line may lie there unread
-    if (oldest->quiet()) oldest->turn_out();
+  for (std::size_t looks = quiet_.size(); full_() && !quiet_.empty();) {
+    const auto silent = clients_.at(*std::min_element(quiet_.begin(), quiet_.end(), [this](auto a, auto b) {
+      return clients_.at(a)->wrote_at() < clients_.at(b)->wrote_at();
+    }));
+    const Micros wrote_at = silent->wrote_at();
+    silent->look();  // its line may lie there unread
+    if (!silent->quiet()) continue;
+    // Danger: in a crowd that never finishes a line, those that are slow but write on would be the oldest.
+    if (silent->wrote_at() > wrote_at && looks-- > 0) continue;
+    silent->turn_out();
   }
   making_room_ = false;
 }
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -35,7 +35,8 @@
   void hand_over(const Give& give);
   void come(SocketPtr socket, std::string_view begun, Micros waited);
   void stands(SocketPtr socket, const std::shared_ptr<Exchange>& exchange);
-  // Gives up a connection that serves nobody: the longest on its way out, else the longest without a word.
+  // Gives up a connection that serves nobody: the longest on its way out, else the one that has
+  // written nothing for longest.
   void make_room();
 
  private:
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -60,6 +60,22 @@
       [&] { return std::all_of(silent.begin(), silent.end(), [](End& one) { return one.ended(); }); }, 3000));
 }
 
+// Sound clients on poor links write slowly: in a crowd they must not go before those that write nothing.
+TEST(Net, ASlowWriterOutlivesACrowdThatNeverFinishesItsLine) {
+  Town town(1, 60);
+  const std::string line = "OPEN 1 1 c=talk,d=1200\r\n";
+  End slow = town.client(line.substr(0, 1));
+  std::vector<End> crowd;
+  for (std::size_t at = 1; at < line.size(); ++at) {
+    for (int i = 0; i < 8; ++i) crowd.push_back(town.client(i % 2 ? "OPEN 2 2" : ""));
+    town.until([] { return false; }, 10);
+    slow.say(line.substr(at, 1));
+  }
+  End there = town.setup();
+  there.say("UP r\r\n");
+  EXPECT_TRUE(town.until([&] { return slow.heard() == "UP r\r\n"; }));
+}
+
 // It is still writing when its answer comes: a close on unread bytes would take the answer with it.
 TEST(Net, AClientThatSendsWithoutEndStillReadsItsError) {
   Town town(1);
