Two processes that stand in for one relay share its limit on descriptors

Need: at a replacement each went by the whole limit. Change: each counts what the other holds, from its start to the other's end. Measured: story with a forked process that holds 480 of 500.

--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -160,11 +160,11 @@
 }
 
 // Danger: the clients of a relay that is replaced are served already; the spare descriptors are for new ones.
-bool Door::can_take_over() const { return loop_.sockets() + kept_back_ / 2 <= sockets_; }
+bool Door::can_take_over() const { return loop_.sockets() + others_hold_ + kept_back_ / 2 <= sockets_; }
 
 void Door::end_when_empty() { look_whether_empty(loop_.now()); }
 
-bool Door::full() const { return loop_.sockets() + kept_back_ > sockets_; }
+bool Door::full() const { return loop_.sockets() + others_hold_ + kept_back_ > sockets_; }
 
 void Door::ban(const std::set<std::string>& uids) {
   const auto before = std::exchange(banned_, uids);
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -37,7 +37,8 @@
   void move_rest();  // what could not be given
   // What another process has given; the descriptors are closed with what comes of it.
   void take_over(const Handed& handed);
-  bool can_take_over() const;  // there are descriptors for one more
+  void others_hold(std::size_t sockets) { others_hold_ = sockets; }  // of the same limit
+  bool can_take_over() const;                                        // there are descriptors for one more
   void end_when_empty();
   Micros longest_wait() const;
   // Whether operators may speak of that backend: the list has named it, or it is banned.
@@ -80,7 +81,7 @@
   std::string listen_;
   Settled settled_;
   Facts facts_;
-  std::size_t sockets_, kept_back_;
+  std::size_t sockets_, kept_back_, others_hold_ = 0;
   std::map<std::string, std::shared_ptr<Endpoint>, std::less<>> backends_;  // by uid
   std::vector<std::string> zones_;
   using Ids = std::map<std::string, std::weak_ptr<Exchange>, std::less<>>;
--- a/src/ops/operation.cpp
+++ b/src/ops/operation.cpp
@@ -40,9 +40,10 @@
 
 }  // namespace
 
-// A process that stood in for this relay before: what it still sends.
-struct Operation::Predecessor {
+// A connection with the process before this one, or the one after; it ends with that process.
+struct Operation::Peer {
   Handle from;
+  int process = 0;
   std::unique_ptr<net::Watch> watch;
 };
 
@@ -50,6 +51,7 @@
     : loop_(loop), door_(door), bans_(path_of(start, "bans")),
       succession_(start.clients_fd >= 0 ? start.kept_in : "", file_name(start.name, "serves")) {
   if (start.clients_fd >= 0) {
+    if (Handle before = succession_.heir()) meet(std::move(before));  // so that each counts the other in
     door_.on_ready([this] {
       if (!succession_.announce())
         return loop_.log().line(Topic::fault, "cannot tell a predecessor that this serves");
@@ -135,28 +137,39 @@
   // Danger: whoever can open the folder could hand in connections of his own.
   if (!from || getsockopt(from.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != geteuid())
     return;
-  const auto one = std::make_shared<Predecessor>();
-  one->from = std::move(from);
-  predecessors_.push_back(one);
+  meet(std::move(from));
+}
+
+void Operation::meet(Handle with) {
+  const auto one = std::make_shared<Peer>();
+  one->from = std::move(with);
+  one->process = peer_of(one->from);
+  peers_.push_back(one);
   one->watch =
       std::make_unique<net::Watch>(loop_, one->from.get(), [this, weak = std::weak_ptr(one)](bool, bool) {
         if (const auto here = weak.lock()) receive(*here);
       });
   one->watch->want(true, false);
+  if (!std::exchange(looking_, true)) look_at_peers();
 }
 
 // Danger: a message that is read without descriptors left to hold what it brings loses a tunnel.
-void Operation::receive(Predecessor& from) {
+void Operation::receive(Peer& from) {
+  count_peers();
   for (int i = 0; i < kTakenAtOnce; ++i) {
     if (!door_.can_take_over()) {
       from.watch->want(false, false);
       return loop_.wake_at(loop_.now() + kHandAgain, [this] {
-        for (const auto& one : predecessors_) one->watch->want(true, false);
+        count_peers();
+        for (const auto& one : peers_) one->watch->want(true, false);
       });
     }
     bool over = false;
     const auto handed = taken(from.from, over);
-    if (over) return void(predecessors_.remove_if([&from](const auto& one) { return one.get() == &from; }));
+    if (over) {
+      peers_.remove_if([&from](const auto& one) { return one.get() == &from; });
+      return count_peers();
+    }
     if (!handed) return;
     try {
       door_.take_over(*handed);
@@ -166,6 +179,22 @@
   }
 }
 
+// Danger: the two are one relay to the limit on descriptors, and neither knows what the other holds.
+void Operation::count_peers() {
+  std::set<int> processes;
+  for (const auto& one : peers_) processes.insert(one->process);
+  processes.erase(0);
+  std::size_t held = 0;
+  for (const int process : processes) held += descriptors_of(process);
+  door_.others_hold(held);
+}
+
+void Operation::look_at_peers() {
+  count_peers();
+  looking_ = !peers_.empty();
+  if (looking_) loop_.wake_at(loop_.now() + kLookAtBans, [this] { look_at_peers(); });
+}
+
 void Operation::reload(const std::string& path) { door_.reload(path); }
 
 }  // namespace cherryrail::ops
--- a/src/ops/operation.hpp
+++ b/src/ops/operation.hpp
@@ -22,12 +22,15 @@
   void reload(const std::string& path);
 
  private:
-  struct Predecessor;
+  struct Peer;
   Reply ban(const std::string& body, bool banned);
   void heed_bans();
   void hand_over(Micros until);
   void greet();
-  void receive(Predecessor& from);
+  void meet(Handle with);
+  void receive(Peer& from);
+  void count_peers();
+  void look_at_peers();
   void look_at_bans();
 
   net::Loop& loop_;
@@ -39,7 +42,8 @@
   Handle heir_;
   bool handing_ = false;
   std::unique_ptr<net::Watch> greeter_;
-  std::list<std::shared_ptr<Predecessor>> predecessors_;
+  std::list<std::shared_ptr<Peer>> peers_;  // connections with the processes before and after this one
+  bool looking_ = false;
 };
 
 }  // namespace cherryrail::ops
--- a/src/ops/takeover.cpp
+++ b/src/ops/takeover.cpp
@@ -11,7 +11,10 @@
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
+#include <filesystem>
+#include <iterator>
 #include <nlohmann/json.hpp>
+#include <system_error>
 #include <utility>
 #include <vector>
 
@@ -107,6 +110,19 @@
   return there;
 }
 
+int peer_of(const Handle& connection) {
+  ucred who{};
+  socklen_t size = sizeof(who);
+  const bool seen = getsockopt(connection.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) == 0;
+  return seen && who.pid != getpid() ? who.pid : 0;
+}
+
+std::size_t descriptors_of(int process) {
+  std::error_code none;
+  const std::filesystem::directory_iterator all("/proc/" + std::to_string(process) + "/fd", none);
+  return static_cast<std::size_t>(std::distance(begin(all), end(all)));
+}
+
 Gave give(const Handle& to, const net::Handed& handed) {
   const auto binary = [](const std::string& text) {
     return nlohmann::json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
--- a/src/ops/takeover.hpp
+++ b/src/ops/takeover.hpp
@@ -2,6 +2,7 @@
 // and how it gives that one what it holds.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -43,6 +44,10 @@
   unsigned long long own_ = 0;  // the file that is this process's own
 };
 
+// The process at the other end, 0 if it is this one or not to be seen; and how many descriptors one holds.
+int peer_of(const Handle& connection);
+std::size_t descriptors_of(int process);
+
 // One message between the two, with its descriptors.
 enum class Gave : std::uint8_t { yes, later, never };  // never: nobody is there any more
 Gave give(const Handle& to, const net::Handed& handed);
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -1,5 +1,6 @@
 // What operators and the platform ask beside the traffic: calls, bans, and a second process for the first.
 #include <sys/stat.h>
+#include <sys/wait.h>
 
 #include <cstdlib>
 #include <filesystem>
@@ -323,6 +324,34 @@
   EXPECT_FALSE(here.ended()) << at;
 }
 
+// Two processes at once are one relay to the limit on descriptors.
+TEST(Succession, WhatTheOtherProcessHoldsCountsToo) {
+  House house(1);
+  int ready[2], go[2];
+  ASSERT_EQ(pipe(ready) + pipe(go), 0);
+  const pid_t child = fork();
+  if (child == 0) {  // the process that comes next: it says that it is there, and holds much
+    ops::Succession there(house.folder.path, "cherryrail-n.serves");
+    const ops::Handle before = there.heir();
+    while (dup(0) >= 0 && ops::descriptors_of(getpid()) < 480) {
+    }
+    char one = before ? 'y' : 'n';
+    _exit(write(ready[1], &one, 1) == 1 && read(go[0], &one, 1) == 1 ? 0 : 1);
+  }
+  char answer = 0;
+  ASSERT_EQ(read(ready[0], &answer, 1), 1);
+  EXPECT_EQ(answer, 'y');
+  house.until([] { return false; }, 150);
+  End refused = house.client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(house.until([&] { return refused.ended(); }));
+  EXPECT_EQ(refused.heard(), "BUSY\r\n");
+  EXPECT_EQ(write(go[1], "g", 1), 1);
+  EXPECT_EQ(waitpid(child, nullptr, 0), child);
+  house.until([] { return false; }, 50);
+  house.open("2");  // it has gone, and all is ours again
+  for (const int fd : {ready[0], ready[1], go[0], go[1]}) close(fd);
+}
+
 TEST(Succession, WhatWasLearnedArrivesAsItWas) {
   Folder folder;
   ops::Succession first(folder.path, "n"), second(folder.path, "n");
