The change read once more: twins served by one piece of code, and a ban that was missed

Twins: same_word (net/http), a Handle for the bans' lock, peer_of for both looks at a peer's credentials, one message header for give and taken, one place that makes an endpoint, a server's connection and the fault of an address, spread() for a relay's end, look_around's own check. Gone: Operation::reload, two writers of a call's log line (an answered caller left two), two sends for one answer, an alarm where the relay serves at once, 128 KB zeroed for each message. Mended with it: a backend first known from a tunnel handed over was made without its ban, and used once the list named it; the story fails without that line.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -119,7 +119,7 @@
   tenant_held_.assign(tenant_part_.size(), 0);
   if (list_on_request_) host_.follow_list();
   look_from_ = chance_() % 1024;
-  if (may_probe_) look_around();
+  look_around();
 }
 
 // ---- The list -------------------------------------------------------------------------------------------
@@ -156,9 +156,12 @@
 void Relay::ban(Backend& ep, bool banned) {
   if (std::exchange(ep.banned, banned) == banned) return;
   host_.log("backend " + std::to_string(ep.name) + (banned ? " banned" : " called back"));
-  if (banned) ep.banned_at = host_.now();
-  if (!banned && ep.listed_since < ep.banned_at) ep.since = host_.now();
-  if (!banned) restarted(ep);
+  if (banned) {
+    ep.banned_at = host_.now();
+  } else {
+    if (ep.listed_since < ep.banned_at) ep.since = host_.now();
+    restarted(ep);
+  }
   stands(ep);
 }
 
@@ -754,10 +757,9 @@
 // This relay is to end. Danger: asked all at once, clients come again at once, and backends drown in setups.
 void Relay::retire(Micros within) {
   retiring_ = true;
-  std::uniform_int_distribution<Micros> when(0, within);
   for (const auto& ep : fleet_)
     for (Tunnel* held : ep->held)
-      host_.wake_at(host_.now() + when(chance_), [this, weak = held->weak_from_this()] {
+      host_.wake_at(host_.now() + spread(within), [this, weak = held->weak_from_this()] {
         if (const auto tun = weak.lock(); tun && tun->open) queue_move(*tun), run_movers();
       });
 }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -15,7 +15,7 @@
   cherryrail::net::Door door(loop, start);
   cherryrail::ops::Operation operation(loop, door, start);
   loop.on_terminate([&operation] { operation.leave(); });
-  loop.on_reload([&operation, &path] { operation.reload(path); });
+  loop.on_reload([&door, &path] { door.reload(path); });
   loop.run();
 }
 
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -33,12 +33,12 @@
   }
   void has_waited(Micros time) { quiet_since_ -= time; }
   std::optional<Handed> to_hand() const {
-    if (over_ || exchange_) return over_ ? std::nullopt : exchange_->to_hand();
-    if (!connection_->settled()) return {};
+    if (exchange_ && !over_) return exchange_->to_hand();
     Handed handed;
+    handed.client = settled();
+    if (handed.client < 0) return {};
     handed.begun = lines_.begun();
     handed.waited = side_.loop_.now() - quiet_since_;
-    handed.client = connection_->descriptor();
     return handed;
   }
   const Exchange* exchange() const { return exchange_.get(); }
@@ -178,7 +178,7 @@
   quiet_.insert(last_);
   client->start(std::move(socket));
   client->has_waited(waited);
-  look_whether_quiet(client, loop_.now() + std::max<Micros>(0, kFirstLine - waited));
+  look_whether_quiet(client, client->quiet_since() + kFirstLine);
   if (!begun.empty()) client->received(begun);
   client->look();  // most have said by now what they want
 }
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -40,7 +40,7 @@
           loop, start.discovery, start.known.version,
           [this](const List& list) {
             list_heard(list);
-            if (relay_ && !backends_.empty()) serve();
+            if (!backends_.empty()) serve();
           },
           [this] { relay_->list_failed(); }),
       probes_(loop, start.facts.reports_on_probe ? "STATS" : "PING", start.facts.connect_within,
@@ -57,8 +57,10 @@
   look_for_silence();
   // Danger: with an old list, setups go to backends that have left. But discovery may be down for long, and a
   // relay that never begins serves nobody.
-  if (start.clients_fd < 0) serve();
-  loop_.wake_at(loop_.now() + kFirstList, [this] { serve(); });
+  if (start.clients_fd < 0)
+    serve();
+  else
+    loop_.wake_at(loop_.now() + kFirstList, [this] { serve(); });
   loop_.log().line(Topic::life, "%s is up, %zu backends known", start.name.c_str(), backends_.size());
 }
 
@@ -83,7 +85,7 @@
   // declined.
   loop_.wake_at(loop_.now() + kStillComing, [this] {
     relay_->retire();
-    look_whether_empty(loop_.now());
+    end_when_empty();
   });
 }
 
@@ -106,7 +108,7 @@
 void Door::move_rest() {
   loop_.log().line(Topic::life, "%zu clients could not be handed over: moving them", clients_->tunnels());
   relay_->retire(0);
-  look_whether_empty(loop_.now());
+  end_when_empty();
 }
 
 Micros Door::longest_wait() const {
@@ -124,13 +126,9 @@
   if (const char* fault = tun->head.fault() ? tun->head.fault() : read_tunnel(*tun))
     return loop_.log().line(Topic::fault, "a tunnel handed over is not understood: %s", fault);
   id_known(tun);
-  auto& ep = backends_[handed.backend];
-  if (!ep) {  // it has left the list since: its tunnels are to be moved
-    ep = std::make_shared<Endpoint>();
-    ep->uid = handed.backend;
-    ep->name = key_of("uid " + ep->uid);
-    relay_->list_entry(ep, Standing::gone, 1, 0);
-  }
+  const bool listed = backends_.contains(handed.backend);
+  const auto& ep = endpoint(handed.backend);
+  if (!listed) relay_->list_entry(ep, Standing::gone, 1, 0);  // it has left: its tunnels are to be moved
   clients_->stands(std::move(client), tun);
   servers_.stands(tun, std::move(server));
   tun->stands_at(ep, handed.waited);
@@ -241,19 +239,23 @@
   return zone;
 }
 
+const std::shared_ptr<Door::Endpoint>& Door::endpoint(const std::string& uid) {
+  auto& ep = backends_[uid];
+  if (ep) return ep;
+  ep = std::make_shared<Endpoint>();
+  ep->uid = uid;
+  ep->name = key_of("uid " + uid);  // hashed as a text: the same at every relay
+  ep->banned = banned_.contains(uid);
+  return ep;
+}
+
 void Door::list_heard(const List& list) {
   if (list.skipped > 0)
     loop_.log().line(Topic::discovery, "%zu entries in no known state passed over", list.skipped);
   std::set<std::string_view> named;
   for (const Listed& entry : list.entries) {
     named.insert(entry.uid);
-    auto& ep = backends_[entry.uid];
-    if (!ep) {
-      ep = std::make_shared<Endpoint>();
-      ep->uid = entry.uid;
-      ep->name = key_of("uid " + entry.uid);  // hashed as a text: the same at every relay
-      ep->banned = banned_.contains(entry.uid);
-    }
+    const auto& ep = endpoint(entry.uid);
     if (const Address address = parse_address(entry.endpoint)) ep->address = address;
     ep->zone = zone_of(entry.zone);
     ep->cell = entry.cell;
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -27,7 +27,6 @@
   void on_ready(std::function<void()> then);
   bool ready() const { return ready_ && !leaving_; }
   // Once no more are sent here, moves every client, answers those that come all the same, and quits the loop.
-  // Where another process already takes them in, this one stops that at once.
   void leave();
   // Instead: takes nobody in any more, for another process does, and gives that process what it holds as far
   // as that can go now. True once nothing is left.
@@ -70,6 +69,7 @@
   bool full() const;  // descriptors run short
   bool id_known(const std::shared_ptr<Exchange>& tun);
   void list_heard(const List& list);
+  const std::shared_ptr<Endpoint>& endpoint(const std::string& uid);  // made where it is not known yet
   void serve();
   void told(Exchange& tun, double figure);
   void look_for_silence();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -13,12 +13,12 @@
   return error == std::errc{} && end != text.data() && (end == text.data() + text.size() || *end == ';');
 }
 
+}  // namespace
+
 bool same_word(std::string_view a, std::string_view b) {
   return a.size() == b.size() && g_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-}  // namespace
-
 void HttpAnswer::take_line() {
   const std::string line = std::exchange(held_, {});
   std::string_view text = line;
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -7,6 +7,9 @@
 
 namespace cherryrail::net {
 
+// Whether two words are the same, large and small letters alike.
+bool same_word(std::string_view a, std::string_view b);
+
 class HttpAnswer {
  public:
   enum class State { head, body, done, bad };
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -10,12 +10,6 @@
 constexpr Micros kAcceptPause = 20'000;  // with no descriptor left
 constexpr int kBacklog = 4096, kAtOnce = 64;
 
-[[noreturn]] void cannot(const char* what, GError* error) {
-  const std::string why = error ? error->message : "unknown";
-  g_clear_error(&error);
-  throw std::runtime_error(what + why);
-}
-
 }  // namespace
 
 SocketPtr listen_at(const Address& address) {
@@ -24,8 +18,11 @@
                                 G_SOCKET_PROTOCOL_TCP, &error));
   if (socket) g_socket_set_listen_backlog(socket.get(), kBacklog);
   if (!socket || !g_socket_bind(socket.get(), address.get(), TRUE, &error) ||
-      !g_socket_listen(socket.get(), &error))
-    cannot("cannot listen: ", error);
+      !g_socket_listen(socket.get(), &error)) {
+    const std::string why = error ? error->message : "unknown";
+    g_clear_error(&error);
+    throw std::runtime_error("cannot listen: " + why);
+  }
   return socket;
 }
 
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -221,18 +221,20 @@
 
 ServerSide::~ServerSide() = default;
 
+std::shared_ptr<ServerSide::Server> ServerSide::admit(const std::shared_ptr<Exchange>& exchange,
+                                                      Micros limit) {
+  const auto server = std::make_shared<Server>(*this, ++last_, exchange, limit);
+  servers_.emplace(last_, server);
+  return server;
+}
+
 void ServerSide::start(const std::shared_ptr<Exchange>& exchange, const Address& to, Micros limit) {
-  const std::uint64_t number = ++last_;
-  const auto server = std::make_shared<Server>(*this, number, exchange, limit);
-  servers_.emplace(number, server);
+  const auto server = admit(exchange, limit);
   server->start(to, server);
 }
 
 void ServerSide::stands(const std::shared_ptr<Exchange>& exchange, SocketPtr socket) {
-  const std::uint64_t number = ++last_;
-  const auto server = std::make_shared<Server>(*this, number, exchange, 0);
-  servers_.emplace(number, server);
-  server->stand(std::move(socket));
+  admit(exchange, 0)->stand(std::move(socket));
 }
 
 void ServerSide::silent_for(Micros wait, const std::function<void(Exchange&)>& tell) {
--- a/src/net/server_side.hpp
+++ b/src/net/server_side.hpp
@@ -27,6 +27,7 @@
 
  private:
   class Server;
+  std::shared_ptr<Server> admit(const std::shared_ptr<Exchange>& exchange, Micros limit);
 
   Loop& loop_;
   Micros connect_limit_;
--- a/src/net/start.cpp
+++ b/src/net/start.cpp
@@ -48,6 +48,12 @@
   return from_outside ? from_outside : "";
 }
 
+Address address_at(const char* key, const std::string& text) {
+  Address address = parse_address(text);
+  if (!address) throw BadSetting(std::string(key) + ": '" + text + "' is not an address and a port");
+  return address;
+}
+
 // Danger: a wrong descriptor, taken on trust, would be some file or another's socket, and no client would
 // come.
 int inherited_socket(const Address& listen_on) {
@@ -102,16 +108,13 @@
   Start start;
   start.name = text_of(root, "name", "EDGE_NAME");
   start.listen = text_of(root, "listen", "EDGE_LISTEN");
-  start.listen_on = parse_address(start.listen);
-  if (!start.listen_on) throw BadSetting("listen: '" + start.listen + "' is not an address and a port");
+  start.listen_on = address_at("listen", start.listen);
   start.discovery = text_of(root, "discovery", "EDGE_DISCOVERY");
-  if (!parse_address(start.discovery))
-    throw BadSetting("discovery: '" + start.discovery + "' is not an address and a port");
+  address_at("discovery", start.discovery);
   start.clients_fd = inherited_socket(start.listen_on);
   start.mgmt = text_of(root, "mgmt", "EDGE_MGMT");
   if (!start.mgmt.empty()) {
-    start.mgmt_on = parse_address(start.mgmt);
-    if (!start.mgmt_on) throw BadSetting("mgmt: '" + start.mgmt + "' is not an address and a port");
+    start.mgmt_on = address_at("mgmt", start.mgmt);
     if (start.mgmt == start.listen)
       throw BadSetting("mgmt: clients connect there; it needs a place of its own");
   }
--- a/src/ops/bans.cpp
+++ b/src/ops/bans.cpp
@@ -10,30 +10,15 @@
 #include <cstring>
 #include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <utility>
 
+#include "ops/handle.hpp"
+
 namespace cherryrail::ops {
 namespace {
 
 constexpr std::size_t kLargest = std::size_t{1} << 20;
 
-// Held while the file is read, changed and replaced: two processes may be called at once.
-class Held {
- public:
-  explicit Held(const std::string& path) : fd_(open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600)) {
-    if (fd_ >= 0) flock(fd_, LOCK_EX);
-  }
-  ~Held() {
-    if (fd_ >= 0) close(fd_);
-  }
-  Held(const Held&) = delete;
-  Held& operator=(const Held&) = delete;
-
- private:
-  int fd_;
-};
-
 }  // namespace
 
 Bans::Bans(std::string path) : path_(std::move(path)) { look(); }
@@ -74,14 +59,12 @@
 }
 
 bool Bans::change(const std::string& name, bool banned) {
-  if (path_.empty()) {
-    banned ? void(names_.insert(name)) : void(names_.erase(name));
-    return true;
-  }
-  const Held held(path_ + ".lock");
+  // Held while the file is read, changed and replaced: two processes may be called at once.
+  const Handle lock(path_.empty() ? -1 : open((path_ + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600));
+  if (lock) flock(lock.get(), LOCK_EX);
   look();  // what the other process was told a moment ago must not be lost
   const bool changes = banned ? names_.insert(name).second : names_.erase(name) > 0;
-  if (!changes && fault_.empty()) return true;
+  if (path_.empty() || (!changes && fault_.empty())) return true;
   if (!write()) {
     fault_ = path_ + " cannot be written: " + std::strerror(errno);
     return false;
--- a/src/ops/call.cpp
+++ b/src/ops/call.cpp
@@ -6,14 +6,14 @@
 #include <charconv>
 #include <utility>
 
+#include "net/http.hpp"
+
 namespace cherryrail::ops {
 namespace {
 
-constexpr std::size_t kLongestHead = 8192, kLongestBody = 16384;
+using net::same_word;
 
-bool same_word(std::string_view a, std::string_view b) {
-  return a.size() == b.size() && g_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
+constexpr std::size_t kLongestHead = 8192, kLongestBody = 16384;
 
 std::string_view trimmed(std::string_view text) {
   while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
--- a/src/ops/calls.cpp
+++ b/src/ops/calls.cpp
@@ -11,7 +11,8 @@
 using net::Topic;
 
 constexpr Micros kCallWithin = 5'000'000;  // a connection whose call is not whole by then is closed
-constexpr const char* reason_of(int status) {
+
+const char* reason_of(int status) {
   switch (status) {
     case 200:
       return "OK";
@@ -74,12 +75,11 @@
   bool answered() const { return answered_; }
   bool gone() const { return !connection_->is_open(); }
   void drop(const char* reason) {
-    leave_line(reason);
-    answered_ = true;
+    leave(reason);
     connection_->close();
   }
   void look_at_clock() {
-    if (!answered_) refuse(refusal(408, "the call did not come whole"));
+    if (!answered_) answer(refusal(408, "the call did not come whole"));
   }
 
   void received(std::string_view bytes) override {
@@ -88,35 +88,31 @@
       case Call::State::more:
         return;
       case Call::State::bad:
-        return refuse(refusal(call_.fault(), "the call cannot be read"));
+        return answer(refusal(call_.fault(), "the call cannot be read"));
       case Call::State::whole:
         return answer(look_up(calls_.table_, call_));
     }
   }
-  void ended() override { refuse(refusal(400, "the call ended before it was whole")); }
+  void ended() override { answer(refusal(400, "the call ended before it was whole")); }
   void broken() override { leave("caller_left"); }
 
  private:
-  void refuse(const Reply& reply) { answer(reply); }
   void answer(const Reply& reply) {
-    const std::string length = std::to_string(reply.text.size() + 1), status = std::to_string(reply.status);
-    connection_->send(
-        {"HTTP/1.1 ", status, " ", reason_of(reply.status),
-         "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: ", length});
-    connection_->send({"\r\n\r\n", reply.text, "\n"});
+    const std::string status = std::to_string(reply.status);
+    const std::string head = "HTTP/1.1 " + status + " " + reason_of(reply.status) +
+                             "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " +
+                             std::to_string(reply.text.size() + 1) + "\r\n\r\n";
+    connection_->send({head, reply.text, "\n"});
     connection_->close_gently();
     leave(status.c_str());
   }
-  void leave_line(const char* reason) {
+  void leave(const char* reason) {
+    if (std::exchange(answered_, true)) return;
     calls_.loop_.log().line(Topic::connection, "call=%s %s end=%s ms=%lld",
                             call_.method().empty() ? "-" : call_.method().c_str(),
                             call_.path().empty() ? "-" : call_.path().substr(0, 80).c_str(), reason,
                             static_cast<long long>((calls_.loop_.now() - began_) / 1000));
   }
-  void leave(const char* reason) {
-    if (std::exchange(answered_, true)) return;
-    leave_line(reason);
-  }
 
   Calls& calls_;
   Micros began_, heard_at_;
--- a/src/ops/operation.cpp
+++ b/src/ops/operation.cpp
@@ -15,7 +15,7 @@
 
 constexpr Micros kHandAgain = 20'000;
 constexpr int kTakenAtOnce = 64;
-constexpr Micros kLookAtBans = 100'000;  // a call to the other process holds here so much later at most
+constexpr Micros kLookAgain = 100'000;  // what the other process is told or holds counts here so late at most
 
 // The name of a file that is this relay's own among those that share the folder.
 std::string file_name(const std::string& relay, const char* what) {
@@ -82,8 +82,8 @@
 Reply Operation::ban(const std::string& body, bool banned) {
   const auto who = who_of(body);
   if (!who) return refusal(400, "the body is not JSON with a text `who`");
-  bans_.look();
-  if (!door_.knows(*who) && !bans_.names().contains(*who)) return refusal(404, "no such backend");
+  if (bans_.look()) heed_bans();
+  if (!door_.knows(*who)) return refusal(404, "no such backend");
   // Danger: a full disk must not keep an operator from taking a backend out.
   bans_.change(*who, banned);
   heed_bans();
@@ -99,7 +99,7 @@
 // While a relay is replaced there are two processes, and a call to one must hold for both.
 void Operation::look_at_bans() {
   if (bans_.look() || !bans_.fault().empty()) heed_bans();
-  loop_.wake_at(loop_.now() + kLookAtBans, [this] { look_at_bans(); });
+  loop_.wake_at(loop_.now() + kLookAgain, [this] { look_at_bans(); });
 }
 
 Operation::~Operation() = default;
@@ -132,18 +132,14 @@
 
 void Operation::greet() {
   Handle from(accept4(succession_.listening(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  ucred who{};
-  socklen_t size = sizeof(who);
   // Danger: whoever can open the folder could hand in connections of his own.
-  if (!from || getsockopt(from.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != geteuid())
-    return;
-  meet(std::move(from));
+  if (from && peer_of(from)) meet(std::move(from));
 }
 
 void Operation::meet(Handle with) {
   const auto one = std::make_shared<Peer>();
   one->from = std::move(with);
-  one->process = peer_of(one->from);
+  one->process = peer_of(one->from).value_or(0);
   peers_.push_back(one);
   one->watch =
       std::make_unique<net::Watch>(loop_, one->from.get(), [this, weak = std::weak_ptr(one)](bool, bool) {
@@ -192,9 +188,7 @@
 void Operation::look_at_peers() {
   count_peers();
   looking_ = !peers_.empty();
-  if (looking_) loop_.wake_at(loop_.now() + kLookAtBans, [this] { look_at_peers(); });
+  if (looking_) loop_.wake_at(loop_.now() + kLookAgain, [this] { look_at_peers(); });
 }
 
-void Operation::reload(const std::string& path) { door_.reload(path); }
-
 }  // namespace cherryrail::ops
--- a/src/ops/operation.hpp
+++ b/src/ops/operation.hpp
@@ -19,7 +19,6 @@
   ~Operation();
   // Told to end: gives what it holds to the process that stands in for it from now on, if there is one.
   void leave();
-  void reload(const std::string& path);
 
  private:
   struct Peer;
--- a/src/ops/takeover.cpp
+++ b/src/ops/takeover.cpp
@@ -13,6 +13,7 @@
 #include <cstring>
 #include <filesystem>
 #include <iterator>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <system_error>
 #include <utility>
@@ -40,6 +41,20 @@
 
 Handle unix_socket() { return Handle(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)); }
 
+// Room for what goes beside a message: two descriptors at most.
+struct Descriptors {
+  alignas(cmsghdr) std::array<char, CMSG_SPACE(2 * sizeof(int))> bytes;
+};
+
+msghdr message_of(iovec& part, Descriptors& beside, std::size_t room) {
+  msghdr message{};
+  message.msg_iov = &part;
+  message.msg_iovlen = 1;
+  message.msg_control = room > 0 ? beside.bytes.data() : nullptr;
+  message.msg_controllen = room;
+  return message;
+}
+
 nlohmann::json written(const Memory& memory) {
   auto backends = nlohmann::json::array();
   for (const Memory::Of& of : memory.backends)
@@ -72,17 +87,6 @@
 
 }  // namespace
 
-Handle::Handle(Handle&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-
-Handle& Handle::operator=(Handle&& other) noexcept {
-  std::swap(fd_, other.fd_);
-  return *this;
-}
-
-Handle::~Handle() {
-  if (fd_ >= 0) close(fd_);
-}
-
 Succession::Succession(const std::string& folder, const std::string& name)
     : folder_(folder.empty() ? -1 : open(folder.c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC)), name_(name) {}
 
@@ -110,11 +114,12 @@
   return there;
 }
 
-int peer_of(const Handle& connection) {
+std::optional<int> peer_of(const Handle& connection) {
   ucred who{};
   socklen_t size = sizeof(who);
-  const bool seen = getsockopt(connection.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) == 0;
-  return seen && who.pid != getpid() ? who.pid : 0;
+  if (getsockopt(connection.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != geteuid())
+    return {};
+  return who.pid != getpid() ? who.pid : 0;
 }
 
 std::size_t descriptors_of(int process) {
@@ -134,19 +139,11 @@
   if (handed.memory) json["memory"] = written(*handed.memory);
   std::vector<std::uint8_t> text = nlohmann::json::to_cbor(json);
   std::array<int, 2> fds{handed.client, handed.server};
-  const std::size_t room = (handed.server < 0 ? 1 : 2) * sizeof(int);
-  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(fds))> control{};
+  const std::size_t room = (handed.client < 0 ? 0 : handed.server < 0 ? 1 : 2) * sizeof(int);
+  Descriptors control{};
   iovec part{text.data(), text.size()};
-  msghdr message{};
-  message.msg_iov = &part;
-  message.msg_iovlen = 1;
-  message.msg_control = control.data();
-  message.msg_controllen = CMSG_SPACE(room);
-  if (handed.client < 0) {
-    message.msg_control = nullptr;
-    message.msg_controllen = 0;
-  } else {
-    cmsghdr* header = CMSG_FIRSTHDR(&message);
+  msghdr message = message_of(part, control, room > 0 ? CMSG_SPACE(room) : 0);
+  if (cmsghdr* header = CMSG_FIRSTHDR(&message)) {
     header->cmsg_level = SOL_SOCKET;
     header->cmsg_type = SCM_RIGHTS;
     header->cmsg_len = CMSG_LEN(room);
@@ -158,15 +155,11 @@
 }
 
 std::optional<net::Handed> taken(const Handle& from, bool& over) {
-  std::vector<std::uint8_t> text(kLongestMessage);
+  const auto text = std::make_unique_for_overwrite<std::uint8_t[]>(kLongestMessage);
   std::array<int, 2> fds{-1, -1};
-  alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(fds))> control{};
-  iovec part{text.data(), text.size()};
-  msghdr message{};
-  message.msg_iov = &part;
-  message.msg_iovlen = 1;
-  message.msg_control = control.data();
-  message.msg_controllen = control.size();
+  Descriptors control{};
+  iovec part{text.get(), kLongestMessage};
+  msghdr message = message_of(part, control, control.bytes.size());
   const ssize_t got = recvmsg(from.get(), &message, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
   over = got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
   if (got <= 0) return {};
@@ -178,7 +171,7 @@
   handed.client = fds[0];
   handed.server = fds[1];
   try {
-    const auto json = nlohmann::json::from_cbor(text.data(), text.data() + got);
+    const auto json = nlohmann::json::from_cbor(text.get(), text.get() + got);
     if (const auto memory = json.find("memory"); memory != json.end()) {
       handed.memory = read_memory(*memory);
       return handed;
--- a/src/ops/takeover.hpp
+++ b/src/ops/takeover.hpp
@@ -8,23 +8,10 @@
 #include <string>
 
 #include "net/handed.hpp"
+#include "ops/handle.hpp"
 
 namespace cherryrail::ops {
 
-// A descriptor that is closed with its owner.
-class Handle {
- public:
-  explicit Handle(int fd = -1) : fd_(fd) {}
-  Handle(Handle&& other) noexcept;
-  Handle& operator=(Handle&& other) noexcept;
-  ~Handle();
-  int get() const { return fd_; }
-  explicit operator bool() const { return fd_ >= 0; }
-
- private:
-  int fd_;
-};
-
 // A name in the shared folder, bound to a socket of the process that announced itself last. It needs no
 // cleaning up: nobody answers at the name of a process that has died.
 class Succession {
@@ -44,8 +31,9 @@
   unsigned long long own_ = 0;  // the file that is this process's own
 };
 
-// The process at the other end, 0 if it is this one or not to be seen; and how many descriptors one holds.
-int peer_of(const Handle& connection);
+// The process at the other end, 0 if it is this one; nothing if it is another user's. And how many
+// descriptors a process holds.
+std::optional<int> peer_of(const Handle& connection);
 std::size_t descriptors_of(int process);
 
 // One message between the two, with its descriptors.
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -324,6 +324,25 @@
   EXPECT_FALSE(here.ended()) << at;
 }
 
+// A tunnel may come over before the list names its backend; a ban holds for that backend all the same.
+TEST(Handover, ABanHoldsForABackendKnownFromATunnelFirst) {
+  House house(1);
+  house.backends.push_back(End::listening());
+  house.first->door.ban({"s-1"});
+  net::Handed handed;
+  handed.head = "OPEN 9 9 c=talk,d=1200";
+  handed.backend = "s-1";
+  End one = End::listening(), client = End::to(one.port()), theirs = one.accept();
+  End two = End::listening(), server = End::to(two.port());
+  handed.client = dup(theirs.fd());
+  handed.server = dup(server.fd());
+  house.first->door.take_over(handed);
+  house.watch = std::move(house.watches.back());
+  house.list(R"({"rev":6,"all":false,"targets":[)" + house.target(1, "active") + "]}");
+  house.until([] { return false; }, 50);
+  for (int i = 1; i < 9; ++i) EXPECT_EQ(house.holder(house.open(std::to_string(i + 20)).second), 0u);
+}
+
 // Two processes at once are one relay to the limit on descriptors.
 TEST(Succession, WhatTheOtherProcessHoldsCountsToo) {
   House house(1);
