Setups beyond a tunnel's first stay within the stated budget, by construction in launch

Cause: the settings were not read, and place() tried the next-ranked backend as often as max_setups and time allow. Ruled out: returns of moved clients, which come as tunnels of their own and are first setups on the wire. Change: terms read resend_span, budget_free and extra_per_request; launch, the one place where a setup leaves, counts tunnels taken and further setups in two fine rings that err on the safe side, and lets none out beyond the budget. What is out of budget is answered at once. It cannot recur: no other line sends. Two processes that are one relay spend one budget. The first half of the allowance is for whoever needs it; the rest for what pays no less than the mean.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -77,19 +77,24 @@
 
 }  // namespace
 
-void TimeRing::add(Micros now, double amount) {
+template <std::size_t kBuckets>
+void TimeRingOf<kBuckets>::add(Micros now, double amount) {
   const std::int64_t turn = now / width_;
-  Bucket& bucket = buckets_[static_cast<std::size_t>(turn) % buckets_.size()];
+  Bucket& bucket = buckets_[static_cast<std::size_t>(turn) % kBuckets];
+  if (bucket.turn > turn) return;
   if (bucket.turn != turn) bucket = {turn, 0};
   bucket.amount += amount;
 }
 
-double TimeRing::sum(Micros now, std::int64_t buckets) const {
+template <std::size_t kBuckets>
+double TimeRingOf<kBuckets>::sum(Micros now, std::int64_t buckets) const {
   const std::int64_t oldest = now / width_ - std::min(buckets, std::ssize(buckets_));
   double total = 0;
   for (const Bucket& bucket : buckets_) total += bucket.turn > oldest ? bucket.amount : 0;
   return total;
 }
+template class TimeRingOf<8>;
+template class TimeRingOf<64>;
 
 Relay::Relay(Host& host, const SiteTerms& terms, std::uint64_t seed)
     : host_(host), chance_(static_cast<std::uint32_t>(seed ^ (seed >> 32))), profiles_(terms.profiles),
@@ -103,7 +108,8 @@
       cold_from_(std::clamp(terms.cold_from, 0.01, 1.0)),
       probe_price_(std::max(terms.probe_price, kProbeBudget / kPurse)), cross_price_(terms.cross_price),
       asked_(kSecond), returned_(kSecond), good_(kSecond), bad_(kSecond), setups_made_(kSecond),
-      setup_time_(kSecond) {
+      setup_time_(kSecond), budget_window_(terms.budget_window), budget_free_(terms.budget_free),
+      budget_share_(terms.budget_share), taken_(budget_window_ / 63), further_(budget_window_ / 62) {
   double least = 1e300;
   for (const Profile& profile : profiles_) {
     shortest_goal_ = std::min(shortest_goal_, std::max<Micros>(profile.setup_goal, 1000));
@@ -111,6 +117,7 @@
     longest_message_ = std::max(longest_message_, profile.message_goal);
     end_over_ = std::min(kEndMost, std::max(end_over_, 3 * profile.client_timeout / 4));
     if (profile.payoff > 0) least = std::min(least, profile.payoff);
+    usual_payoff_ += profile.payoff / static_cast<double>(profiles_.size());
   }
   // Until loads are told, a profile is taken to load a backend as it pays: the dearest are seldom light.
   for (const Profile& profile : profiles_) profile_load_.push_back(std::max(1.0, profile.payoff / least));
@@ -190,6 +197,7 @@
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
   asked_.add(host_.now(), 1);
+  taken_.add(host_.now(), 1);
   if (tun->returning)
     returned_.add(host_.now(), 1);
   else
@@ -207,7 +215,8 @@
 }
 
 void Relay::place(Tunnel& tun) {
-  while (tun.setups < max_setups_ && tun.expires_at - host_.now() > 3 * answer_margin_) {
+  while (tun.setups < max_setups_ && tun.expires_at - host_.now() > 3 * answer_margin_ &&
+         budget_allows(tun)) {
     Backend* ep = choose(tun);
     if (!ep) break;
     tun.tried.push_back(ep);
@@ -353,11 +362,22 @@
                                     : ep.cell == tun.may_have_run_at->cell;
 }
 
+// Rule 5: in any window, setups beyond a tunnel's first are so many and a share of the tunnels taken in it.
+// The rings err on the safe side by a sixtieth. The first half of what may be spent is for whoever needs it,
+// the rest for what pays no less than most.
+bool Relay::budget_allows(const Tunnel& tun) const {
+  if (budget_window_ <= 0 || tun.setups == 0) return true;
+  const double allowed = budget_free_ + budget_share_ * taken_.sum(host_.now(), 62);
+  const double spent = further_.sum(host_.now());
+  return spent + 1 <= allowed && (2 * spent < allowed || tun.profile->payoff >= usual_payoff_);
+}
+
 // The one place where a setup leaves.
 bool Relay::launch(Tunnel& tun, Backend& ep) {
   if (tun.answered || tun.ep || tun.setups >= max_setups_) return false;      // never two, none once answered
   if (ep.standing != Standing::ready) return false;                           // rule 3
   if (!effect_allows(tun, ep) || !cold_budget_allows(tun, ep)) return false;  // rules 2 and 4
+  if (!budget_allows(tun)) return false;                                      // rule 5
   if (ep.since > 0) {
     const std::int64_t turn = cold_turn(ep);
     ep.cold_sent = ep.cold_turn == turn ? ep.cold_sent + 1 : 1;
@@ -365,7 +385,7 @@
   }
   tun.sent_at = host_.now();
   if (ep.aside) ep.next_trickle = tun.sent_at + ep.trickle_gap;
-  ++tun.setups;
+  if (tun.setups++ > 0) further_.add(tun.sent_at, 1);
   hold(tun, ep);
   tun.next = [this, &tun, &ep](const Ending& ending) { after_setup(tun, ep, ending); };
   host_.send_setup(tun, ep, setup_limit(tun));
@@ -387,6 +407,7 @@
 }
 
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
+  if (ending.result == Result::moot && tun.setups > 1) further_.add(tun.sent_at, -1);  // it never left
   if (ending.result == Result::connect_failed) unheard(ep);
   // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
   if (ending.result == Result::reset) dropped(ep);
@@ -766,11 +787,12 @@
 
 // Danger: two processes with one relay's turn would send a cold backend twice what it was dealt.
 Memory Relay::succeeded() {
-  Memory memory{born_, turns_from_, strained_until_, new_clients_, purse_, {}};
+  Memory memory{born_, turns_from_, strained_until_, new_clients_, purse_, further_.sum(host_.now()), {}};
   for (const auto& ep : fleet_)
     memory.backends.push_back({ep->name, ep->since, ep->listed_since, ep->room_cut_at, ep->doubt, ep->room,
                                ep->full, ep->aside, ep->silent, ep->presumed, ep->cold_turn, ep->cold_sent});
   turns_from_ = std::numeric_limits<Micros>::max();
+  budget_free_ = budget_share_ = 0;
   may_probe_ = false;
   return memory;
 }
@@ -783,6 +805,7 @@
   strained_until_ = std::max(strained_until_, memory.strained_until);
   new_clients_ += memory.new_clients;
   purse_ = std::clamp(memory.purse, 0.0, kPurse);
+  further_.add(host_.now(), memory.further);
   for (const Memory::Of& of : memory.backends) {
     const auto known =
         std::find_if(fleet_.begin(), fleet_.end(), [&of](const auto& ep) { return ep->name == of.name; });
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -57,14 +57,19 @@
   Micros longest_advice = 0, ask_within = 0, step = 0;
   Micros fall_window = 0, warm_up = 0;
   double fall_multiple = 1, cold_from = 1, probe_price = 0, cross_price = 0;
+  // Setups beyond each tunnel's first, in any window of this length, 0 where nothing is stated: so many, and
+  // this share of the tunnels taken in it.
+  Micros budget_window = 0;
+  double budget_free = 0, budget_share = 0;
 };
 
 // Fixed buckets of time, used again in a ring: what happened over the last `buckets x width`.
-class TimeRing {
+template <std::size_t kBuckets>
+class TimeRingOf {
  public:
-  explicit TimeRing(Micros width) : width_(width > 0 ? width : 1) {}
-  void add(Micros now, double amount);
-  double sum(Micros now, std::int64_t buckets = 8) const;  // of the last so many, at most all
+  explicit TimeRingOf(Micros width) : width_(width > 0 ? width : 1) {}
+  void add(Micros now, double amount);                            // what is older than the ring is left out
+  double sum(Micros now, std::int64_t buckets = kBuckets) const;  // of the last so many, at most all
 
  private:
   struct Bucket {
@@ -72,8 +77,9 @@
     double amount = 0;
   };
   Micros width_;
-  std::array<Bucket, 8> buckets_{};
+  std::array<Bucket, kBuckets> buckets_{};
 };
+using TimeRing = TimeRingOf<8>;
 
 struct Tunnel;
 
@@ -130,7 +136,7 @@
   };
   Micros born = 0, turns_from = 0, strained_until = 0;
   std::size_t new_clients = 0;
-  double purse = 0;
+  double purse = 0, further = 0;  // setups beyond a first, in the budget's last window
   std::vector<Of> backends;
 };
 
@@ -232,6 +238,7 @@
   bool cold_budget_allows(const Tunnel& tun, const Backend& ep) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
+  bool budget_allows(const Tunnel& tun) const;
   bool launch(Tunnel& tun, Backend& ep);
   Micros setup_limit(const Tunnel& tun) const;
   void measured(Micros took);
@@ -286,6 +293,9 @@
   Micros strained_until_ = 0;  // most were: the verdict stands for a while
   std::size_t new_clients_ = 0;
   TimeRing asked_, returned_, good_, bad_, setups_made_, setup_time_;
+  Micros budget_window_;
+  double budget_free_, budget_share_, usual_payoff_ = 0;
+  TimeRingOf<64> taken_, further_;  // tunnels, and setups beyond a first
 };
 
 }  // namespace cherryrail
--- a/src/ops/takeover.cpp
+++ b/src/ops/takeover.cpp
@@ -65,6 +65,7 @@
           {"strained_until", memory.strained_until},
           {"new_clients", memory.new_clients},
           {"purse", memory.purse},
+          {"further", memory.further},
           {"backends", backends}};
 }
 
@@ -75,6 +76,7 @@
   json.at("strained_until").get_to(memory.strained_until);
   json.at("new_clients").get_to(memory.new_clients);
   json.at("purse").get_to(memory.purse);
+  memory.further = json.value("further", 0.0);  // an earlier version does not tell it
   for (const auto& one : json.at("backends")) {
     Memory::Of of;
     auto next = [&one, at = std::size_t{0}](auto& value) mutable { one.at(at++).get_to(value); };
--- a/src/terms/terms.cpp
+++ b/src/terms/terms.cpp
@@ -144,6 +144,15 @@
   terms.fall_multiple = pairs.number("invariants.fall_multiple", 1);
   terms.cold_from = pairs.number("invariants.cold_from", 1, 0, 1);
   terms.probe_price = pairs.number("prices.probe", 0);
+  terms.budget_share = pairs.number("invariants.extra_per_request", 0);
+  terms.budget_free = pairs.number("invariants.budget_free", 0);
+  terms.budget_window = pairs.time("invariants.resend_span");
+  if (terms.budget_window <= 0 && (terms.budget_share > 0 || terms.budget_free > 0))
+    Pairs::fail("invariants.resend_span", pairs.word("invariants.resend_span"),
+                "a time above 0, with a budget");
+  // Checked, but no decision turns on how unserved seconds are weighed.
+  pairs.number("objective_mix.nines_part", 0);
+  pairs.number("objective_mix.top_nines", 1, 1e-3, 100);
   const std::string_view fields = pairs.word("report.fields");
   for (const std::string_view wanted : {std::string_view("busy"), std::string_view("x0")}) {
     for (std::size_t i = 0; i < 4; ++i) {
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -74,6 +74,15 @@
   EXPECT_EQ(facts.terms.tenant_shares, (std::vector<double>{7, 0}));
 }
 
+TEST(Link, BudgetOfSetupsIsReadFromTheSettings) {
+  const Facts facts = read_facts(split_settings(
+      "profiles.count=1\ninvariants.budget_free=1\ninvariants.extra_per_request=0.15\n"
+      "invariants.resend_span=5000.0\nobjective_mix.nines_part=0.2\nobjective_mix.top_nines=2\n"));
+  EXPECT_EQ(facts.terms.budget_window, 5'000'000);
+  EXPECT_EQ(facts.terms.budget_free, 1);
+  EXPECT_EQ(facts.terms.budget_share, 0.15);
+}
+
 void expect_refused(const std::string& frame, const std::string& word) {
   Link link;
   link.play(batch(2, spawn() + kRoster));
@@ -91,6 +100,8 @@
   expect_refused(batch(1, little(4711, 2) + little(3, 2)), "unknown event code 4711");
   expect_refused(batch(1, spawn("profiles.count=1\nprofiles.0.payoff=much\n")), "profiles.0.payoff");
   expect_refused(batch(1, spawn("profiles.count=1\ndiscovery=sometimes\n")), "discovery");
+  expect_refused(batch(1, spawn("profiles.count=1\ninvariants.budget_free=1\n")), "invariants.resend_span");
+  expect_refused(batch(1, spawn("profiles.count=1\nobjective_mix.top_nines=0\n")), "objective_mix.top_nines");
   EXPECT_THROW(Link::frame_length(bytes("00000000206ec040 03000000 00000000")), WireError);
 }
 
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -380,7 +380,7 @@
   const ops::Handle from(accept(second.listening(), nullptr, nullptr));
   net::Handed handed;
   handed.memory =
-      Memory{5, 6, 7, 8, 2.5, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
+      Memory{5, 6, 7, 8, 2.5, 3, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
   EXPECT_EQ(ops::give(to, handed), ops::Gave::yes);
   bool over = false;
   const auto got = ops::taken(from, over);
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -87,6 +87,74 @@
   EXPECT_EQ(story.host.sent.size(), 2u);
 }
 
+SiteTerms budget_terms(double free, double share) {
+  SiteTerms terms = plain_terms();
+  terms.profiles.push_back(terms.profiles[0]);
+  terms.profiles[1].index = 1;
+  terms.profiles[1].payoff = 3;
+  terms.budget_window = 5 * kS;
+  terms.budget_free = free;
+  terms.budget_share = share;
+  return terms;
+}
+
+// A backend after the other refuses: each tunnel would be tried again at the next one, as often as it may be.
+TEST(Rules, FurtherSetupsStayWithinTheBudgetInEveryWindow) {
+  Story story(8, budget_terms(1, 0.15));
+  std::vector<Micros> taken, further;
+  for (int i = 0; i < 300; ++i) {
+    taken.push_back(story.host.clock);
+    Tunnel& tun = story.arrive(static_cast<std::uint64_t>(i) + 1);
+    while (tun.ep) {
+      if (tun.setups > 1) further.push_back(story.host.clock);
+      story.fail(tun, Result::connect_failed);
+    }
+    EXPECT_EQ(story.answers(tun), 1u);  // at once, whatever is left of its time
+    story.host.pass(i < 150 ? 40 * kMs : 700 * kMs);
+  }
+  EXPECT_GE(further.size(), 20u);
+  for (const Micros at : further) {
+    const auto within = [at](Micros other) { return other <= at && other > at - 5 * kS; };
+    EXPECT_LE(std::count_if(further.begin(), further.end(), within),
+              1 + 0.15 * static_cast<double>(std::count_if(taken.begin(), taken.end(), within)));
+  }
+}
+
+TEST(Rules, BudgetsFirstHalfIsForAllAndTheRestForWhatPaysMore) {
+  Story story(8, budget_terms(4, 0));
+  std::vector<unsigned> setups;
+  for (const std::size_t profile : {0u, 0u, 0u, 1u, 1u, 1u}) {
+    Tunnel& tun = story.fresh(setups.size() + 1);
+    tun.profile = &story.relay.profiles()[profile];
+    story.relay.take(story.tuns.back());
+    story.fail(tun, Result::rejected);
+    setups.push_back(tun.setups);
+  }
+  EXPECT_EQ(setups, (std::vector<unsigned>{2, 2, 1, 2, 2, 1}));
+}
+
+TEST(Rules, SetupThatNeverLeftIsNotCountedInTheBudget) {
+  Story story(3, budget_terms(1, 0));
+  Tunnel& tun = story.arrive(1);
+  story.fail(tun, Result::rejected);
+  ASSERT_EQ(tun.setups, 2u);
+  story.fail(tun, Result::moot);
+  EXPECT_EQ(tun.setups, 3u);
+}
+
+TEST(Rules, TwoProcessesThatAreOneRelaySpendOneBudget) {
+  Story story(3, budget_terms(1, 0)), next(3, budget_terms(1, 0));
+  next.relay.remember(story.relay.succeeded());
+  story.fail(story.arrive(1), Result::rejected);
+  EXPECT_EQ(story.host.sent.size(), 1u);
+  next.fail(next.arrive(1), Result::rejected);
+  EXPECT_EQ(next.host.sent.size(), 2u);
+  Story third(3, budget_terms(1, 0));
+  third.relay.remember(next.relay.succeeded());
+  third.fail(third.arrive(1), Result::rejected);
+  EXPECT_EQ(third.host.sent.size(), 1u);
+}
+
 TEST(Rules, NothingNewGoesToABackendThatDrainsOrIsGone) {
   Story story(3);
   story.list(0, Standing::draining);
