Backends and ways that are late by themselves are left as on a drain, and believed less each time

Ruled out: load (the told time did not follow what was held), the backend itself (the other relays told nothing of it). Lines at fault: delay_told and after_setup, which took every late message and lost setup for strain. Holds also against one-sided trouble and hanging processes; hurts where overload stands still.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -4,7 +4,8 @@
 // The ordinary path: landing by load-capped rendezvous hashing with warm-up, the next-ranked backend after a
 // failed setup, and a bounded pool of movers for what sits on a draining backend. Beside it stand:
 //   1. the sequential test that sets an ill backend aside, against its peers, and the doubling trickle back;
-//   2. silence: a backend that answers nothing while others do is emptied as if it drained;
+//   2. silence and lateness: a backend that answers nothing while others do, or late whatever its load is, or
+//      behind a way that is late for all its zone, is emptied as if it drained, and believed less each time;
 //   3. probes, paid from a purse that new clients fill;
 //   4. room: strain teaches what a backend can carry; what is over moves, what fits nowhere is declined;
 //   5. turns: relays take turns, by the backend's own start time, at sending to a cold backend;
@@ -37,6 +38,11 @@
 constexpr double kUnknown = 0.5;    // of the known room, where most known are strained
 constexpr double kFewKnown = 3;     // of fewer backends no relay tells that strain is general
 constexpr double kNoLimit = 1e300;
+constexpr double kAlike = 0.1;  // of a message time: late ones that differ by less are alike
+constexpr unsigned kAlikeRow = 2;
+constexpr double kInTime = 0.7;     // of a message goal: the mean may take so long
+constexpr double kNearlyAll = 0.8;  // of what is known in a zone
+constexpr Micros kLateShortest = 3 * kSecond, kLateLongest = 24 * kSecond;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
 constexpr double kIllShare = 0.9;                        // an ill backend fails this share of what it gets
 constexpr double kAsideDoubt = 6.5;                      // about 1 in 700 to set a healthy one aside
@@ -75,6 +81,13 @@
   return result != Result::rejected && result != Result::connect_failed && result != Result::moot;
 }
 
+// Believed longer each time that it comes again soon, forgotten with time.
+void believe(Lateness& late, Micros by, Micros now) {
+  if (now >= late.until)
+    late.wait = now - late.until < 4 * late.wait ? std::min(2 * late.wait, kLateLongest) : kLateShortest;
+  late.by = by, late.until = now + late.wait;
+}
+
 }  // namespace
 
 template <std::size_t kBuckets>
@@ -156,6 +169,7 @@
   ep.doubt = 0;
   ep.aside = false;
   ep.room = kNoLimit;
+  ep.late.until = std::min(ep.late.until, host_.now());
 }
 
 // An operator's word, above the list's until it is taken back. Danger: what comes back was most likely
@@ -253,6 +267,7 @@
     if (over && caps_.strained && over_cap(*ep, kWideCapFactor)) continue;
     if (!fit && (strict || over || cut_within(*ep, 2 * kCutEvery))) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over || !fit ? 1 : 0;
+    if (too_late(tun, *ep)) continue;
     const double rank = exact_rank(*ep);
     if (!best[tier] || rank < best_rank[tier]) best[tier] = ep.get(), best_rank[tier] = rank;
   }
@@ -408,11 +423,13 @@
 
 void Relay::after_setup(Tunnel& tun, Backend& ep, const Ending& ending) {
   if (ending.result == Result::moot && tun.setups > 1) further_.add(tun.sent_at, -1);  // it never left
-  if (ending.result == Result::connect_failed) unheard(ep);
-  // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
-  if (ending.result == Result::reset) dropped(ep);
-  if (ending.result == Result::timed_out) cut_room(ep, 1), measured(2 * ending.took);  // it takes longer
-  if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
+  if (way_time(ep) == 0) {  // else it is the way's fault
+    if (ending.result == Result::connect_failed) unheard(ep);
+    // Danger: setups cost work; sent on to a backend that drops or starves them, they keep it down.
+    if (ending.result == Result::reset) dropped(ep);
+    if (ending.result == Result::timed_out) cut_room(ep, 1), measured(2 * ending.took);  // it takes longer
+    if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
+  }
   if (may_have_run(ending.result) && !tun.may_have_run_at) {
     tun.may_have_run_at = &ep;
     tun.may_have_run_since = tun.sent_at;
@@ -442,7 +459,7 @@
 void Relay::established(Tunnel& tun, Micros took) {
   if (tun.answered || !tun.ep) return;
   opened(tun);
-  measured(took);
+  if (way_time(*tun.ep) == 0) measured(took);
   heard_from(*tun.ep);
   judge(*tun.ep, true);
   if (tun.ep->standing != Standing::ready || retiring_) queue_move(tun), run_movers();
@@ -618,14 +635,72 @@
 
 void Relay::delay_told(Tunnel& tun, Micros message_time) {
   if (!tun.ep) return;
-  heard_from(*tun.ep);
+  Backend& ep = *tun.ep;
+  const Micros now = host_.now();
+  heard_from(ep);
+  if (now - ep.late_at > kSecond / 2) {
+    const double change = std::abs(static_cast<double>(message_time - ep.late_by));
+    const bool same = message_time > shortest_message_ && now - ep.late_at < 2 * kSecond &&
+                      change < kAlike * static_cast<double>(message_time);
+    ep.alike = same ? ep.alike + 1 : 0;
+    ep.late_by = message_time, ep.late_at = now;
+    if (ep.alike >= kAlikeRow) late_by_itself(ep);
+  }
+  if (now < ep.late.until) return;
   // Danger: the mean is in time, yet at half of the goal already a part comes late, and more with each that
   // lands. So the room closes before it is full, and nobody moves. It may hurt where goals are tight for all
   // there is.
   if (message_time <= shortest_message_)
-    return 2 * message_time > shortest_message_ ? cut_room(*tun.ep, 1) : void();
+    return 2 * message_time > shortest_message_ ? cut_room(ep, 1) : void();
   // Danger: measured by the setup goal, a backend passed for sound while no message on it came in time.
-  strained(*tun.ep, message_time > 2 * longest_message_ ? kDeepCut : kSlightCut);
+  strained(ep, message_time > 2 * longest_message_ ? kDeepCut : kSlightCut);
+}
+
+Micros Relay::way_time(const Backend& ep) const {
+  const auto way = ways_.find(ep.zone);
+  return way != ways_.end() && host_.now() < way->second.until ? way->second.by : 0;
+}
+
+bool Relay::too_late(const Tunnel& tun, const Backend& ep) const {
+  const Micros by = std::max(host_.now() < ep.late.until ? ep.late.by : 0, way_time(ep));
+  return static_cast<double>(by) > kInTime * static_cast<double>(tun.profile->message_goal);
+}
+
+// Danger: behind a slow way, for all relays or this one, or while its process hangs, a backend looks
+// overdriven, yet shedding a part helps nobody, and each that lands is lost. Late by the same time again and
+// again, it is late by itself: what cannot be in time there is queued and moved as on a drain, and it is
+// believed less each time. Load that happens to stand still looks the same: then too much moves at once, to
+// where rooms bear it.
+void Relay::late_by_itself(Backend& ep) {
+  const Micros now = host_.now();
+  const auto in_time = [this, now](const auto& peer) {
+    return peer->standing == Standing::ready && !peer->held.empty() &&
+           (peer->late_by <= shortest_message_ || now - peer->late_at > 2 * kSecond);
+  };
+  if (std::none_of(fleet_.begin(), fleet_.end(), in_time)) return;  // all alike: not its own fault
+  if (now >= ep.late.until && cut_within(ep, 2 * kCutEvery)) ep.room = kNoLimit;
+  believe(ep.late, ep.late_by, now);
+  if (ep.zone != zone_) weigh_way(ep.zone);
+  for (Tunnel* tun : ep.held)
+    if (tun->open && too_late(*tun, ep)) queue_move(*tun);
+  run_movers();
+}
+
+// Nearly all that is known of another zone is late by itself: it is the way there, for the untried ones too.
+// The backends beyond are not to blame for setups that fail on it.
+void Relay::weigh_way(unsigned zone) {
+  const Micros now = host_.now();
+  double known = 0, late = 0;
+  Micros least = std::numeric_limits<Micros>::max();
+  for (const auto& ep : fleet_) {
+    if (ep->zone != zone || ep->standing != Standing::ready) continue;
+    const bool its = now < ep->late.until;
+    known += its || !ep->held.empty();
+    if (its) ++late, least = std::min(least, ep->late.by);
+  }
+  Lateness& way = ways_[zone];
+  const bool again = way.wait > 0 && now - way.until < 4 * way.wait;
+  if (late >= (again ? 1 : kFewKnown) && late >= kNearlyAll * known) believe(way, least, now);
 }
 
 void Relay::strained(Backend& ep, double kept) {
@@ -864,9 +939,13 @@
     if (!tun || !tun->open) continue;
     tun->returning = true;
     tun->tried.clear();
-    if (!retiring_ && tun->ep->standing == Standing::draining && !choose(*tun)) {
-      stay.push_back(tun);
-      continue;
+    const bool late = too_late(*tun, *tun->ep);
+    if (!retiring_ && (tun->ep->standing == Standing::draining || late)) {
+      const Backend* to = choose(*tun);
+      if (!to || (late && too_late(*tun, *to))) {
+        stay.push_back(tun);
+        continue;
+      }
     }
     ++moving_;
     const auto busy = std::make_shared<bool>(true);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -83,6 +83,12 @@
 
 struct Tunnel;
 
+// Late by itself, whatever its load is: by how much, until when that is believed, and how long it is each
+// time.
+struct Lateness {
+  Micros by = 0, until = 0, wait = 0;
+};
+
 struct Backend : std::enable_shared_from_this<Backend> {
   // Said at the door.
   std::uint64_t name = 0;  // the same at every relay; hashed, never ordered by
@@ -113,6 +119,9 @@
   Micros next_trickle = 0, trickle_gap = 0;
   Micros heard_at = 0, probed_at = 0, calm_at = 0;
   TimeRing good{1'000'000}, bad{1'000'000};
+  Micros late_by = 0, late_at = 0;  // the message time told last, and when
+  Lateness late;
+  unsigned alike = 0;        // late message times in a row that hardly differ
   double told = 0;           // by its latest report: load asked over what it can do
   TimeRing landed{125'000};  // load that a report read now may not know of yet
   std::int64_t cold_turn = -1;
@@ -261,6 +270,10 @@
   void dropped(Backend& ep);
   bool fits(double held, double load, const Tunnel& tun, const Backend& ep) const;
   double tunnel_load() const;
+  bool too_late(const Tunnel& tun, const Backend& ep) const;
+  void late_by_itself(Backend& ep);
+  void weigh_way(unsigned zone);
+  Micros way_time(const Backend& ep) const;
   void strained(Backend& ep, double kept);
   void hold_others();
   void relieve(Backend& ep);
@@ -289,6 +302,7 @@
   Micros end_over_ = 0, longest_advice_, ask_within_, fall_window_, warm_up_, regrowth_, answer_margin_,
          shortest_goal_, shortest_message_ = 10'000'000, longest_message_ = 0, born_, turns_from_;
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
+  std::map<unsigned, Lateness> ways_;  // to other zones
   Caps caps_;
   Micros strained_until_ = 0;  // most were: the verdict stands for a while
   std::size_t new_clients_ = 0;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -155,6 +155,98 @@
 }
 
 // When all fail together the cause is shared: setting backends aside would drown the rest.
+// Tells of every held backend in this zone, once a second, that its messages take so long.
+void tell(Story& story, unsigned zone, Micros time, int seconds) {
+  for (int i = 0; i < seconds; ++i) {
+    for (const auto& ep : story.eps)
+      if (ep->zone == zone && !ep->held.empty()) story.relay.delay_told(*ep->held[0], time);
+    story.host.pass(kS);
+  }
+}
+
+// A hanging process, or a way that is slow for this relay alone: shedding a third of it each time helps
+// nobody.
+TEST(Late, WhatIsLateByTheSameTimeAgainAndAgainIsLeftByAllThatCannotBeInTimeThere) {
+  SiteTerms terms = plain_terms();
+  terms.profiles.push_back(terms.profiles[0]);
+  terms.profiles[1].index = 1;
+  terms.profiles[1].message_goal = kS;
+  Story story(0, terms);
+  Backend& odd = story.add(0, 1);
+  for (int i = 0; i < 3; ++i) story.add(0, 0);
+  for (std::uint64_t key = 1; key <= 40; ++key) {
+    story.fresh(key).profile = &story.relay.profiles()[key % 2];
+    story.relay.take(story.tuns.back());
+    story.relay.established(*story.tuns.back(), 20 * kMs);
+  }
+  const std::size_t sent = story.sent_to(odd);
+  ASSERT_GE(sent, 6u);
+  tell(story, 1, 300 * kMs, 3);
+  EXPECT_TRUE(std::all_of(odd.held.begin(), odd.held.end(),
+                          [](const Tunnel* tun) { return tun->queued || tun->profile->index == 1; }));
+  EXPECT_TRUE(std::any_of(odd.held.begin(), odd.held.end(), [](const Tunnel* tun) { return !tun->queued; }));
+  for (std::uint64_t key = 100; key < 120; ++key) story.open(key);
+  EXPECT_EQ(story.sent_to(odd), sent);
+}
+
+TEST(Late, MessageTimesThatRiseAndFallAreLoadAndShedAPart) {
+  Story story(3);
+  for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
+  for (const Micros time : {200, 300, 250, 180}) {
+    story.relay.delay_told(*story.eps[0]->held[0], time * kMs);
+    story.host.pass(kS);
+  }
+  EXPECT_FALSE(story.host.moved.empty());
+  const auto queued = std::count_if(story.eps[0]->held.begin(), story.eps[0]->held.end(),
+                                    [](const Tunnel* tun) { return tun->queued; });
+  EXPECT_LT(queued, std::ssize(story.eps[0]->held));
+}
+
+TEST(Late, ABackendThatRelapsesIsLeftLongerEachTimeAndNeverForGood) {
+  Story story(3);
+  Backend& odd = *story.eps[0];
+  std::vector<Micros> left;
+  std::uint64_t key = 0;
+  for (int turn = 0; turn < 3; ++turn) {
+    while (odd.held.empty()) story.open(++key), story.host.pass(10 * kMs);
+    Tunnel& tun = *odd.held[0];
+    for (int i = 0; i < 3; ++i) story.relay.delay_told(tun, 5 * kS), story.host.pass(kS);
+    for (const auto& held : story.tuns)
+      if (held->ep.get() == &odd) story.fail(*held, Result::cancelled, true);
+    const Micros from = story.host.clock;
+    const std::size_t sent = story.sent_to(odd);
+    while (story.sent_to(odd) == sent && story.host.clock < from + 60 * kS) {
+      story.fail(story.open(++key), Result::opened, true);
+      story.host.pass(50 * kMs);
+    }
+    left.push_back(story.host.clock - from);
+  }
+  EXPECT_GT(left[1], left[0] * 3 / 2);
+  EXPECT_GT(left[2], left[1] * 3 / 2);
+  EXPECT_LT(left[2], 30 * kS);
+}
+
+// All that is held in another zone is late by the same time: nobody there is ill, and the untried are no
+// better.
+TEST(Late, AWayThatIsLateForAllItsBackendsIsNoFaultOfTheirs) {
+  Story story(0);
+  for (unsigned i = 0; i < 12; ++i) story.add(0, i % 2);
+  for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
+  tell(story, 1, 400 * kMs, 3);
+  const auto abroad = [&] {
+    std::size_t sent = 0;
+    for (const auto& ep : story.eps) sent += ep->zone == 1 ? story.sent_to(*ep) : 0;
+    return sent;
+  };
+  const std::size_t before = abroad();
+  for (std::uint64_t key = 100; key < 130; ++key) story.open(key);
+  EXPECT_EQ(abroad(), before);
+  EXPECT_TRUE(story.host.declined.empty());
+  story.host.pass(3 * kS);
+  for (std::uint64_t key = 200; key < 230; ++key) story.open(key);
+  EXPECT_GT(abroad(), before);  // believed for a while, not for good
+}
+
 TEST(Health, AllFailingTogetherSetsNobodyAside) {
   Story story(6);
   for (std::uint64_t key = 1; key <= 60; ++key) {
