--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -349,10 +349,7 @@
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < turns_from_) return false;
   const double window = static_cast<double>(fall_window_), relays = relays_;
-  // Danger: where tunnels live long, few new ones come, and a fleet that was replaced stays empty for minutes
-  // while the rest is overdriven. What a backend can take in at most fills it over its warm-up: half of that.
-  const double fills = static_cast<double>(held_) / static_cast<double>(2 * warm_up_);
-  const double budget = kColdPart * cold_multiple_ * warm * std::max(caps_.calm, fills) * relays * window *
+  const double budget = kColdPart * cold_multiple_ * warm * caps_.calm * relays * window *
                         (caps_.whole > 0 ? ep.size / caps_.whole : 0);
   const double wanted =
       std::min(1.0, caps_.rate * window * (caps_.size > 0 ? ep.size * warm / caps_.size : 1));
