A way is known to be late at once where all beyond it tell the same time

Line at fault: weigh_way counted only backends that were late by themselves. Now the same late time at nearly all that is held beyond, while something is in time at home, is enough; strain already taken from these words is undone. Holds against any trouble of a whole way; hurts if a zone's backends are all overdriven alike to a fifth.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -645,6 +645,7 @@
     ep.alike = same ? ep.alike + 1 : 0;
     ep.late_by = message_time, ep.late_at = now;
     if (ep.alike >= kAlikeRow) late_by_itself(ep);
+    if (ep.zone != zone_ && message_time > shortest_message_) weigh_way(ep.zone);
   }
   if (now < ep.late.until) return;
   // Danger: the mean is in time, yet at half of the goal already a part comes late, and more with each that
@@ -678,29 +679,47 @@
            (peer->late_by <= shortest_message_ || now - peer->late_at > 2 * kSecond);
   };
   if (std::none_of(fleet_.begin(), fleet_.end(), in_time)) return;  // all alike: not its own fault
+  leave_late(ep);
+}
+
+void Relay::leave_late(Backend& ep) {
+  const Micros now = host_.now();
   if (now >= ep.late.until && cut_within(ep, 2 * kCutEvery)) ep.room = kNoLimit;
   believe(ep.late, ep.late_by, now);
-  if (ep.zone != zone_) weigh_way(ep.zone);
   for (Tunnel* tun : ep.held)
     if (tun->open && too_late(*tun, ep)) queue_move(*tun);
   run_movers();
 }
 
-// Nearly all that is known of another zone is late by itself: it is the way there, for the untried ones too.
-// The backends beyond are not to blame for setups that fail on it.
+// Nearly all that is held in another zone late by the same time, or late by itself, while something is in
+// time at home: it is the way there, for the untried ones too, and they are not to blame for setups that fail
+// on it.
 void Relay::weigh_way(unsigned zone) {
   const Micros now = host_.now();
   double known = 0, late = 0;
   Micros least = std::numeric_limits<Micros>::max();
+  const auto told = [this, now](const Backend& ep) {
+    return ep.late_by > shortest_message_ && now - ep.late_at < 2 * kSecond;
+  };
+  for (const auto& ep : fleet_)
+    if (ep->zone == zone && (now < ep->late.until || told(*ep))) least = std::min(least, ep->late_by);
+  const auto alike = [least](const Backend& ep) {
+    return static_cast<double>(ep.late_by) < (1 + 2 * kAlike) * static_cast<double>(least);
+  };
+  bool sound = false;
   for (const auto& ep : fleet_) {
-    if (ep->zone != zone || ep->standing != Standing::ready) continue;
-    const bool its = now < ep->late.until;
-    known += its || !ep->held.empty();
-    if (its) ++late, least = std::min(least, ep->late.by);
+    if (ep->standing != Standing::ready) continue;
+    if (ep->zone == zone_) sound |= !ep->held.empty() && !told(*ep);
+    if (ep->zone != zone) continue;
+    known += now < ep->late.until || !ep->held.empty();
+    late += now < ep->late.until || (told(*ep) && alike(*ep));
   }
   Lateness& way = ways_[zone];
   const bool again = way.wait > 0 && now - way.until < 4 * way.wait;
-  if (late >= (again ? 1 : kFewKnown) && late >= kNearlyAll * known) believe(way, least, now);
+  if (!sound || late < (again ? 1 : kFewKnown) || late < kNearlyAll * known) return;
+  believe(way, least, now);
+  for (const auto& ep : fleet_)
+    if (ep->zone == zone && now >= ep->late.until && told(*ep) && alike(*ep)) leave_late(*ep);
 }
 
 void Relay::strained(Backend& ep, double kept) {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -272,6 +272,7 @@
   double tunnel_load() const;
   bool too_late(const Tunnel& tun, const Backend& ep) const;
   void late_by_itself(Backend& ep);
+  void leave_late(Backend& ep);
   void weigh_way(unsigned zone);
   Micros way_time(const Backend& ep) const;
   void strained(Backend& ep, double kept);
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -247,6 +247,25 @@
   EXPECT_GT(abroad(), before);  // believed for a while, not for good
 }
 
+// One round of words is enough where all beyond tell the same: the strain that each alone looks like is
+// undone.
+TEST(Late, AllOfAZoneToldTheSameAtOnceIsTheWayAndDifferentTimesAreLoad) {
+  const auto landed_abroad = [](Micros step) {
+    Story story(0);
+    for (unsigned i = 0; i < 12; ++i) story.add(0, i % 2);
+    for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
+    Micros time = 400 * kMs;
+    for (const auto& ep : story.eps)
+      if (ep->zone == 1 && !ep->held.empty()) story.relay.delay_told(*ep->held[0], time += step);
+    const std::size_t before = story.host.sent.size();
+    for (std::uint64_t key = 100; key < 130; ++key) story.open(key);
+    return std::any_of(story.host.sent.begin() + static_cast<std::ptrdiff_t>(before), story.host.sent.end(),
+                       [](const auto& sent) { return sent.ep->zone == 1; });
+  };
+  EXPECT_FALSE(landed_abroad(2 * kMs));
+  EXPECT_TRUE(landed_abroad(kS));
+}
+
 TEST(Health, AllFailingTogetherSetsNobodyAside) {
   Story story(6);
   for (std::uint64_t key = 1; key <= 60; ++key) {
