Few backends in time take in what the late ones cannot serve; false general strain is undone

A trace of every move that was put off: the first words, taken for strain, had called general strain, and every room was presumed short or measured over a mean with the late ones in it. Lines at fault: caps_now and what late_by_itself left standing. Now backends late by themselves are left out of the mean, and one newly found so undoes the verdict and the rooms presumed; a zone's ways count with 0.6 of what is held, not 0.8.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,17 +38,14 @@
 constexpr double kUnknown = 0.5;    // of the known room, where most known are strained
 constexpr double kFewKnown = 3;     // of fewer backends no relay tells that strain is general
 constexpr double kNoLimit = 1e300;
-constexpr double kAlike = 0.1;  // of a message time: late ones that differ by less are alike
-constexpr unsigned kAlikeRow = 2;
-constexpr double kInTime = 0.7;     // of a message goal: the mean may take so long
-constexpr double kNearlyAll = 0.8;  // of what is known in a zone
+constexpr double kAlike = 0.1, kInTime = 0.7;  // of a message time, those that differ by less; of its goal
+constexpr double kMostOf = 0.6;                // of what is known in a zone
 constexpr Micros kLateShortest = 3 * kSecond, kLateLongest = 24 * kSecond;
 constexpr Micros kCutEvery = 9 * kSecond / 10;
-constexpr double kIllShare = 0.9;                        // an ill backend fails this share of what it gets
-constexpr double kAsideDoubt = 6.5;                      // about 1 in 700 to set a healthy one aside
-constexpr unsigned kWinsToReturn = 3, kSilentAfter = 4;  // successes, as the design has it; no answers
-constexpr Micros kMoverTime = kSecond;                   // a mover waits this long for its move at most
-constexpr Micros kQueueFullWait = kSecond / 10;
+constexpr double kIllShare = 0.9;    // an ill backend fails this share of what it gets
+constexpr double kAsideDoubt = 6.5;  // about 1 in 700 to set a healthy one aside
+constexpr unsigned kWinsToReturn = 3, kSilentAfter = 4, kAlikeRow = 2;  // successes; no answers; late alike
+constexpr Micros kMoverTime = kSecond, kQueueFullWait = kSecond / 10;   // at most, for a move and for space
 constexpr Micros kAskAgain = kSecond / 4;     // after a first failed call for the list, where few relays ask
 constexpr unsigned kFewAsk = 4;               // so many relays do not crowd the list's service
 constexpr Micros kEndMost = 9 * kSecond / 4;  // within it all are asked to leave a relay that ends
@@ -305,10 +302,13 @@
   std::bitset<256> zones;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || ep->aside) continue;
-    ++caps.ready;
     zones.set(ep->zone % zones.size());
     if (ep->zone == zone_) home += ep->size;
     caps.whole += ep->size;
+    // Danger: measured with those that are late by themselves, the few in time seem full, and nothing moves
+    // there.
+    if (now < ep->late.until || way_time(*ep) > 0) continue;
+    ++caps.ready;
     caps.size += ep->size * warm_share(*ep);
     load += ep->load;
     caps.tunnels_each += static_cast<double>(ep->held.size());
@@ -320,7 +320,7 @@
   // Danger: a relay that has just started holds nothing, and one report of strain would close it for all.
   caps.most_strained = (known >= kFewKnown && 3 * cut >= 2 * known) || now < strained_until_;
   caps.room_left = full > 0 ? room / full : 1;
-  caps.mean_size = caps.whole > 0 ? caps.whole / caps.ready : 1;
+  caps.mean_size = caps.whole > 0 ? caps.whole / std::max(1.0, caps.ready) : 1;
   caps.tunnels_each /= std::max(1.0, caps.ready);
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels held no cap shows it. So
   // home gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
@@ -673,53 +673,54 @@
 // believed less each time. Load that happens to stand still looks the same: then too much moves at once, to
 // where rooms bear it.
 void Relay::late_by_itself(Backend& ep) {
-  const Micros now = host_.now();
-  const auto in_time = [this, now](const auto& peer) {
-    return peer->standing == Standing::ready && !peer->held.empty() &&
-           (peer->late_by <= shortest_message_ || now - peer->late_at > 2 * kSecond);
+  const auto in_time = [this](const auto& peer) {
+    return peer->standing == Standing::ready && !peer->held.empty() && !told_late(*peer);
   };
-  if (std::none_of(fleet_.begin(), fleet_.end(), in_time)) return;  // all alike: not its own fault
-  leave_late(ep);
+  if (std::any_of(fleet_.begin(), fleet_.end(), in_time)) leave_late(ep);  // all alike: not its own fault
+}
+
+bool Relay::told_late(const Backend& ep) const {
+  return ep.late_by > shortest_message_ && host_.now() - ep.late_at < 2 * kSecond;
 }
 
 void Relay::leave_late(Backend& ep) {
   const Micros now = host_.now();
-  if (now >= ep.late.until && cut_within(ep, 2 * kCutEvery)) ep.room = kNoLimit;
+  if (now >= ep.late.until) {  // what its first words did to rooms is undone
+    strained_until_ = std::min(strained_until_, now);
+    for (const auto& peer : fleet_)
+      if (peer.get() == &ep ? cut_within(ep, 2 * kCutEvery) : peer->presumed) peer->room = kNoLimit;
+  }
   believe(ep.late, ep.late_by, now);
   for (Tunnel* tun : ep.held)
     if (tun->open && too_late(*tun, ep)) queue_move(*tun);
   run_movers();
 }
 
-// Nearly all that is held in another zone late by the same time, or late by itself, while something is in
-// time at home: it is the way there, for the untried ones too, and they are not to blame for setups that fail
-// on it.
+// Most that is held in another zone late by the same time, or by itself, and something at home in time: it is
+// the way there, for the untried ones too, and they are not to blame for setups that fail on it.
 void Relay::weigh_way(unsigned zone) {
   const Micros now = host_.now();
   double known = 0, late = 0;
   Micros least = std::numeric_limits<Micros>::max();
-  const auto told = [this, now](const Backend& ep) {
-    return ep.late_by > shortest_message_ && now - ep.late_at < 2 * kSecond;
-  };
   for (const auto& ep : fleet_)
-    if (ep->zone == zone && (now < ep->late.until || told(*ep))) least = std::min(least, ep->late_by);
+    if (ep->zone == zone && (now < ep->late.until || told_late(*ep))) least = std::min(least, ep->late_by);
   const auto alike = [least](const Backend& ep) {
     return static_cast<double>(ep.late_by) < (1 + 2 * kAlike) * static_cast<double>(least);
   };
   bool sound = false;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready) continue;
-    if (ep->zone == zone_) sound |= !ep->held.empty() && !told(*ep);
+    if (ep->zone == zone_) sound |= !ep->held.empty() && !told_late(*ep);
     if (ep->zone != zone) continue;
     known += now < ep->late.until || !ep->held.empty();
-    late += now < ep->late.until || (told(*ep) && alike(*ep));
+    late += now < ep->late.until || (told_late(*ep) && alike(*ep));
   }
   Lateness& way = ways_[zone];
   const bool again = way.wait > 0 && now - way.until < 4 * way.wait;
-  if (!sound || late < (again ? 1 : kFewKnown) || late < kNearlyAll * known) return;
+  if (!sound || late < (again ? 1 : kFewKnown) || late < kMostOf * known) return;
   believe(way, least, now);
   for (const auto& ep : fleet_)
-    if (ep->zone == zone && now >= ep->late.until && told(*ep) && alike(*ep)) leave_late(*ep);
+    if (ep->zone == zone && now >= ep->late.until && told_late(*ep) && alike(*ep)) leave_late(*ep);
 }
 
 void Relay::strained(Backend& ep, double kept) {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -273,6 +273,7 @@
   bool too_late(const Tunnel& tun, const Backend& ep) const;
   void late_by_itself(Backend& ep);
   void leave_late(Backend& ep);
+  bool told_late(const Backend& ep) const;
   void weigh_way(unsigned zone);
   Micros way_time(const Backend& ep) const;
   void strained(Backend& ep, double kept);
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -189,6 +189,26 @@
   EXPECT_EQ(story.sent_to(odd), sent);
 }
 
+// Two of six in time: measured with the late ones they seem full, and the first words looked like general
+// strain.
+TEST(Late, WhereFewAreInTimeTheyTakeInWhatTheLateOnesCannotServe) {
+  Story story(6);
+  for (std::uint64_t key = 1; key <= 36; ++key) story.open(key);
+  for (int i = 0; i < 6; ++i) {
+    for (std::size_t at = 0; at < 4; ++at)
+      if (!story.eps[at]->held.empty()) story.relay.delay_told(*story.eps[at]->held[0], 400 * kMs);
+    for (const auto& tun : story.tuns)
+      if (std::count(story.host.moved.begin(), story.host.moved.end(), tun.get()) && tun->ep)
+        story.fail(*tun, Result::cancelled, true);
+    story.host.pass(kS);
+  }
+  std::size_t late = 0;
+  for (std::size_t at = 0; at < 4; ++at) late += story.eps[at]->held.size();
+  EXPECT_EQ(late, 0u);
+  for (std::uint64_t key = 100; key < 124; ++key) story.open(key);
+  EXPECT_LE(story.host.declined.size(), 2u);
+}
+
 TEST(Late, MessageTimesThatRiseAndFallAreLoadAndShedAPart) {
   Story story(3);
   for (std::uint64_t key = 1; key <= 40; ++key) story.open(key);
