--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -207,8 +207,7 @@
 // ---- Landing --------------------------------------------------------------------------------------------
 
 void Relay::take(const std::shared_ptr<Tunnel>& tun) {
-  asked_.add(host_.now(), 1);
-  taken_.add(host_.now(), 1);
+  asked_.add(host_.now(), 1), taken_.add(host_.now(), 1);
   if (tun->returning)
     returned_.add(host_.now(), 1);
   else
@@ -378,8 +377,8 @@
 }
 
 // Rule 5: in any window, setups beyond a tunnel's first are so many and a share of the tunnels taken in it.
-// The rings err on the safe side by a sixtieth. The first half of what may be spent is for whoever needs it,
-// the rest for what pays no less than most.
+// Half of that is for whoever needs it, the rest for what pays no less than most. The rings err on the safe
+// side.
 bool Relay::budget_allows(const Tunnel& tun) const {
   if (budget_window_ <= 0 || tun.setups == 0) return true;
   const double allowed = budget_free_ + budget_share_ * taken_.sum(host_.now(), 62);
@@ -686,6 +685,7 @@
 void Relay::leave_late(Backend& ep) {
   const Micros now = host_.now();
   if (now >= ep.late.until) {  // what its first words did to rooms is undone
+    host_.log("backend " + std::to_string(ep.name) + " is late by itself");
     strained_until_ = std::min(strained_until_, now);
     for (const auto& peer : fleet_)
       if (peer.get() == &ep ? cut_within(ep, 2 * kCutEvery) : peer->presumed) peer->room = kNoLimit;
