Movers run once a whole way has been weighed, and a tunnel's backend outlives what they do

Read once more: weigh_way ran the movers inside its walk over the fleet, and a move that ends a tunnel at once may take a gone backend out of it; delay_told went on with a backend that its last tunnel may have let go. No failure was seen (sanitised tests passed before and after). A believed lateness counts by what was believed, not by a later word in time.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -377,8 +377,7 @@
 }
 
 // Rule 5: in any window, setups beyond a tunnel's first are so many and a share of the tunnels taken in it.
-// Half of that is for whoever needs it, the rest for what pays no less than most. The rings err on the safe
-// side.
+// Half is for whoever needs it, the rest for what pays no less than most. The rings err on the safe side.
 bool Relay::budget_allows(const Tunnel& tun) const {
   if (budget_window_ <= 0 || tun.setups == 0) return true;
   const double allowed = budget_free_ + budget_share_ * taken_.sum(host_.now(), 62);
@@ -634,7 +633,8 @@
 
 void Relay::delay_told(Tunnel& tun, Micros message_time) {
   if (!tun.ep) return;
-  Backend& ep = *tun.ep;
+  const auto kept = tun.ep;  // movers may end the tunnel meanwhile
+  Backend& ep = *kept;
   const Micros now = host_.now();
   heard_from(ep);
   if (now - ep.late_at > kSecond / 2) {
@@ -669,13 +669,12 @@
 // Danger: behind a slow way, for all relays or this one, or while its process hangs, a backend looks
 // overdriven, yet shedding a part helps nobody, and each that lands is lost. Late by the same time again and
 // again, it is late by itself: what cannot be in time there is queued and moved as on a drain, and it is
-// believed less each time. Load that happens to stand still looks the same: then too much moves at once, to
-// where rooms bear it.
+// believed less each time. Load that happens to stand still looks the same: then too much moves at once.
 void Relay::late_by_itself(Backend& ep) {
   const auto in_time = [this](const auto& peer) {
     return peer->standing == Standing::ready && !peer->held.empty() && !told_late(*peer);
   };
-  if (std::any_of(fleet_.begin(), fleet_.end(), in_time)) leave_late(ep);  // all alike: not its own fault
+  if (std::any_of(fleet_.begin(), fleet_.end(), in_time)) leave_late(ep), run_movers();  // else not its own
 }
 
 bool Relay::told_late(const Backend& ep) const {
@@ -693,7 +692,6 @@
   believe(ep.late, ep.late_by, now);
   for (Tunnel* tun : ep.held)
     if (tun->open && too_late(*tun, ep)) queue_move(*tun);
-  run_movers();
 }
 
 // Most that is held in another zone late by the same time, or by itself, and something at home in time: it is
@@ -703,7 +701,8 @@
   double known = 0, late = 0;
   Micros least = std::numeric_limits<Micros>::max();
   for (const auto& ep : fleet_)
-    if (ep->zone == zone && (now < ep->late.until || told_late(*ep))) least = std::min(least, ep->late_by);
+    if (const bool its = now < ep->late.until; ep->zone == zone && (its || told_late(*ep)))
+      least = std::min(least, its ? ep->late.by : ep->late_by);
   const auto alike = [least](const Backend& ep) {
     return static_cast<double>(ep.late_by) < (1 + 2 * kAlike) * static_cast<double>(least);
   };
@@ -721,6 +720,7 @@
   believe(way, least, now);
   for (const auto& ep : fleet_)
     if (ep->zone == zone && now >= ep->late.until && told_late(*ep) && alike(*ep)) leave_late(*ep);
+  run_movers();
 }
 
 void Relay::strained(Backend& ep, double kept) {
