One measure of lateness serves landing, caps and moves; one handed tunnel serves two stories

Read once more: whether a backend or its way is late was worked out in caps_now, too_late and way_time alike, and two stories of a handover built the same tunnel line by line. Lateness::at and Relay::lateness serve the former, HandedTunnel the latter.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -306,7 +306,7 @@
     caps.whole += ep->size;
     // Danger: measured with those that are late by themselves, the few in time seem full, and nothing moves
     // there.
-    if (now < ep->late.until || way_time(*ep) > 0) continue;
+    if (lateness(*ep) > 0) continue;
     ++caps.ready;
     caps.size += ep->size * warm_share(*ep);
     load += ep->load;
@@ -658,12 +658,13 @@
 
 Micros Relay::way_time(const Backend& ep) const {
   const auto way = ways_.find(ep.zone);
-  return way != ways_.end() && host_.now() < way->second.until ? way->second.by : 0;
+  return way != ways_.end() ? way->second.at(host_.now()) : 0;
 }
 
+Micros Relay::lateness(const Backend& ep) const { return std::max(ep.late.at(host_.now()), way_time(ep)); }
+
 bool Relay::too_late(const Tunnel& tun, const Backend& ep) const {
-  const Micros by = std::max(host_.now() < ep.late.until ? ep.late.by : 0, way_time(ep));
-  return static_cast<double>(by) > kInTime * static_cast<double>(tun.profile->message_goal);
+  return static_cast<double>(lateness(ep)) > kInTime * static_cast<double>(tun.profile->message_goal);
 }
 
 // Danger: behind a slow way, for all relays or this one, or while its process hangs, a backend looks
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -87,6 +87,7 @@
 // time.
 struct Lateness {
   Micros by = 0, until = 0, wait = 0;
+  Micros at(Micros now) const { return now < until ? by : 0; }
 };
 
 struct Backend : std::enable_shared_from_this<Backend> {
@@ -276,6 +277,7 @@
   bool told_late(const Backend& ep) const;
   void weigh_way(unsigned zone);
   Micros way_time(const Backend& ep) const;
+  Micros lateness(const Backend& ep) const;  // its own or its way's, 0 where it is in time
   void strained(Backend& ep, double kept);
   void hold_others();
   void relieve(Backend& ep);
--- a/tests/ops_test.cpp
+++ b/tests/ops_test.cpp
@@ -305,22 +305,29 @@
   EXPECT_EQ(here.heard(), "UP r\r\nMOVE\r\n");
 }
 
+// An open tunnel as a process hands it over, with its other ends.
+struct HandedTunnel {
+  End one = End::listening(), client = End::to(one.port()), theirs = one.accept();
+  End two = End::listening(), server = End::to(two.port());
+  net::Handed handed;
+  explicit HandedTunnel(const std::string& backend) {
+    handed.head = "OPEN 9 9 c=talk,d=1200";
+    handed.backend = backend;
+    handed.client = dup(theirs.fd());
+    handed.server = dup(server.fd());
+  }
+};
+
 // Its successor takes it from here, wherever the list has it now.
 TEST(Handover, ATunnelWhoseBackendHasLeftTheListIsMovedByTheSuccessor) {
   House house(2);
   auto [here, there] = house.open("1");
   const std::size_t at = house.holder(there);
   house.second = house.process();
-  net::Handed handed;
-  handed.head = "OPEN 9 9 c=talk,d=1200";
-  handed.backend = "s-left";
-  End one = End::listening(), client = End::to(one.port()), theirs = one.accept();
-  End two = End::listening(), server = End::to(two.port());
-  handed.client = dup(theirs.fd());
-  handed.server = dup(server.fd());
-  theirs.close();
-  house.second->door.take_over(handed);
-  EXPECT_TRUE(house.until([&] { return client.heard() == "MOVE\r\n"; }));
+  HandedTunnel over("s-left");
+  over.theirs.close();
+  house.second->door.take_over(over.handed);
+  EXPECT_TRUE(house.until([&] { return over.client.heard() == "MOVE\r\n"; }));
   EXPECT_FALSE(here.ended()) << at;
 }
 
@@ -329,14 +336,8 @@
   House house(1);
   house.backends.push_back(End::listening());
   house.first->door.ban({"s-1"});
-  net::Handed handed;
-  handed.head = "OPEN 9 9 c=talk,d=1200";
-  handed.backend = "s-1";
-  End one = End::listening(), client = End::to(one.port()), theirs = one.accept();
-  End two = End::listening(), server = End::to(two.port());
-  handed.client = dup(theirs.fd());
-  handed.server = dup(server.fd());
-  house.first->door.take_over(handed);
+  HandedTunnel over("s-1");
+  house.first->door.take_over(over.handed);
   house.watch = std::move(house.watches.back());
   house.list(R"({"rev":6,"all":false,"targets":[)" + house.target(1, "active") + "]}");
   house.until([] { return false; }, 50);
