General strain does not take fresh backends for short of room

Line at fault: hold_others gives every backend of which nothing is known half of the share of room that the known have left, also one that has just started and is certainly emptier than they are; with under one tunnel a backend that is nearly all of them, at every relay. Change: a cold one that holds nothing here is passed over; its own budget bounds it.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -782,7 +782,8 @@
     host_.log("most known backends strained: the others keep what they hold");
   }
   for (const auto& peer : fleet_) {
-    if (!peer->held.empty() && peer->room < kNoLimit) continue;
+    // A cold one that holds nothing here is most likely empty: its own budget bounds it.
+    if (peer->held.empty() ? warm_share(*peer) < 1 : peer->room < kNoLimit) continue;
     peer->presumed = true;  // no evidence: or the verdict would feed on itself
     peer->full = std::max(peer->load, tunnel_load());
     peer->room = std::min(room_now(*peer), peer->full * (peer->held.empty() ? kUnknown * caps.room_left : 1));
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -593,6 +593,20 @@
   EXPECT_LE(declined(true), 38u);  // but it does not shut them out
 }
 
+// A release in the same strain: what has just started is empty, and taken for short it would stay so.
+TEST(Scale, FreshBackendsAreNotTakenToBeShortOfRoom) {
+  Story story(3);
+  for (std::uint64_t key = 1; key <= 12; ++key) story.open(key);
+  for (int i = 0; i < 30; ++i) story.add(story.host.clock - 15 * kS);
+  for (int i = 0; i < 2; ++i) {
+    for (const auto& tun : story.tuns) story.relay.delay_told(*tun, kS);
+    story.host.pass(kS);
+  }
+  std::size_t declined = 0;
+  for (std::uint64_t key = 100; key < 140; ++key) declined += story.answers(story.arrive(key));
+  EXPECT_EQ(declined, 0u);
+}
+
 // A relay that has just started knows one backend, from a probe that found it strained.
 TEST(Strain, OneReportDoesNotCloseAFreshRelay) {
   Story story(9);
