Groups known are swept only once they outnumber what is held; a backend's warm size is reckoned once

Read once more: every tunnel that ended walked over all groups known (lapsed ones count for nothing anyway, so the answer is the same); caps_now reckoned the warm share three times a backend, and the whole size had no reader left outside it. The story of a large group has back, where it holds, the claim that new clients are let in more than twice as often.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -291,20 +291,20 @@
   Caps caps;
   const Micros now = host_.now();
   caps.calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
-  double load = 0, home = 0, warm = 0, told = 0, busy = 0, known = 0, cut = 0, room = 0, full = 0;
+  double load = 0, home = 0, whole = 0, warm = 0, told = 0, busy = 0, known = 0, cut = 0, room = 0, full = 0;
   std::bitset<256> zones;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::gone) caps.listed += ep->size;
     if (ep->standing != Standing::ready || ep->aside) continue;
     zones.set(ep->zone % zones.size());
     told += ep->told > 0, busy += ep->told;
-    if (ep->zone == zone_) home += ep->size * warm_share(*ep);
-    warm += ep->size * warm_share(*ep);
-    caps.whole += ep->size;
+    const double size = ep->size * warm_share(*ep);
+    home += ep->zone == zone_ ? size : 0;
+    warm += size, whole += ep->size;
     // Danger: measured with those late by themselves, the few in time seem full, and nothing moves there.
     if (lateness(*ep) > 0) continue;
     ++caps.ready;
-    caps.size += ep->size * warm_share(*ep);
+    caps.size += size;
     load += ep->load;
     caps.tunnels_each += static_cast<double>(ep->held.size());
     caps.strained |= cut_within(*ep, regrowth_);
@@ -315,7 +315,7 @@
   // Danger: a relay that has just started holds nothing, and one report of strain would close it for all.
   caps.most_strained = (known >= kFewKnown && 3 * cut >= 2 * known) || now < strained_until_;
   caps.room_left = full > 0 ? room / full : 1;
-  caps.mean_size = caps.whole > 0 ? caps.whole / std::max(1.0, caps.ready) : 1;
+  caps.mean_size = whole > 0 ? whole / std::max(1.0, caps.ready) : 1;
   caps.tunnels_each /= std::max(1.0, caps.ready);
   caps.told = told > 0 ? std::clamp(busy / told, kCalmLoad, 1.0) : 1;
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels held no cap shows it. So
@@ -545,7 +545,8 @@
   Company& company = company_[tun.hash_key];
   --company.held;
   if (tun.open) --open_, company.parted_at = host_.now();
-  std::erase_if(company_, [this](const auto& of) { return !of.second.known(0, host_.now() - regrowth_); });
+  if (company_.size() > 2 * held_)
+    std::erase_if(company_, [this](const auto& of) { return !of.second.known(0, host_.now() - regrowth_); });
   if (tun.queued) --queued_;
   tun.open = tun.queued = false;
   const auto keep = std::move(tun.ep);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -231,7 +231,7 @@
   // What the cap is measured against, over the backends that may be landed on.
   struct Caps {
     double calm = 0;  // of new clients, in the long run
-    double ready = 0, size = 0, mean_size = 0, tunnels_each = 0, load_by_size = 0, whole = 0, home = 1;
+    double ready = 0, size = 0, mean_size = 0, tunnels_each = 0, load_by_size = 0, home = 1;
     double listed = 0, told = 1;  // the size of all that is not gone; how busy it is by its reports
     double room_left = 1;         // of the room of the backends strained lately
     bool strained = false, most_strained = false;
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -278,8 +278,10 @@
   };
   std::uint64_t group = 1;
   while (lands(group, false) == 0) ++group;  // by itself, a new client is let in
-  std::size_t sent = 0;
-  for (terms.me = 0; terms.me < terms.relays; ++terms.me) sent += lands(group, true);
+  std::size_t sent = 0, singly = 0;
+  for (terms.me = 0; terms.me < terms.relays; ++terms.me)
+    sent += lands(group, true), singly += lands(group, false);
+  EXPECT_GT(singly, 2 * sent);  // new clients come singly
   EXPECT_GE(sent, 1u);
   EXPECT_LE(sent, 8u);  // two thirds of the multiple times the warm share of the twenty due to each backend
 }
