A setup's first byte leaves only while all that allowed it still holds; ends pay what they owe

Ruled out: a late list (the line stands in that relay's log before). Line at fault: ServerSide::Server::connected wrote whatever had become of the tunnel or the backend meanwhile. Change: one place, Exchange::may_go, asked before the first byte: reads what the client has sent (it may have ended), and asks the module (answered, backend ready, repeat still known). The same place keeps the new term: a client that left while a connection came up, or right behind its line, is not sent on. A setup under way is ended where the site lets it be cancelled, else left to its end.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -214,10 +214,7 @@
   if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
   // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
   host_.wake_at(tun->expires_at - answer_margin_, [this, weak = tun->weak_from_this()] {
-    const auto late = weak.lock();
-    if (!late || late->answered) return;
-    if (late->ep && may_abandon_) host_.abandon_setup(*late);
-    give_up(*late);
+    if (const auto late = weak.lock()) give_up(*late);
   });
   place(*tun);
 }
@@ -392,12 +389,15 @@
   return spent + 1 <= allowed && (2 * spent < allowed || tun.profile->payoff >= usual_payoff_);
 }
 
+// Danger: a connection may be long in coming up, and what allowed its setup has ended meanwhile.
+bool Relay::may_go(const Tunnel& tun, const Backend& ep) const {
+  return !tun.answered && ep.standing == Standing::ready && effect_allows(tun, ep);
+}
+
 // The one place where a setup leaves.
 bool Relay::launch(Tunnel& tun, Backend& ep) {
-  if (tun.answered || tun.ep || tun.setups >= max_setups_) return false;      // never two, none once answered
-  if (ep.standing != Standing::ready) return false;                           // rule 3
-  if (!effect_allows(tun, ep) || !cold_budget_allows(tun, ep)) return false;  // rules 2 and 4
-  if (!budget_allows(tun)) return false;                                      // rule 5
+  if (tun.ep || tun.setups >= max_setups_ || !may_go(tun, ep)) return false;  // rules 1 to 3, never two
+  if (!cold_budget_allows(tun, ep) || !budget_allows(tun)) return false;      // rules 4 and 5
   if (ep.since > 0) {
     const std::int64_t turn = cold_turn(ep);
     ep.cold_sent = ep.cold_turn == turn ? ep.cold_sent + 1 : 1;
@@ -435,10 +435,8 @@
     if (ending.result == Result::timed_out) cut_room(ep, 1), measured(2 * ending.took);  // it takes longer
     if (ending.result != Result::moot && ending.result != Result::cancelled) judge(ep, false);
   }
-  if (may_have_run(ending.result) && !tun.may_have_run_at) {
-    tun.may_have_run_at = &ep;
-    tun.may_have_run_since = tun.sent_at;
-  }
+  if (may_have_run(ending.result) && !tun.may_have_run_at)
+    tun.may_have_run_at = &ep, tun.may_have_run_since = tun.sent_at;
   if (!tun.answered) place(tun);
 }
 
@@ -446,6 +444,8 @@
 
 // Not opened: declined where that tells the truth (nothing happened, or a repeat does no harm).
 void Relay::give_up(Tunnel& tun) {
+  if (tun.answered) return;
+  if (tun.ep && may_abandon_) host_.abandon_setup(tun);
   const Profile& profile = *tun.profile;
   const bool unsure = tun.may_have_run_at || tun.ep;  // a setup still out may run yet
   const bool harmless = profile.effect == Effect::repeatable || !unsure ||
@@ -463,18 +463,16 @@
 
 void Relay::established(Tunnel& tun, Micros took) {
   if (tun.answered || !tun.ep) return;
-  opened(tun);
   if (way_time(*tun.ep) == 0) measured(took);
   heard_from(*tun.ep);
   judge(*tun.ep, true);
-  if (tun.ep->standing != Standing::ready || retiring_) queue_move(tun), run_movers();
+  opened(tun);
 }
 
 void Relay::adopt(const std::shared_ptr<Tunnel>& tun, const std::shared_ptr<Backend>& ep) {
   tun->hash_key = key_of(*tun);
   hold(*tun, *ep);
   opened(*tun);
-  if (ep->standing != Standing::ready) queue_move(*tun), run_movers();
 }
 
 void Relay::opened(Tunnel& tun) {
@@ -491,6 +489,7 @@
       ep->room = kNoLimit;
     judge(*ep, false);
   };
+  if (tun.ep->standing != Standing::ready || retiring_) queue_move(tun), run_movers();
 }
 
 void Relay::setup_ended(Tunnel& tun, const Ending& ending, bool finished, const LoadReport& report) {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -214,6 +214,9 @@
   void established(Tunnel& tun, Micros took);
   void setup_ended(Tunnel& tun, const Ending& ending, bool finished, const LoadReport& report);
   void client_gone(Tunnel& tun);
+  void give_up(Tunnel& tun);  // the final answer to what has none yet, and the end of its setup
+  bool may_go(const Tunnel& tun, const Backend& ep) const;  // asked again before a setup's first byte leaves
+  bool may_abandon() const { return may_abandon_; }
   // What is heard on the side.
   void probe_ended(Backend& ep, const Ending& ending, const LoadReport& report);
   void load_told(Tunnel& tun, double load);
@@ -257,7 +260,6 @@
   Micros setup_limit(const Tunnel& tun) const;
   void measured(Micros took);
   void after_setup(Tunnel& tun, Backend& ep, const Ending& ending);
-  void give_up(Tunnel& tun);
   void answer(Tunnel& tun, Answer how);
   void opened(Tunnel& tun);
   bool over_share(const Tunnel& tun) const;
--- a/src/net/client_side.cpp
+++ b/src/net/client_side.cpp
@@ -52,7 +52,13 @@
   bool quiet() const { return !exchange_ && !over_; }
   Micros quiet_since() const { return quiet_since_; }
   Micros wrote_at() const { return wrote_at_; }  // a part of its first line, or when it came
-  void look() { connection_->look(); }
+  void last_call() {
+    look();  // its line may lie there unread
+    if (over_) return;
+    exchange_ ? exchange_->last_call() : turn_out("relay_ends");
+  }
+  bool has_begun() const { return quiet() && !lines_.begun().empty(); }
+  void look() override { connection_->look(); }
 
   // Danger: a connection that has not asked for a tunnel yet may be anybody's. What can be no first line is
   // turned away at its first wrong byte; a client that does not wait for its answer is not served.
@@ -71,17 +77,19 @@
     });
     if (exchange_) {
       side_.quiet_.erase(number_);
-      return rest.empty() ? side_.take_(exchange_) : finish("ERR", "spoke_early");
+      if (!rest.empty()) return finish("ERR", "spoke_early");
+      look();  // its end may lie right behind its line
+      return over_ ? void() : side_.take_(exchange_);
     }
     if (!lines_.begun().empty()) wrote_at_ = side_.loop_.now();
     if (lines_.overlong()) return finish("ERR", "overlong_line");
     if (!may_begin(lines_.begun())) finish("ERR", "not_understood");
   }
   void said_nothing() { finish(lines_.begun().empty() ? "" : "ERR", "said_nothing"); }
-  void turn_out() {
+  void turn_out(const char* reason) {
     connection_->send({"BUSY\r\n"});
-    connection_->close();
-    leave("no_descriptors");
+    connection_->close_at_once();
+    leave(reason);
   }
   void ended() override { client_ended(Ended::orderly); }
   void broken() override { client_ended(Ended::broken); }
@@ -152,6 +160,20 @@
                                                 [](const auto& one) { return one.second->has_tunnel(); }));
 }
 
+bool ClientSide::awaits_lines() const {
+  return std::any_of(quiet_.begin(), quiet_.end(),
+                     [this](std::uint64_t number) { return clients_.at(number)->has_begun(); });
+}
+
+// Danger: who has written its line to this machine counts as taken, though nobody may have read it yet or
+// even accepted its connection; what the process holds when it ends is cut off with no answer.
+void ClientSide::last_call(bool closing) {
+  closing ? listener_.close() : listener_.take_in(false);
+  std::vector<std::shared_ptr<Client>> all;
+  for (const auto& [number, client] : clients_) all.push_back(client);
+  for (const auto& client : all) client->last_call();
+}
+
 void ClientSide::come(SocketPtr socket) {
   // What has its answer needs its descriptor no longer than it takes to read that.
   while (!on_their_way_.empty()) {
@@ -161,7 +183,7 @@
   }
   make_room();
   if (full_()) {  // every one serves somebody: told at once, and nothing kept
-    g_socket_send(socket.get(), "BUSY\r\n", 6, nullptr, nullptr);
+    tell_and_close(std::move(socket), "BUSY\r\n");
     return loop_.log().line(Topic::fault, "a client is turned away: descriptors run short");
   }
   come(std::move(socket), "", 0);
@@ -201,10 +223,14 @@
 // Danger: hundreds that connect and say nothing, or ask for a sign of life and stay, would hold all
 // descriptors; then clients with a tunnel to open find none, nor setups, probes and discovery.
 void ClientSide::make_room() {
-  while (full_() && !on_their_way_.empty()) {
-    if (const auto oldest = on_their_way_.front().lock()) oldest->close();
-    on_their_way_.pop_front();
-  }
+  if (full_())
+    std::erase_if(on_their_way_, [this](const auto& one) {
+      const auto leaving = one.lock();
+      // Danger: one whose last line is not out yet would never read it.
+      if (leaving && leaving->is_open() && (leaving->waiting() > 0 || !full_())) return false;
+      if (leaving) leaving->close_at_once();
+      return true;
+    });
   if (std::exchange(making_room_, true)) return;  // a line found on the way asks for room itself
   for (std::size_t looks = quiet_.size(); full_() && !quiet_.empty();) {
     const auto silent = clients_.at(*std::min_element(quiet_.begin(), quiet_.end(), [this](auto a, auto b) {
@@ -215,7 +241,7 @@
     if (!silent->quiet()) continue;
     // Danger: in a crowd that never finishes a line, those that are slow but write on would be the oldest.
     if (silent->wrote_at() > wrote_at && looks-- > 0) continue;
-    silent->turn_out();
+    silent->turn_out("no_descriptors");
   }
   making_room_ = false;
 }
--- a/src/net/client_side.hpp
+++ b/src/net/client_side.hpp
@@ -27,6 +27,10 @@
   ~ClientSide();
   std::size_t tunnels() const;  // how many clients have one, or wait for it
   bool empty() const { return clients_.empty(); }
+  bool awaits_lines() const;  // somebody is in the midst of its first line
+  // The process is about to end: whoever has come by now is answered, what is open is told to move. With
+  // `closing` nobody can connect from then on, else whoever does is the next process's.
+  void last_call(bool closing);
   void take_in(bool wanted) { listener_.take_in(wanted); }
   // Between two processes. `give` tells whether another process has what it was told of; where it says no,
   // the rest waits. Then both of what came from there: a client that has asked for nothing, or one with a
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -208,6 +208,20 @@
   stay_until_quiet(loop_.now() + kLingerMost);
 }
 
+void Connection::close_at_once() {
+  if (!is_open()) return;
+  owner_ = nullptr;
+  drain();
+  close();
+}
+
+void tell_and_close(SocketPtr socket, std::string_view line) {
+  g_socket_set_blocking(socket.get(), FALSE);
+  g_socket_send(socket.get(), line.data(), line.size(), nullptr, nullptr);
+  std::array<char, 65536> nothing;  // NOLINT: not filled
+  recv(g_socket_get_fd(socket.get()), nothing.data(), nothing.size(), MSG_TRUNC | MSG_DONTWAIT);
+}
+
 void Connection::stay_until_quiet(Micros latest) {
   loop_.wake_at(std::min(drained_at_ + kLinger, latest), [self = shared_from_this(), latest] {
     const Micros now = self->loop_.now();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -25,6 +25,9 @@
 // "10.0.0.4:7070" or "[::1]:7070"; empty where it is neither.
 Address parse_address(const std::string& text);
 
+// A line to somebody who is not taken in.
+void tell_and_close(SocketPtr socket, std::string_view line);
+
 // What the owner of a connection is told. The connection may be closed from within any of these.
 class ConnectionOwner {
  public:
@@ -48,9 +51,10 @@
   ~Connection();
 
   void send(std::initializer_list<std::string_view> pieces);
-  void end_sending();   // once all that waits has gone out
-  void close_gently();  // what waits goes out, then the end; a peer that does not end gets a reset
-  void look();          // reads at once what has come
+  void end_sending();    // once all that waits has gone out
+  void close_gently();   // what waits goes out, then the end; a peer that does not end gets a reset
+  void close_at_once();  // after the last line: what lies unread would make a reset of it
+  void look();           // reads at once what has come
   void close();
   void reset();
   void read_on(bool wanted);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -15,6 +15,10 @@
 constexpr Micros kFirstLine = 4 * kSecond;           // a service that all share works through calls in turn
 constexpr Micros kIdKept = 5 * kSecond;              // after its tunnel's end
 constexpr Micros kStillComing = 45 * kSecond / 100;  // so long clients come after the relay is told to end
+constexpr Micros kAnswerMargin = kSecond / 50;       // before a client stops waiting
+constexpr Micros kLongestWait = 3 * kSecond;         // of a client, as far as the platform waits for the end
+constexpr Micros kLastCall = kSecond / 2;            // after that wait, what is left hears the end
+constexpr Micros kLastWords = kSecond / 10;          // to go out, and a torn line to end
 constexpr Micros kEmptyFor = kSecond / 4;            // before the end: what was told last must be read
 
 Exchange& exchange_of(Tunnel& tun) { return static_cast<Exchange&>(tun); }
@@ -37,6 +41,7 @@
 Door::Door(Loop& loop, const Start& start)
     : loop_(loop), listen_(start.listen), settled_(start.settled), facts_(start.facts),
       sockets_(start.sockets), kept_back_(kSpareSockets), zones_(start.facts.zone_names),
+      inherited_(start.clients_fd >= 0),
       discovery_(
           loop, start.discovery, start.known.version, start.pushed ? kSecond : kFirstLine,
           [this](const List& list) {
@@ -60,7 +65,7 @@
   // relay that never begins serves nobody.
   // Where its agent has the news already, they count as told from the first moment; but clients may come at
   // once, and whoever waits in the backlog gets no more time for it.
-  const Micros for_news = start.clients_fd >= 0 ? kFirstList
+  const Micros for_news = inherited_     ? kFirstList
                           : start.pushed ? std::min(facts_.drain_grace, shortest_goal(facts_) / 2)
                                          : 0;
   if (for_news > 0)
@@ -86,6 +91,7 @@
 
 void Door::leave() {
   if (std::exchange(leaving_, true)) return;
+  told_to_end_ = loop_.now();
   loop_.log().line(Topic::life, "told to end: %zu clients to move", clients_->tunnels());
   // Danger: while clients are still sent here, one that is moved at once may come straight back and be
   // declined.
@@ -98,6 +104,7 @@
 // Danger: what this process takes in now it can serve for a moment only; the next one has it for good.
 Memory Door::succeeded() {
   leaving_ = true;
+  told_to_end_ = loop_.now();
   loop_.log().line(Topic::life, "told to end: %zu clients to hand over", clients_->tunnels());
   clients_->take_in(false);
   return relay_->succeeded();
@@ -157,10 +164,17 @@
 
 void Door::look_whether_empty(Micros empty_since) {
   loop_.wake_at(loop_.now() + kEmptyFor / 10, [this, empty_since] {
-    if (clients_->tunnels() > 0) return look_whether_empty(loop_.now());
-    if (loop_.now() - empty_since < kEmptyFor) return look_whether_empty(empty_since);
-    loop_.log().line(Topic::life, "every client is gone: ending");
-    loop_.quit();
+    // Danger: the platform waits for no client that is slow, for no backend that hangs and for no mover.
+    const Micros now = loop_.now(), last = told_to_end_ + std::min(longest_wait(), kLongestWait) + kLastCall;
+    const bool busy = clients_->tunnels() > 0 || clients_->awaits_lines();
+    if (now < last && busy) return look_whether_empty(now);
+    if (now < last && now - empty_since < kEmptyFor) return look_whether_empty(empty_since);
+    clients_->last_call(!inherited_);
+    loop_.wake_at(now + kLastWords, [this] {
+      loop_.log().line(Topic::life, "%s: ending",
+                       clients_->tunnels() > 0 ? "time is up" : "every client is gone");
+      loop_.quit();
+    });
   });
 }
 
@@ -191,10 +205,11 @@
   // a listener that cannot accept. What has not been sent anywhere can be declined.
   clients_->make_room();
   if (full()) return tun->client->finish("BUSY", "no_descriptors");
+  // Danger: one that has been told to leave since gets nothing new, what stood there before not excepted.
   const auto stood_at = backends_.find(tun->head.value("at"));
-  if (stood_at == backends_.end()) return relay_->take(tun);
+  if (stood_at == backends_.end() || !relay_->may_go(*tun, *stood_at->second)) return relay_->take(tun);
   tun->stood_at = stood_at->second;
-  servers_.start(tun, stood_at->second->address, tun->expires_at - loop_.now());
+  servers_.start(tun, stood_at->second->address, tun->expires_at - loop_.now() - kAnswerMargin);
 }
 
 // Danger: the id of another's open tunnel. Every backend refuses it, and each refusal would speak against one
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -89,6 +89,8 @@
   std::deque<std::pair<Micros, Ids::iterator>> ids_by_age_;  // when to look at each next
   std::set<std::string> banned_;                             // by operators; some may be on no list
   bool ready_ = false, leaving_ = false;
+  const bool inherited_;  // the clients' listening socket: another process has it after this one
+  Micros told_to_end_ = 0;
   std::function<void()> on_ready_;
   Discovery discovery_;
   Probes probes_;
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -36,10 +36,20 @@
 void Exchange::client_spoke_early() { give_up_client("spoke_early"); }
 
 // It may only have ended its sending: so it is told, and the setup under way is not left to run for nobody.
+// Where the site lets none be cancelled, that holds for what has gone out already.
 void Exchange::give_up_client(const char* reason) {
   relay_.client_gone(*this);
   if (client) client->finish("ERR", reason);
-  if (server) abandon();
+  if (server && (relay_.may_abandon() || !server->has_sent())) abandon();
+}
+
+// Danger: while its connection came up, or the loop stood still, the client may have left, its backend may
+// have been told to drain, or the time in which a repeat is known may have passed.
+bool Exchange::may_go() {
+  const auto keep = self();
+  if (client) client->look();
+  const Backend* to = stood_at ? stood_at.get() : ep.get();
+  return client && to && relay_.may_go(*this, *to);
 }
 
 void Exchange::came_up(std::string_view line, Micros took) {
@@ -82,7 +92,7 @@
     if (std::exchange(self->stood_at, nullptr) && !self->answered && !finished) {
       // It could not be opened again where it stood. Whether that setup ran matters for the next one.
       if (self->profile->effect == Effect::repeatable || ending.result == Result::rejected ||
-          ending.result == Result::connect_failed)
+          ending.result == Result::connect_failed || ending.result == Result::moot)
         return self->relay_.take(self);
       if (self->client) self->client->finish("ERR", "closed_with_error");
       return;
@@ -143,6 +153,13 @@
   });
 }
 
+void Exchange::last_call() {
+  const auto keep = self();
+  if (open) return move();
+  relay_.give_up(*this);
+  if (server) abandon();
+}
+
 void Exchange::part() {
   to_move_ = false;
   if (client) client->finish(between_lines_ ? "MOVE" : "", "moved");
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -24,6 +24,7 @@
   virtual void finish(std::string_view last_line, const char* reason) = 0;  // a line, if any, then the end
   virtual void drop(const char* reason) = 0;                                // a reset, as the backend's
   virtual void read_on(bool wanted) = 0;
+  virtual void look() = 0;          // reads at once what has come: it may have left
   virtual int settled() const = 0;  // its descriptor, if that alone is the whole of this end; else -1
   virtual void handed() = 0;        // another process has it
 
@@ -35,7 +36,8 @@
 class ServerEnd {
  public:
   virtual void pass(std::string_view bytes) = 0;
-  virtual void finish() = 0;   // the client sends no more
+  virtual void finish() = 0;  // the client sends no more
+  virtual bool has_sent() const = 0;
   virtual void abandon() = 0;  // nobody waits any longer: the connection ends, and nothing more is told
   virtual void drop() = 0;     // the same with a reset
   virtual void read_on(bool wanted) = 0;
@@ -61,6 +63,8 @@
   void client_passes(std::string_view bytes);
   void client_ended(Ended how);
   void client_spoke_early();  // more than its first line, before the answer to that
+  // Asked by the server's side before the first byte of a setup goes out: the one place that all pass.
+  bool may_go();
   // Said by the server's side, for the setup that is out or the backend that holds it.
   void came_up(std::string_view line, Micros took);
   void server_passes(std::string_view bytes);
@@ -70,6 +74,7 @@
   void close_with_error();
   void abandon();
   void move();
+  void last_call();  // the process ends: an open tunnel moves, one that waits hears now that it waits in vain
 
   // Between two processes. What can go now is told with its descriptors still its own; `gone` lets go of it.
   std::optional<Handed> to_hand() const;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -34,10 +34,17 @@
 
 void Listener::take_in(bool wanted) {
   wanted_ = wanted;
-  watch_->want(wanted, false);
+  if (watch_) watch_->want(wanted, false);
 }
 
-void Listener::accept() {
+void Listener::close() {
+  while (accept()) {
+  }
+  watch_.reset();
+  socket_.reset();
+}
+
+bool Listener::accept() {
   for (int i = 0; i < kAtOnce && wanted_; ++i) {
     GError* error = nullptr;
     SocketPtr socket(g_socket_accept(socket_.get(), nullptr, &error));
@@ -48,14 +55,15 @@
         loop_.log().line(Topic::fault, "cannot take a connection in: %s", error->message);
         watch_->want(false, false);
         loop_.wake_at(loop_.now() + kAcceptPause, [this, alive = std::weak_ptr<bool>(alive_)] {
-          if (!alive.expired()) watch_->want(wanted_, false);
+          if (!alive.expired()) take_in(wanted_);
         });
       }
       g_clear_error(&error);
-      return;
+      return false;
     }
     taken_(std::move(socket));
   }
+  return wanted_;
 }
 
 }  // namespace cherryrail::net
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -16,9 +16,10 @@
   using Taken = std::function<void(SocketPtr)>;
   Listener(Loop& loop, SocketPtr socket, Taken taken);
   void take_in(bool wanted);
+  void close();  // gives on whoever has connected by now, and takes nobody after that
 
  private:
-  void accept();
+  bool accept();  // whether there may be more
 
   Loop& loop_;
   SocketPtr socket_;
--- a/src/net/server_side.cpp
+++ b/src/net/server_side.cpp
@@ -28,7 +28,7 @@
     case Result::cancelled:
       return "cancelled";
     case Result::moot:
-      return "no_descriptors";
+      return "not_sent";
   }
   return "unknown";
 }
@@ -47,9 +47,8 @@
     exchange_->server = this;
     if (until_ <= began_) return over_soon(weak, Result::timed_out);
     // Danger: a relay out of descriptors would take healthy backends for dead. What was never sent is moot.
-    bool no_descriptor = false;
-    connection_ = Connection::open(side_.loop_, to, *this, &no_descriptor);
-    if (!connection_) return over_soon(weak, no_descriptor ? Result::moot : Result::connect_failed);
+    connection_ = Connection::open(side_.loop_, to, *this, &no_descriptor_);
+    if (!connection_) return over_soon(weak, no_descriptor_ ? Result::moot : Result::connect_failed);
     side_.loop_.wake_at(std::min(until_, began_ + side_.connect_limit_), [weak] {
       if (const auto self = weak.lock(); self && self->step_ == Step::connecting)
         self->over(Ended::broken, Result::connect_failed);
@@ -67,6 +66,7 @@
   }
 
   void connected() override {
+    if (!exchange_->may_go()) return over(Ended::orderly, Result::moot);
     const Head::Pieces head = exchange_->head.with_wait(until_ - side_.loop_.now());
     step_ = Step::sending;
     connection_->send({head.before, head.wait(), head.after, "\r\n"});
@@ -117,6 +117,7 @@
         self->over(Ended::orderly, Result::cancelled);
     });
   }
+  bool has_sent() const override { return step_ == Step::sending || step_ == Step::waiting; }
   void abandon() override {
     if (connection_) connection_->close();
     leave("given_up");
@@ -183,7 +184,7 @@
     const Ending ending{result, side_.loop_.now() - began_};
     const bool was_up = step_ == Step::up;
     step_ = Step::over;
-    leave_line(reason_of(result));
+    leave_line(no_descriptor_ ? "no_descriptors" : reason_of(result));
     exchange_->server_ended(was_up ? how : Ended::orderly, ending, load, last_line);
     if (connection_) connection_->close();
     forget();
@@ -213,6 +214,7 @@
   Lines lines_;
   Reply last_ = Reply::other;  // of the lines passed on
   Step step_ = Step::connecting;
+  bool no_descriptor_ = false;
 };
 
 ServerSide::ServerSide(Loop& loop, Micros connect_limit, ReadReport read_report, Told told)
