--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -251,6 +251,35 @@
   town.open("1");
 }
 
+// A list that never comes, and then comes very late.
+TEST(Endings, WithNoListAtAllAClientIsAnsweredAtOnceAndServedOnceOneComes) {
+  Town town(1, 500, "", false);
+  std::string text = town.told(500);
+  text.replace(text.find(town.target(0, "active")), town.target(0, "active").size(), "");
+  town.start = net::read_start_text(text);
+  town.door = std::make_unique<net::Door>(town.loop, town.start);
+  End here = town.client(kOpen);
+  EXPECT_TRUE(town.until([&] { return here.ended(); }, 100));
+  EXPECT_EQ(here.heard(), "BUSY\r\n");
+  town.list(R"({"rev":5,"all":true,"targets":[)" + town.target(0, "active") + "]}");
+  town.until([] { return false; }, 20);
+  town.open("2");
+}
+
+TEST(Endings, AnUnusableNumberOfRelaysEndsTheStartNamingItsKey) {
+  for (const char* count : {"0", "-3", "1e9", "\"many\""}) {
+    try {
+      net::read_start_text(Town(1, 500, "", false).told(500, std::string(",\"balancers\":") + count));
+      ADD_FAILURE() << count;
+    } catch (const BadSetting& bad) {
+      EXPECT_NE(std::string(bad.what()).find("balancers"), std::string::npos) << bad.what();
+    }
+  }
+  Town one(1, 500, R"(,"balancers":1)"), most(1, 500, R"(,"balancers":65535)");
+  one.open("1");
+  most.open("1");
+}
+
 TEST(Endings, ACallThatBringsNoFirstLineIsMadeAgain) {
   Town town(1, 500, kPushed);
   End first, again;
--- a/tests/path_test.cpp
+++ b/tests/path_test.cpp
@@ -663,6 +663,39 @@
   EXPECT_LE(home, 35u);
 }
 
+// Its few connections are taken now and then: that is no proof that it is ill.
+TEST(Scale, ABackendThatRefusesSomeConnectsIsNotSetAside) {
+  Story story(6);
+  Backend& crowded = *story.eps[0];
+  unsigned came = 0;
+  for (std::uint64_t key = 1; key <= 400; ++key) {
+    Tunnel& tun = story.arrive(key * 7919);
+    while (tun.ep.get() == &crowded && ++came % 3 == 0) story.fail(tun, Result::connect_failed);
+    if (tun.ep) story.relay.established(tun, 20 * kMs);
+    if (tun.ep) story.fail(tun, Result::opened, true);
+    story.host.pass(50 * kMs);
+    ASSERT_FALSE(crowded.aside);
+  }
+  EXPECT_GE(came, 40u);
+  EXPECT_TRUE(story.host.declined.empty());
+}
+
+// A release takes all of the own zone but one: that one must not be given what five bore, nor anybody
+// declined.
+TEST(Scale, ARelayWithOneBackendLeftInItsZoneSendsMostAbroad) {
+  SiteTerms terms = plain_terms();
+  terms.cross_price = 0.02;
+  Story story(0, terms);
+  for (unsigned i = 0; i < 10; ++i) story.add(0, i % 2);
+  for (std::uint64_t key = 1; key <= 40; ++key) story.fail(story.open(key), Result::opened, true);
+  for (std::size_t i = 2; i < 10; i += 2) story.list(i, Standing::draining);
+  const std::size_t before = story.sent_to(*story.eps[0]);
+  for (std::uint64_t key = 100; key < 160; ++key) story.open(key);
+  EXPECT_TRUE(story.host.declined.empty());
+  EXPECT_LE(story.sent_to(*story.eps[0]) - before, 24u);
+  for (std::size_t i = 1; i < 10; i += 2) EXPECT_GE(story.eps[i]->held.size(), 3u);
+}
+
 // The clients of a relay that went away come all at once: they do not belong at home, and would drown it.
 TEST(Scale, InAStormHomeTakesNoMoreThanTheRest) {
   SiteTerms terms = plain_terms();
