--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -357,11 +357,14 @@
   Town town(1);
   End slow = town.client("OPEN 1 1 c=ta"), never = town.client("OPEN 2 2 c");
   ASSERT_FALSE(town.until([] { return false; }, 20));
+  bool finished = false;
   town.loop.wake_at(town.loop.now() + 1200 * kMs, [&] {
     EXPECT_EQ(slow.heard(), "");  // an answer in the midst of its line might never be read
     slow.say("lk,d=1200\r\n");
+    finished = true;
   });
   EXPECT_LT(told_to_end(town), kKilledAfter);
+  EXPECT_TRUE(finished);
   EXPECT_EQ(slow.heard(), "BUSY\r\n");
   EXPECT_EQ(never.heard(), "BUSY\r\n");
 }
