--- a/tests/endings_test.cpp
+++ b/tests/endings_test.cpp
@@ -183,6 +183,67 @@
   EXPECT_GE(wait, 300);
 }
 
+// ---- What a backend says ---------------------------------------------------------------------------------
+
+// Spoilt answers: the client has one answer, from the next backend, and the spoiler's connection is closed.
+TEST(Endings, ASpoiltAnswerCostsItsBackendTheSetupAndTheClientNothing) {
+  for (const std::string& spoilt : {std::string("\r\n"), std::string("OK 1\r\n"), std::string(5000, 'x'),
+                                    std::string("BUSY\r\nUP late\r\n"), std::string("ERR\r\nBUSY\r\n")}) {
+    Town town(2);
+    End here = town.client(kOpen);
+    End bad = town.setup();
+    bad.say(spoilt);
+    End good = town.setup();
+    EXPECT_TRUE(town.until([&] { return bad.ended(); }));
+    good.say("UP 1\r\n");
+    EXPECT_TRUE(town.until([&] { return here.heard() == "UP 1\r\n"; }));
+    EXPECT_TRUE(untouched(town));
+  }
+}
+
+// An answer that is there before the relay has written a byte.
+TEST(Endings, AnAnswerBeforeTheLineIsTakenAsOne) {
+  Town town(1);
+  End here = town.client(kOpen);
+  End there = coming(town);
+  there.say("UP 1\r\nfirst\r\n");
+  EXPECT_TRUE(town.until([&] { return here.heard() == "UP 1\r\nfirst\r\n"; }));
+  here.say("x\r\n");
+  EXPECT_TRUE(town.until([&] { return there.heard().ends_with("\r\nx\r\n"); }));
+}
+
+// It may have run: no second setup for what must not happen twice, however the first ended.
+TEST(Endings, WhatMayHaveRunIsRepeatedForNoOnceOnlyTunnel) {
+  const std::string once =
+      R"(,"profiles":[{"name":"talk","setup_goal":100.0,"client_timeout":1200.0,"payoff":1.0,
+      "semantics":"at_most_once"}])";
+  for (const std::string& end : {std::string("ERR\r\n"), std::string("\r\n"), std::string("reset"),
+                                 std::string("closed"), std::string("nothing")}) {
+    Town town(2, 500, once);
+    End here = town.client(kOpen);
+    End there = town.setup();
+    if (end == "reset")
+      there.reset();
+    else if (end == "closed")
+      there.close();
+    else if (end != "nothing")
+      there.say(end);
+    EXPECT_TRUE(town.until([&] { return here.ended(); })) << end;
+    EXPECT_EQ(here.heard(), "ERR\r\n") << end;
+    EXPECT_TRUE(untouched(town)) << end;
+  }
+}
+
+// The last line and the end in one read, and a second answer some time after the first.
+TEST(Endings, LastWordsInOneReadReachTheClientWhole) {
+  Town town(1);
+  auto [here, there] = town.open("1");
+  there.say("UP again\r\nline\r\nBYE\r\n");
+  there.end_sending();
+  EXPECT_TRUE(town.until([&] { return here.ended(); }));
+  EXPECT_EQ(here.heard(), "UP r\r\nUP again\r\nline\r\nBYE\r\n");
+}
+
 // ---- The list -------------------------------------------------------------------------------------------
 
 // What a silent watch misses counts as told six seconds after its last word, on 300 relays as on one.
