Signals are read on the relay's one thread: a held second thread held the process

GLib's g_unix_signal_add starts the thread 'gmain'. Change: signalfd in the loop's own set, no second thread. A story counts the threads; it fails with GLib's source (two).

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,6 @@
 #include "net/loop.hpp"
 
-#include <glib-unix.h>
+#include <sys/signalfd.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -70,12 +70,15 @@
   }
   g_source_add_unix_fd(socket_source_, epoll_, G_IO_IN);
   std::signal(SIGPIPE, SIG_IGN);
+  sigemptyset(&signals_);
 }
 
 Loop::~Loop() {
   soon_.clear();  // what they hold leaves the set of sockets first
   alarms_.clear();
-  for (const Told& told : signals_) g_source_remove(told.id);
+  signal_watch_.reset();
+  if (signal_fd_ >= 0) close(signal_fd_);
+  sigprocmask(SIG_UNBLOCK, &signals_, nullptr);
   for (GSource* source : {socket_source_, alarm_source_}) {
     g_source_destroy(source);
     g_source_unref(source);
@@ -105,14 +108,23 @@
                             alarms_.empty() ? -1 : std::max<Micros>(0, alarms_.begin()->first - offset_));
 }
 
+// Danger: GLib's own signal sources start a second thread, and a process held while that has a lock is held
+// for good. So signals are read as sockets are, and the relay has one thread.
 void Loop::on_signal(int signal, std::function<void()> then) {
-  signals_.push_back({this, std::move(then), 0});
-  const auto come = [](gpointer data) -> gboolean {
-    const auto& told = *static_cast<Told*>(data);
-    told.loop->guarded(told.then);
-    return G_SOURCE_CONTINUE;
-  };
-  signals_.back().id = g_unix_signal_add(signal, come, &signals_.back());
+  told_[signal] = std::move(then);
+  sigaddset(&signals_, signal);
+  sigprocmask(SIG_BLOCK, &signals_, nullptr);
+  signal_fd_ = signalfd(signal_fd_, &signals_, SFD_CLOEXEC | SFD_NONBLOCK);
+  if (signal_fd_ < 0) throw std::runtime_error(std::string("signalfd: ") + std::strerror(errno));
+  if (signal_watch_) return;
+  signal_watch_ = std::make_unique<Watch>(*this, signal_fd_, [this](bool, bool) {
+    signalfd_siginfo come{};
+    while (read(signal_fd_, &come, sizeof(come)) == sizeof(come)) {
+      const auto told = told_[static_cast<int>(come.ssi_signo)];  // it may be replaced meanwhile
+      guarded(told);
+    }
+  });
+  signal_watch_->want(true, false);
 }
 
 void Loop::on_terminate(std::function<void()> then) {
--- a/src/net/loop.hpp
+++ b/src/net/loop.hpp
@@ -5,12 +5,13 @@
 #include <sys/epoll.h>
 
 #include <array>
+#include <csignal>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
-#include <list>
 #include <map>
+#include <memory>
 
 #include "brain.hpp"
 #include "net/log.hpp"
@@ -78,13 +79,10 @@
   std::deque<std::function<void()>> soon_;
   std::array<epoll_event, 256> batch_{};
   std::size_t batch_size_ = 0, batch_at_ = 0, sockets_ = 0;
-  // Each stays where it is: GLib holds its address.
-  struct Told {
-    Loop* loop;
-    std::function<void()> then;
-    guint id;
-  };
-  std::list<Told> signals_;
+  sigset_t signals_{};
+  int signal_fd_ = -1;
+  std::unique_ptr<Watch> signal_watch_;
+  std::map<int, std::function<void()>> told_;  // of a signal, what to do
 };
 
 }  // namespace cherryrail::net
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -1,6 +1,8 @@
 // The relay on loopback sockets: one story for each thing that may go wrong between the ends.
 #include <sys/resource.h>
 
+#include <filesystem>
+
 #include "helpers.hpp"
 #include "net/head.hpp"
 #include "net/http.hpp"
@@ -37,6 +39,18 @@
   EXPECT_TRUE(town.setup());
 }
 
+// A second thread that is held while it has a lock would hold the relay for good.
+TEST(Net, SignalsAreTakenInOnTheRelaysOneThread) {
+  Town town(1);
+  int told = 0;
+  town.loop.on_terminate([&] { ++told; });
+  town.loop.on_reload([&] { told += 10; });
+  for (const int signal : {SIGTERM, SIGHUP, SIGINT}) std::raise(signal);
+  EXPECT_TRUE(town.until([&] { return told == 12; })) << told;
+  const auto threads = std::filesystem::directory_iterator("/proc/self/task");
+  EXPECT_EQ(std::distance(begin(threads), end(threads)), 1);
+}
+
 TEST(Net, ALineThatIsNotUnderstoodCostsOneConnection) {
   Town town(1);
   for (const std::string& line : {std::string("GET / HTTP/1.1\r\n"), std::string("OPEN 1 2 c=none,d=5\r\n"),
