What comes again lands on cold backends by its part; groups are dealt out over them

The draw for one that comes again was reckoned from what the relay knows of groups, and a relay of 300 knows next to nothing, one just started nothing. Change: a group is dealt out over the cold backends in parts by settings alone; what comes is thinned by the relay's own flow, so the sum stays within a window's part; evidence of groups is gone. Zones are no longer cut at 256.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -11,7 +11,6 @@
 #include "brain.hpp"
 
 #include <algorithm>
-#include <bitset>
 #include <cmath>
 #include <limits>
 #include <tuple>
@@ -31,8 +30,6 @@
 constexpr double kStorm = 8;        // times what comes again in two seconds is more than what is held
 constexpr double kStranger = 11;    // tunnels' worth of room more for the first of a group
 constexpr double kColdPart = 0.67;  // of the multiple that a cold backend bears, all that is sent on purpose
-constexpr double kRuledOut = 3;     // times as large as what was seen of groups, one may be
-constexpr double kFilling = 2;      // times as fast as it warms up, a cold backend is filled
 constexpr double kOneLess = 0.1;    // of a tunnel, shed beside a cut
 constexpr double kUnknown = 0.5;    // of the known room, where most known are strained
 constexpr double kFewKnown = 3;     // of fewer backends no relay tells that strain is general
@@ -160,14 +157,12 @@
   queue_moves(ep, out ? "is banned" : ep.standing == Standing::draining ? "drains" : "is gone");
 }
 
-// What was learned of the process before it no longer holds; the cold budget takes over.
 void Relay::restarted(Backend& ep) {
   ep.doubt = 0, ep.aside = false, ep.room = kNoLimit;
   ep.late.until = std::min(ep.late.until, host_.now());
 }
 
-// An operator's word, above the list's until it is taken back. Danger: what comes back was most likely
-// restarted, and the list is late: unless that has told of a start since, it is cold from now on.
+// Danger: what an operator calls back was most likely restarted, and the list is late: it is taken for cold.
 void Relay::ban(Backend& ep, bool banned) {
   if (std::exchange(ep.banned, banned) == banned) return;
   host_.log("backend " + std::to_string(ep.name) + (banned ? " banned" : " called back"));
@@ -182,9 +177,8 @@
 
 void Relay::list_read() { list_failures_ = 0; }
 
-// Relays that lost the list together must not ask for it together, nor late against ask_within. Danger: it is
-// one service: asked by many as soon as by a few, it serves no call before that has waited in vain. Where it
-// is this relay's own, it asks at once: what that has to tell counts as told.
+// Danger: the list is one service: asked by many as soon as by a few, it serves no call before that has
+// waited in vain. Where it is this relay's own, it asks at once: what that has to tell counts as told.
 void Relay::list_failed(Micros most) {
   if (!list_on_request_) return;
   const Micros within = ask_within_ > 0 ? ask_within_ : 8 * kSecond, few = std::min(within / 4, kAskAgain);
@@ -210,8 +204,8 @@
     returned_.add(host_.now(), 1);
   else
     ++new_clients_, purse_ = std::min(kPurse, purse_ + kProbeBudget / probe_price_);
+  if (!tun->client_key) tun->client_key = (std::uint64_t{chance_()} << 32) | chance_();
   tun->hash_key = key_of(*tun);
-  if (!tun->hash_key) tun->hash_key = (std::uint64_t{chance_()} << 32) | chance_();
   // Rule 1: whatever else goes wrong, the client hears from us before it stops waiting.
   host_.wake_at(tun->expires_at - answer_margin_, [this, weak = tun->weak_from_this()] {
     if (const auto late = weak.lock()) give_up(*late);
@@ -245,12 +239,10 @@
     if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
-    // At its first-ranked backend others may hold it: that none is held here tells little where few are.
     const double extra = ep->groups.contains(tun.hash_key) ? 0
                          : ep.get() == tun.first           ? std::min(kStranger, caps_.tunnels_each)
                                                            : kStranger;
     const bool fit = tun.mid_flow || fits(ep->load + load * extra, load, tun, *ep);
-    // Danger: at home twice the mean goes to one that is half laden already, while others abroad stand idle.
     const bool wide = ep->zone == zone_ && caps_.home > 1 && ep->told < kCalmLoad;
     const bool over = !tun.mid_flow && over_cap(*ep, wide ? kWideCapFactor : kCapFactor);
     // Danger: what strained backends shed would all go to the one not yet strained, and down it in its turn.
@@ -277,6 +269,31 @@
     const double rank = exact_rank(*ep);
     if (!tun.first || rank < least) tun.first = ep.get(), least = rank;
   }
+  if (tun.first && tun.returning && tun.group_key && warm_share(*tun.first) < 1) deal_out(tun);
+}
+
+// Danger: a large group comes again at once, at many relays that each know one of it, and the cold backend
+// that ranks first gets it all. So it is dealt out over the cold ones in its order, in parts that one bears
+// of a group as large as a warm backend's whole load; the rest goes to the warm.
+void Relay::deal_out(Tunnel& tun) {
+  const double part = std::min(1.0, bears_cold() * warm_share(*tun.first));
+  const auto place = static_cast<std::size_t>(draw_of(mix(tun.client_key), ~tun.hash_key) / part);
+  if (place == 0) return;
+  std::vector<std::pair<double, Backend*>> cold;
+  for (const auto& ep : fleet_)
+    if (ep->standing == Standing::ready && warm_share(*ep) < 1) cold.emplace_back(exact_rank(*ep), ep.get());
+  tun.first = nullptr;
+  if (place >= cold.size()) return;
+  std::sort(cold.begin(), cold.end(), [](const auto& a, const auto& b) { return a.first < b.first; });
+  Backend &before = *cold[0].second, &first = *cold[place].second;  // they change places in its order
+  std::swap(before.draw, first.draw), std::swap(before.weight, first.weight);
+  tun.first = &first;
+}
+
+// Of its present capacity, what a cold backend is sent on purpose within a fall window.
+double Relay::bears_cold() const {
+  const double window = static_cast<double>(fall_window_), warming = static_cast<double>(warm_up_);
+  return kColdPart * cold_multiple_ * std::min(1.0, window / warming);
 }
 
 // How much of its full capacity a backend surely has: from the cold share up, evenly over the warm-up.
@@ -290,12 +307,14 @@
   Caps caps;
   const Micros now = host_.now();
   caps.calm = static_cast<double>(new_clients_) / static_cast<double>(now - born_ + fall_window_);
-  double load = 0, home = 0, whole = 0, warm = 0, told = 0, busy = 0, known = 0, cut = 0, room = 0, full = 0;
-  std::bitset<256> zones;
+  double load = 0, home = 0, whole = 0, warm = 0, told = 0, busy = 0, known = 0, cut = 0, room = 0, full = 0,
+         zones = 0;
+  std::vector<bool> seen;
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::gone) caps.listed += ep->size;
     if (ep->standing != Standing::ready || ep->aside) continue;
-    zones.set(ep->zone % zones.size());
+    if (seen.size() <= ep->zone) seen.resize(ep->zone + 1);
+    zones += !seen[ep->zone], seen[ep->zone] = true;
     told += ep->told > 0, busy += ep->told;
     const double size = ep->size * warm_share(*ep);
     home += ep->zone == zone_ ? size : 0;
@@ -316,13 +335,12 @@
   caps.room_left = full > 0 ? room / full : 1;
   caps.mean_size = whole > 0 ? whole / std::max(1.0, caps.ready) : 1;
   caps.tunnels_each /= std::max(1.0, caps.ready);
-  caps.told = told > 0 ? std::clamp(busy / told, kCalmLoad, 1.0) : 1;
+  caps.told = told > 0 ? std::clamp(busy / told, kCalmLoad, kFullLoad) : kFullLoad;
   // Danger: a zone with few backends drowns in its own clients, and with few tunnels held no cap shows it. So
   // home gets no more of them than its part of the fleet bears, were clients spread evenly over the zones.
   if (cross_price_ > 0 && home > 0 && home < warm) {
-    const double part = home / warm, own = std::min(0.99, part * static_cast<double>(zones.count()));
+    const double part = home / warm, own = std::min(0.99, part * zones);
     caps.home = std::clamp(own / (1 - own) * (1 - part) / part, 1.0, kHomeZone);
-    // In strain a group held in every zone costs more than crossing; in a storm others' clients come.
     const bool storm = kStorm * (returned_.sum(now, 2) - 1) > static_cast<double>(held_);
     if (storm || (strained_until_ > 0 && now < strained_until_ + 2 * warm_up_)) caps.home = 1;
   }
@@ -336,35 +354,29 @@
 }
 
 // Danger: each relay sends a fresh backend a little, and together they push it over. What ranks it first is
-// its part by its warm share: the sum is right without talk where those in service bear that and no group may
-// be large, by what was seen of groups. For all else windows since its start are dealt out: in each, so many
+// its part by its warm share: over all relays the sum is right without talk, thinned by an agreed draw where
+// all that is listed would come to more. For all else windows since its start are dealt out: in each, so many
 // relays have a turn as it bears tunnels more. One that has just started sits out a turn that began before.
 bool Relay::cold_budget_allows(const Tunnel& tun, const Backend& ep) const {
-  const double warm = warm_share(ep), relays = relays_, held = static_cast<double>(held_);
+  const double warm = warm_share(ep), relays = relays_;
   if (warm >= 1) return true;
-  const double whole = std::max(caps_.listed * caps_.told, 1e-9), bears = kColdPart * cold_multiple_;
-  const double part = bears * warm * ep.size / whole;
-  const double alone = part * held * static_cast<double>(opened_before_) / static_cast<double>(fellows_ + 1);
-  const bool few =
-      !tun.returning || (!in_company(tun) && draw_of(mix(tun.client_key), ep.place) * kRuledOut < alone);
-  if (tun.first == &ep && few && bears * caps_.size >= whole && host_.now() >= turns_from_) return true;
+  const double whole = std::max(caps_.listed * caps_.told, 1e-9), bears = bears_cold();
+  const double held = bears * static_cast<double>(held_ + 1), fresh = kColdPart * cold_multiple_ * caps_.calm;
+  // Of what comes again, as much as would be borne were it all that is held; of the rest, all or nothing.
+  const double come = returned_.sum(host_.now(), 1 + fall_window_ / kSecond) * whole;
+  const bool borne = tun.returning ? draw_of(mix(tun.client_key), ep.place) * come < held * caps_.size
+                                   : kColdPart * cold_multiple_ * caps_.size >= whole;
+  if (tun.first == &ep && borne && host_.now() >= turns_from_) return true;
   const std::int64_t turn = cold_turn(ep);
   if (ep.since + turn * fall_window_ < turns_from_) return false;
-  const double window = static_cast<double>(fall_window_), warming = static_cast<double>(warm_up_);
-  const double filling = held * std::min(1.0, kFilling * window / warming);
-  const double budget = part * relays * std::max(filling, caps_.calm * window);
+  const double part = warm * ep.size / whole;
+  const double budget = part * relays * std::max(held, fresh * static_cast<double>(fall_window_));
   const auto turns = static_cast<std::int64_t>(std::clamp(budget, 1.0, relays));
   if ((me_ + turn * turns) % relays_ >= turns) return false;
   return (ep.cold_turn == turn ? ep.cold_sent + 1.0 : 1.0) <=
          std::max(1.0, budget / static_cast<double>(turns));
 }
 
-// Holds another of its group, or did lately.
-bool Relay::in_company(const Tunnel& tun) const {
-  const auto found = company_.find(tun.hash_key);
-  return found != company_.end() && found->second.known(tun.ep ? 1 : 0, host_.now() - regrowth_);
-}
-
 std::int64_t Relay::cold_turn(const Backend& ep) const {
   return std::max<Micros>(0, host_.now() - ep.since) / fall_window_;
 }
@@ -412,8 +424,8 @@
   return true;
 }
 
-// The setup goal: opened late still earns. Longer while setups everywhere take longer, for a time-out that
-// strikes healthy backends turns a slow spell into a storm (the source's relaxed time-outs).
+// The setup goal; longer while setups everywhere take longer, for a time-out that strikes healthy backends
+// turns a slow spell into a storm (the source's relaxed time-outs).
 Micros Relay::setup_limit(const Tunnel& tun) const {
   const double made = setups_made_.sum(host_.now());
   const Micros usual = made > 0 ? static_cast<Micros>(4 * setup_time_.sum(host_.now()) / made) : 0;
@@ -478,7 +490,7 @@
 void Relay::opened(Tunnel& tun) {
   answer(tun, Answer::opened);
   tun.open = true;
-  ++open_, ++opened_before_, fellows_ += in_company(tun);
+  ++open_;
   tun.next = [this, ep = tun.ep.get()](const Ending& ending) {
     // A backend that drops open tunnels is overdriven or dying; one told to leave may do as it likes.
     if (ending.result != Result::reset || ep->standing != Standing::ready) return;
@@ -527,7 +539,7 @@
   tun.load = expected_load(tun);
   tun.place = ep.held.size();
   ep.held.push_back(&tun);
-  ++ep.groups[tun.hash_key], ++company_[tun.hash_key].held;
+  ++ep.groups[tun.hash_key];
   if (tun.tenant < tenant_held_.size()) ++tenant_held_[tun.tenant];
   ep.load += tun.load;
   ep.landed.add(host_.now(), tun.load);
@@ -543,11 +555,7 @@
   if (--ep.groups[tun.hash_key] == 0) ep.groups.erase(tun.hash_key);
   ep.load = ep.held.empty() ? 0 : ep.load - tun.load;
   held_load_ = --held_ > 0 ? held_load_ - tun.load : 0;
-  Company& company = company_[tun.hash_key];
-  --company.held;
-  if (tun.open) --open_, company.parted_at = host_.now();
-  if (company_.size() > 2 * held_)
-    std::erase_if(company_, [this](const auto& of) { return !of.second.known(0, host_.now() - regrowth_); });
+  if (tun.open) --open_;
   if (tun.queued) --queued_;
   tun.open = tun.queued = false;
   const auto keep = std::move(tun.ep);
@@ -608,8 +616,7 @@
 
 void Relay::heard_from(Backend& ep) { ep.heard_at = host_.now(), ep.unanswered = 0; }
 
-// Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so. One
-// that is slow or refuses still answers, and moving what it holds would only feed a storm.
+// Danger: a backend that goes silent breaks nothing; what it holds would hang until the list says so.
 void Relay::unheard(Backend& ep) {
   if (++ep.unanswered < kSilentAfter) return;
   const auto heard = [](const auto& peer) { return peer->standing == Standing::ready && !peer->unanswered; };
@@ -649,8 +656,7 @@
     if (ep.zone != zone_ && message_time > shortest_message_) weigh_way(ep.zone);
   }
   if (now < ep.late.until) return;
-  // Danger: the mean is in time, yet at half of the goal a part comes late, and more with each that lands. So
-  // the room closes before it is full, and nobody moves. It may hurt where goals are tight for all there is.
+  // Danger: the mean is in time, yet at half of the goal a part comes late, and more with each that lands.
   if (message_time <= shortest_message_)
     return 2 * message_time > shortest_message_ ? cut_room(ep, 1) : void();
   // Danger: measured by the setup goal, a backend passed for sound while no message on it came in time.
@@ -670,8 +676,7 @@
 
 // Danger: behind a slow way, or while its process hangs, a backend looks overdriven, yet shedding a part
 // helps nobody, and each that lands is lost. Late by the same time again and again, it is late by itself:
-// what cannot be in time is moved as on a drain. Load that stands still looks the same: then too much moves
-// at once.
+// what cannot be in time is moved as on a drain.
 void Relay::late_by_itself(Backend& ep) {
   const auto in_time = [this](const auto& peer) {
     return peer->standing == Standing::ready && !peer->held.empty() && !told_late(*peer);
@@ -825,14 +830,14 @@
   if (told > kFullLoad) return told > kOverLoad ? strained(ep, kept) : cut_room(ep, kept);
   ep.calm_at = host_.now();
   // Danger: a rush of setups makes messages late for a moment; rooms cut for it turn clients away for
-  // seconds. So a report tells what is borne, by what was held as it was taken; once emptied, before that.
+  // seconds. So a report tells what is borne, by what was held as it was taken.
   const double then = std::max(0.0, ep.load - ep.landed.sum(ep.calm_at)) / std::max(told, kCalmLoad);
   const double bears = std::max(kFullLoad * then, told < kCalmLoad ? ep.full : 0);
   if (room_now(ep) < bears) ep.room = bears, ep.full = std::max(ep.full, bears);
 }
 
 // Danger: many relays each looking at every backend cost more than they learn: looks are paid from a purse
-// that new clients fill. Doubt and strain come first, half of it is theirs; a dead one must not eat it all.
+// that new clients fill. Doubt and strain come first, half of it is theirs.
 void Relay::look_around() {
   if (!may_probe_) return;
   const Micros now = host_.now();
@@ -898,8 +903,7 @@
   return memory;
 }
 
-// Danger: a relay that forgets at each replacement is always young: it rushes to what it had set aside, sits
-// out every cold backend's turns, and takes for warm what it alone knows to be cold.
+// Danger: a relay that forgets at each replacement is always young, and takes for warm what it knew was cold.
 void Relay::remember(const Memory& memory) {
   born_ = std::min(born_, memory.born);
   turns_from_ = std::min(turns_from_, memory.turns_from);
@@ -951,8 +955,7 @@
   });
 }
 
-// Danger: a client moved while nothing would take it in is declined, and again, and waits longer each time;
-// on a backend that drains it is served for as long as that lasts. So it stays queued until there is a place.
+// Danger: a client moved while nothing would take it in is declined; on a backend that drains it is served.
 void Relay::run_movers() {
   std::vector<std::weak_ptr<Tunnel>> stay;
   while (moving_ < movers() && !to_move_.empty()) {
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -248,11 +248,12 @@
   void place(Tunnel& tun);
   Backend* choose(Tunnel& tun);
   void rank(Tunnel& tun);
+  void deal_out(Tunnel& tun);
+  double bears_cold() const;
   double warm_share(const Backend& ep) const;
   Caps caps_now() const;
   bool over_cap(const Backend& ep, double factor) const;
   bool cold_budget_allows(const Tunnel& tun, const Backend& ep) const;
-  bool in_company(const Tunnel& tun) const;
   std::int64_t cold_turn(const Backend& ep) const;
   bool effect_allows(const Tunnel& tun, const Backend& ep) const;
   bool budget_allows(const Tunnel& tun) const;
@@ -304,7 +305,6 @@
   double load_unit_ = 1;
   std::vector<std::shared_ptr<Backend>> fleet_;  // in the order in which the list named them
   std::size_t held_ = 0, open_ = 0, queued_ = 0, moving_ = 0, look_from_ = 0;
-  std::size_t opened_before_ = 0, fellows_ = 0;  // of these, what another of its group was known for
   double held_load_ = 0, purse_ = 4;
   bool movers_wait_ = false, retiring_ = false;
   std::deque<std::weak_ptr<Tunnel>> to_move_;
@@ -316,13 +316,7 @@
   double cold_multiple_, cold_from_, probe_price_, cross_price_;
   std::map<unsigned, Lateness> ways_;  // to other zones
   Caps caps_;
-  struct Company {
-    unsigned held = 0;
-    Micros parted_at = std::numeric_limits<Micros>::min();  // when one left last
-    bool known(unsigned own, Micros since) const { return held > own || parted_at > since; }
-  };
-  std::map<std::uint64_t, Company> company_;  // each group that is held or was lately
-  Micros strained_until_ = 0;                 // most were: the verdict stands for a while
+  Micros strained_until_ = 0;  // most were: the verdict stands for a while
   std::size_t new_clients_ = 0;
   TimeRing returned_, good_, bad_, setups_made_, setup_time_;
   Micros budget_window_;
