The log says why a client was declined, and fleet_count counts the reasons

no_backend, cold_backends, no_room, setups_failed or relay_ends, from what the last choice passed over; decisions as before.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -230,14 +230,14 @@
   const Micros now = host_.now();
   Backend* best[3] = {};
   double best_rank[3] = {};
-  caps_ = caps_now();
+  caps_ = caps_now(), tun.cold = tun.full = 0;
   const double load = expected_load(tun);
   if (retiring_ || (caps_.strained && over_share(tun))) return nullptr;
   const bool strict = caps_.most_strained || caps_.tunnels_each < kCapFloor || caps_.ready < kFewKnown;
   rank(tun);
   for (const auto& ep : fleet_) {
     if (ep->standing != Standing::ready || (best[0] && least_rank(*ep) >= best_rank[0])) continue;
-    if (!effect_allows(tun, *ep) || !cold_budget_allows(tun, *ep)) continue;
+    if (!effect_allows(tun, *ep) || (!cold_budget_allows(tun, *ep) && ++tun.cold)) continue;
     if (std::find(tun.tried.begin(), tun.tried.end(), ep.get()) != tun.tried.end()) continue;
     // A group costs a backend more than its members do: where room is short, it takes in no new one lightly.
     const double extra = ep->groups.contains(tun.hash_key) ? 0
@@ -249,7 +249,7 @@
     // Danger: what strained backends shed would all go to the one not yet strained, and down it in its turn.
     // So it takes twice the mean at most, and one that was strained but is under the cap takes its part.
     if (over && caps_.strained && over_cap(*ep, kWideCapFactor)) continue;
-    if (!fit && (strict || over || cut_within(*ep, 2 * kCutEvery))) continue;
+    if (!fit && (strict || over || cut_within(*ep, 2 * kCutEvery)) && ++tun.full) continue;
     const int tier = ep->aside && now < ep->next_trickle ? 2 : over || !fit ? 1 : 0;
     if (too_late(tun, *ep)) continue;
     const double rank = exact_rank(*ep);
--- a/src/brain.hpp
+++ b/src/brain.hpp
@@ -173,6 +173,8 @@
   const Backend* first = nullptr;  // its first-ranked backend when last ranked
   std::uint64_t hash_key = 0;
   unsigned setups = 0;
+  unsigned cold = 0,
+           full = 0;  // backends that its last choice passed over: for a cold one's sake, for want of room
   double load = 0;
   std::size_t place = 0;  // index in ep->held
   bool answered = false, open = false, queued = false;
@@ -217,6 +219,7 @@
   void give_up(Tunnel& tun);  // the final answer to what has none yet, and the end of its setup
   bool may_go(const Tunnel& tun, const Backend& ep) const;  // asked again before a setup's first byte leaves
   bool may_abandon() const { return may_abandon_; }
+  bool retiring() const { return retiring_; }
   // What is heard on the side.
   void probe_ended(Backend& ep, const Ending& ending, const LoadReport& report);
   void load_told(Tunnel& tun, double load);
--- a/src/net/exchange.cpp
+++ b/src/net/exchange.cpp
@@ -125,13 +125,21 @@
   relay_.adopt(self(), holder);
 }
 
+// For the log: what most stood in the way, as far as can be told.
+const char* Exchange::why_declined() const {
+  if (relay_.retiring()) return "declined why=relay_ends";
+  if (setups > 0) return "declined why=setups_failed";
+  if (cold > full) return "declined why=cold_backends";
+  return full > 0 ? "declined why=no_room" : "declined why=no_backend";
+}
+
 void Exchange::decline(Micros hold_off) {
   if (!client) return;
   std::array<char, 32> line{'B', 'U', 'S', 'Y', ' '};
   char* end = line.data() + 4;
   if (hold_off > 0)
     end = std::to_chars(line.data() + 5, line.data() + line.size(), (hold_off + 999) / 1000).ptr;
-  client->finish({line.data(), static_cast<std::size_t>(end - line.data())}, "declined");
+  client->finish({line.data(), static_cast<std::size_t>(end - line.data())}, why_declined());
 }
 
 void Exchange::close_with_error() {
--- a/src/net/exchange.hpp
+++ b/src/net/exchange.hpp
@@ -90,6 +90,7 @@
   void setup_over(const Ending& ending, bool finished, const LoadReport& report);
   void part();
   void give_up_client(const char* reason);
+  const char* why_declined() const;
 
   Loop& loop_;
   Relay& relay_;
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -62,6 +62,31 @@
   town.open("8");
 }
 
+// Whoever is on call reads from the log why clients were declined.
+TEST(Net, TheLogTellsWhyAClientWasDeclined) {
+  Town town(1);
+  ::testing::internal::CaptureStderr();
+  town.list(R"({"rev":5,"all":false,"targets":[)" + town.target(0, "leaving") + "]}");
+  town.until([] { return false; }, 20);
+  End nowhere = town.client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(town.until([&] { return nowhere.ended(); }));
+  town.list(R"({"rev":6,"all":false,"targets":[)" + town.target(0, "active") + "]}");
+  town.until([] { return false; }, 20);
+  End failed = town.client("OPEN 2 2 c=talk,d=1200\r\n");
+  End there = town.setup();
+  there.say("BUSY\r\n");
+  there.close();
+  EXPECT_TRUE(town.until([&] { return failed.ended(); }));
+  town.door->leave();
+  town.until([] { return false; }, 600);
+  End late = town.client("OPEN 3 3 c=talk,d=1200\r\n");
+  town.until([&] { return late.ended(); });
+  const std::string log = ::testing::internal::GetCapturedStderr();
+  for (const char* line : {"id=1 end=declined why=no_backend", "id=2 end=declined why=setups_failed",
+                           "id=3 end=declined why=relay_ends"})
+    EXPECT_NE(log.find(line), std::string::npos) << line << " in\n" << log;
+}
+
 // While discovery is down idle clients fill all there is. It comes back, and what it tells is heard; the next
 // client that speaks is served by it. At the smallest limit that is allowed, at a quarter of the usual, and
 // at that.
--- a/tools/fleet_count.py
+++ b/tools/fleet_count.py
@@ -2,7 +2,7 @@
 """Counts what the relays of a fleet logged, second by second: fleet_count.py DIR
 
 DIR holds one log file for each relay. A column is an event: c: a client's end, s: a setup's, p: a probe's, m: the module's
-word, l: the list's. The lines may begin with a time of their own before the relay's.
+word, l: the list's. A declined client's column is the reason. The lines may begin with a time of their own before the relay's.
 """
 import collections
 import pathlib
@@ -11,8 +11,8 @@
 
 
 def event(topic, text):
-    if ended := re.match(r"(setup|client|probe|call)=.*end=(\w+)", text):
-        return f"{ended[1][0]}:{ended[2]}" if topic == "conn" else None
+    if ended := re.match(r"(setup|client|probe|call)=.*end=(\w+)(?: why=(\w+))?", text):
+        return f"{ended[1][0]}:{ended[3] or ended[2]}" if topic == "conn" else None
     if topic == "module":
         return "m:" + re.sub(r"backend \d+ ?", "", text).split(":")[-1].strip()[:24]
     if topic == "list":
