--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,12 @@
 test:
 	cmake -B build-tests $(STRICT)
 	cmake --build build-tests -j4
-	ctest --test-dir build-tests --output-on-failure
+	tools/run_tests.py build-tests
 
 asan:
 	cmake -B build-asan $(STRICT) -DCMAKE_BUILD_TYPE=Debug -DCHERRYRAIL_SANITIZE=ON
 	cmake --build build-asan -j4
-	ctest --test-dir build-asan --output-on-failure
+	tools/run_tests.py build-asan
 
 lint:
 	clang-format --dry-run --Werror $(SOURCES)
