--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -163,7 +163,7 @@
   ep.late.until = std::min(ep.late.until, host_.now());
 }
 
-// Danger: what an operator calls back was most likely restarted, and the list is late: it is taken for cold.
+// Danger: what an operator calls back was most likely restarted: cold, unless the list told a start since.
 void Relay::ban(Backend& ep, bool banned) {
   if (std::exchange(ep.banned, banned) == banned) return;
   host_.log("backend " + std::to_string(ep.name) + (banned ? " banned" : " called back"));
--- a/tests/sum_test.cpp
+++ b/tests/sum_test.cpp
@@ -167,12 +167,9 @@
     targets += R"({"uid":"t-)" + std::to_string(i) + R"(","endpoint":"127.0.0.1:1","az":"z)" +
                std::to_string(i) + R"(","pod_group":)" + std::to_string(i) +
                R"(,"state":"leaving","capacity_hint":1.0,"boot_ms":0},)";
-  const auto list = [&](const char* second) {
-    town.list(R"({"rev":5,"all":true,"targets":[)" + targets + town.target(0, "leaving") + "," +
-              town.target(1, second) + "]}");
-  };
   const auto began = town.loop.now();
-  list("active");
+  town.list(R"({"rev":5,"all":true,"targets":[)" + targets + town.target(0, "leaving") + "," +
+            town.target(1, "active") + "]}");
   End here = town.client("OPEN 1 1 c=talk,d=1200\r\n");
   End there = town.setup();
   ASSERT_TRUE(there);
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -32,6 +32,12 @@
     return listed
 
 
+def passed(case):
+    """Danger: a test whose program is missing is not run either, like one that says by itself that it is to be skipped."""
+    skipped = case.find("skipped")
+    return case.get("status") == "run" or (skipped is not None and skipped.get("message", "").startswith("SKIP_"))
+
+
 def main():
     if len(sys.argv) not in (2, 3):
         sys.exit("usage: run_tests.py BUILD [LIST]")
@@ -43,16 +49,15 @@
         sys.exit(f"{path.name}: {listed}")
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder, "report.xml")
-        subprocess.run(["ctest", "--test-dir", build, "--output-on-failure", "--output-junit", report], check=False)
-        results = {case.get("name"): case.get("status") for case in xml.parse(report).iter("testcase")}
-    missing = names - results.keys()
-    failed = {name for name, status in results.items() if status == "fail"} | missing
+        ended = subprocess.run(["ctest", "--test-dir", build, "--output-on-failure", "--output-junit", report], check=False)
+        sound = {case.get("name") for case in xml.parse(report).iter("testcase") if passed(case)}
+    failed = names - sound
     for name, line in listed.items():
         print(f"known failure, {'FAILED' if name in failed else 'PASSED: take it off the list'}: {line}")
     fresh = sorted(failed - listed.keys())
     for name in fresh:
         print(f"FAILED: {name}")
-    sys.exit(1 if fresh or not results else 0)
+    sys.exit(1 if fresh or not sound or (ended.returncode != 0 and not failed) else 0)
 
 
 if __name__ == "__main__":
