--- a/src/ops/calls.cpp
+++ b/src/admin/admin_server.cpp
@@ -1,10 +1,10 @@
-#include "ops/calls.hpp"
+#include "admin/admin_server.hpp"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 namespace {
 
 using net::Connection;
@@ -43,11 +43,13 @@
 
 }  // namespace
 
-Reply refusal(int status, const std::string& why) { return {status, nlohmann::json{{"error", why}}.dump()}; }
+AdminResponse refusal(int status, const std::string& why) {
+  return {status, nlohmann::json{{"error", why}}.dump()};
+}
 
-Reply look_up(const std::vector<Row>& table, const Call& call) {
+AdminResponse look_up(const std::vector<Route>& table, const protocol::HttpRequest& call) {
   bool path_known = false;
-  for (const Row& row : table) {
+  for (const Route& row : table) {
     if (row.path != call.path()) continue;
     path_known = true;
     if (row.method != call.method()) continue;
@@ -60,15 +62,16 @@
   return path_known ? refusal(405, "that path takes another method") : refusal(404, "no such path");
 }
 
-class Calls::Caller final : public net::ConnectionOwner {
+class AdminServer::AdminConnection final : public net::ConnectionOwner {
  public:
-  explicit Caller(Calls& calls) : calls_(calls), began_(calls.loop_.now()), heard_at_(began_) {}
-  ~Caller() {
+  explicit AdminConnection(AdminServer& calls)
+      : calls_(calls), began_(calls.event_loop_.now()), heard_at_(began_) {}
+  ~AdminConnection() {
     if (connection_) connection_->close();
   }
 
   void start(net::SocketPtr socket) {
-    connection_ = Connection::accepted(calls_.loop_, std::move(socket), *this);
+    connection_ = net::Connection::accepted(calls_.event_loop_, std::move(socket), *this);
     connection_->look();
   }
   Micros heard_at() const { return heard_at_; }
@@ -83,13 +86,13 @@
   }
 
   void received(std::string_view bytes) override {
-    heard_at_ = calls_.loop_.now();
+    heard_at_ = calls_.event_loop_.now();
     switch (call_.feed(bytes)) {
-      case Call::State::more:
+      case protocol::HttpRequest::State::more:
         return;
-      case Call::State::bad:
+      case protocol::HttpRequest::State::bad:
         return answer(refusal(call_.fault(), "the call cannot be read"));
-      case Call::State::whole:
+      case protocol::HttpRequest::State::whole:
         return answer(look_up(calls_.table_, call_));
     }
   }
@@ -97,7 +100,7 @@
   void broken() override { leave("caller_left"); }
 
  private:
-  void answer(const Reply& reply) {
+  void answer(const AdminResponse& reply) {
     const std::string status = std::to_string(reply.status);
     const std::string head = "HTTP/1.1 " + status + " " + reason_of(reply.status) +
                              "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " +
@@ -108,32 +111,32 @@
   }
   void leave(const char* reason) {
     if (std::exchange(answered_, true)) return;
-    calls_.loop_.log().line(Topic::connection, "call=%s %s end=%s ms=%lld",
-                            call_.method().empty() ? "-" : call_.method().c_str(),
-                            call_.path().empty() ? "-" : call_.path().substr(0, 80).c_str(), reason,
-                            static_cast<long long>((calls_.loop_.now() - began_) / 1000));
+    calls_.event_loop_.log().line(net::Topic::connection, "call=%s %s end=%s ms=%lld",
+                                  call_.method().empty() ? "-" : call_.method().c_str(),
+                                  call_.path().empty() ? "-" : call_.path().substr(0, 80).c_str(), reason,
+                                  static_cast<long long>((calls_.event_loop_.now() - began_) / 1000));
   }
 
-  Calls& calls_;
+  AdminServer& calls_;
   Micros began_, heard_at_;
-  std::shared_ptr<Connection> connection_;
-  Call call_;
+  std::shared_ptr<net::Connection> connection_;
+  protocol::HttpRequest call_;
   bool answered_ = false;
 };
 
-Calls::Calls(net::Loop& loop, const net::Address& listen_on, std::vector<Row> table)
-    : loop_(loop), table_(std::move(table)),
-      listener_(loop, net::listen_at(listen_on),
+AdminServer::AdminServer(net::EventLoop& event_loop, const net::Address& listen_on, std::vector<Route> table)
+    : event_loop_(event_loop), table_(std::move(table)),
+      listener_(event_loop, net::listen_at(listen_on),
                 [this](net::SocketPtr socket) { take_in(std::move(socket)); }) {
   listener_.take_in(true);
 }
 
-Calls::~Calls() = default;
+AdminServer::~AdminServer() = default;
 
 // Danger: callers that hold a connection and never end their call would keep the next one out. So there is
 // always room for one more: first those that have their answer go, then the one that has said nothing
 // longest.
-void Calls::take_in(net::SocketPtr socket) {
+void AdminServer::take_in(net::SocketPtr socket) {
   std::erase_if(callers_, [](const auto& caller) { return caller->gone(); });
   if (callers_.size() >= kCallers) {
     const auto last = std::min_element(callers_.begin(), callers_.end(), [](const auto& a, const auto& b) {
@@ -142,12 +145,12 @@
     (*last)->drop("no_room");
     callers_.erase(last);
   }
-  const auto caller = std::make_shared<Caller>(*this);
+  const auto caller = std::make_shared<AdminConnection>(*this);
   callers_.push_back(caller);
   caller->start(std::move(socket));
-  loop_.wake_at(loop_.now() + kCallWithin, [weak = std::weak_ptr<Caller>(caller)] {
+  event_loop_.call_at(event_loop_.now() + kCallWithin, [weak = std::weak_ptr<AdminConnection>(caller)] {
     if (const auto late = weak.lock()) late->look_at_clock();
   });
 }
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/ops/calls.hpp
+++ b/src/admin/admin_server.hpp
@@ -8,41 +8,41 @@
 #include <vector>
 
 #include "net/listener.hpp"
-#include "ops/call.hpp"
+#include "protocol/http_request.hpp"
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 
-struct Reply {
+struct AdminResponse {
   int status = 200;
   std::string text;  // JSON
 };
 
-Reply refusal(int status, const std::string& why);
+AdminResponse refusal(int status, const std::string& why);
 
 // One call that is known: a further one is one more row.
-struct Row {
+struct Route {
   std::string method, path;
-  std::function<Reply(const std::string& body)> handler;
+  std::function<AdminResponse(const std::string& body)> handler;
 };
 
 // What the table says to a whole call: 404 for an unknown path, 405 for a known one with another method.
-Reply look_up(const std::vector<Row>& table, const Call& call);
+AdminResponse look_up(const std::vector<Route>& table, const protocol::HttpRequest& call);
 
-class Calls {
+class AdminServer {
  public:
   static constexpr std::size_t kCallers = 12;  // at once; their descriptors are kept back
 
-  Calls(net::Loop& loop, const net::Address& listen_on, std::vector<Row> table);
-  ~Calls();
+  AdminServer(net::EventLoop& event_loop, const net::Address& listen_on, std::vector<Route> table);
+  ~AdminServer();
 
  private:
-  class Caller;
+  class AdminConnection;
   void take_in(net::SocketPtr socket);
 
-  net::Loop& loop_;
-  const std::vector<Row> table_;
-  std::list<std::shared_ptr<Caller>> callers_;
+  net::EventLoop& event_loop_;
+  const std::vector<Route> table_;
+  std::list<std::shared_ptr<AdminConnection>> callers_;
   net::Listener listener_;
 };
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/ops/bans.cpp
+++ b/src/admin/disabled_backends.cpp
@@ -1,4 +1,4 @@
-#include "ops/bans.hpp"
+#include "admin/disabled_backends.hpp"
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -12,24 +12,24 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "ops/handle.hpp"
+#include "net/file_descriptor.hpp"
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 namespace {
 
 constexpr std::size_t kLargest = std::size_t{1} << 20;
 
 }  // namespace
 
-Bans::Bans(std::string path) : path_(std::move(path)) { look(); }
+DisabledBackends::DisabledBackends(std::string path) : path_(std::move(path)) { look(); }
 
-Bans::Seen Bans::seen() const {
+DisabledBackends::Seen DisabledBackends::seen() const {
   struct stat now {};
   if (path_.empty() || stat(path_.c_str(), &now) != 0) return {};
   return {static_cast<long long>(now.st_ino), now.st_mtim.tv_sec, now.st_mtim.tv_nsec, now.st_size};
 }
 
-bool Bans::look() {
+bool DisabledBackends::look() {
   const Seen now = seen();
   if (now == seen_) return false;
   seen_ = now;
@@ -38,7 +38,7 @@
 
 // Danger: a file that is damaged must neither end the process nor call a banned backend back: what is known
 // holds on.
-bool Bans::read() {
+bool DisabledBackends::read() {
   fault_.clear();
   std::ifstream file(path_);
   if (!file) {
@@ -58,9 +58,10 @@
   }
 }
 
-bool Bans::change(const std::string& name, bool banned) {
+bool DisabledBackends::change(const std::string& name, bool banned) {
   // Held while the file is read, changed and replaced: two processes may be called at once.
-  const Handle lock(path_.empty() ? -1 : open((path_ + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600));
+  const net::FileDescriptor lock(
+      path_.empty() ? -1 : open((path_ + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600));
   if (lock) flock(lock.get(), LOCK_EX);
   look();  // what the other process was told a moment ago must not be lost
   const bool changes = banned ? names_.insert(name).second : names_.erase(name) > 0;
@@ -75,7 +76,7 @@
 }
 
 // Whole, then renamed: a process that dies half-way leaves the old file.
-bool Bans::write() const {
+bool DisabledBackends::write() const {
   const std::string text = nlohmann::json{{"bans", names_}}.dump() + "\n", fresh = path_ + ".new";
   const int fd = open(fresh.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
   if (fd < 0) return false;
@@ -83,4 +84,4 @@
   return (close(fd) == 0) && written && std::rename(fresh.c_str(), path_.c_str()) == 0;
 }
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/ops/bans.hpp
+++ b/src/admin/disabled_backends.hpp
@@ -5,12 +5,12 @@
 #include <set>
 #include <string>
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 
-class Bans {
+class DisabledBackends {
  public:
   // Without a path nothing is kept beyond this process.
-  explicit Bans(std::string path);
+  explicit DisabledBackends(std::string path);
 
   const std::set<std::string>& names() const { return names_; }
   // Reads the file again if it has changed. False if it has not, or cannot be read; fault() tells the latter.
@@ -34,4 +34,4 @@
   Seen seen_;
 };
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/ops/takeover.cpp
+++ b/src/admin/hot_restart.cpp
@@ -1,4 +1,4 @@
-#include "ops/takeover.hpp"
+#include "admin/hot_restart.hpp"
 
 #include <fcntl.h>
 #include <sys/socket.h>
@@ -19,14 +19,14 @@
 #include <utility>
 #include <vector>
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 namespace {
 
 constexpr std::size_t kLongestMessage = 131072;
 constexpr Micros kLongestWaited = 60'000'000;
 
 // The names of sockets are short, those of folders need not be: so the folder is named by its descriptor.
-sockaddr_un address_of(const Handle& folder, const std::string& name) {
+sockaddr_un address_of(const net::FileDescriptor& folder, const std::string& name) {
   sockaddr_un at{};
   at.sun_family = AF_UNIX;
   std::snprintf(at.sun_path, sizeof(at.sun_path), "/proc/self/fd/%d/%s", folder.get(), name.c_str());
@@ -34,12 +34,14 @@
 }
 
 // 0 if there is none.
-unsigned long long inode_of(const Handle& folder, const std::string& name) {
+unsigned long long inode_of(const net::FileDescriptor& folder, const std::string& name) {
   struct stat file {};
   return fstatat(folder.get(), name.c_str(), &file, 0) == 0 ? file.st_ino : 0;
 }
 
-Handle unix_socket() { return Handle(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0)); }
+net::FileDescriptor unix_socket() {
+  return net::FileDescriptor(socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+}
 
 // Room for what goes beside a message: two descriptors at most.
 struct Descriptors {
@@ -55,11 +57,12 @@
   return message;
 }
 
-nlohmann::json written(const Memory& memory) {
+nlohmann::json written(const StateSnapshot& memory) {
   auto backends = nlohmann::json::array();
-  for (const Memory::Of& of : memory.backends)
-    backends.push_back({of.name, of.since, of.listed_since, of.room_cut_at, of.doubt, of.room, of.full,
-                        of.aside, of.silent, of.presumed, of.cold_turn, of.cold_sent});
+  for (const StateSnapshot::Of& of : memory.backends)
+    backends.push_back({of.name, of.started_at, of.reported_started_at, of.capacity_reduced_at,
+                        of.failure_log_odds, of.capacity_limit, of.full, of.is_ejected, of.is_unresponsive,
+                        of.is_capacity_inferred, of.cold_turn, of.cold_sent});
   return {{"born", memory.born},
           {"turns_from", memory.turns_from},
           {"strained_until", memory.strained_until},
@@ -69,8 +72,8 @@
           {"backends", backends}};
 }
 
-Memory read_memory(const nlohmann::json& json) {
-  Memory memory;
+StateSnapshot read_memory(const nlohmann::json& json) {
+  StateSnapshot memory;
   json.at("born").get_to(memory.born);
   json.at("turns_from").get_to(memory.turns_from);
   json.at("strained_until").get_to(memory.strained_until);
@@ -78,10 +81,12 @@
   json.at("purse").get_to(memory.purse);
   memory.further = json.value("further", 0.0);  // an earlier version does not tell it
   for (const auto& one : json.at("backends")) {
-    Memory::Of of;
+    StateSnapshot::Of of;
     auto next = [&one, at = std::size_t{0}](auto& value) mutable { one.at(at++).get_to(value); };
-    next(of.name), next(of.since), next(of.listed_since), next(of.room_cut_at), next(of.doubt), next(of.room);
-    next(of.full), next(of.aside), next(of.silent), next(of.presumed), next(of.cold_turn), next(of.cold_sent);
+    next(of.name), next(of.started_at), next(of.reported_started_at), next(of.capacity_reduced_at),
+        next(of.failure_log_odds), next(of.capacity_limit);
+    next(of.full), next(of.is_ejected), next(of.is_unresponsive), next(of.is_capacity_inferred),
+        next(of.cold_turn), next(of.cold_sent);
     memory.backends.push_back(of);
   }
   return memory;
@@ -89,13 +94,13 @@
 
 }  // namespace
 
-Succession::Succession(const std::string& folder, const std::string& name)
+HotRestart::HotRestart(const std::string& folder, const std::string& name)
     : folder_(folder.empty() ? -1 : open(folder.c_str(), O_PATH | O_DIRECTORY | O_CLOEXEC)), name_(name) {}
 
 // Bound under a name of its own, then renamed over the former one's: at no moment does nobody answer.
-bool Succession::announce() {
+bool HotRestart::announce() {
   if (!folder_) return false;
-  Handle fresh = unix_socket();
+  net::FileDescriptor fresh = unix_socket();
   const std::string own = name_ + "." + std::to_string(getpid());
   const sockaddr_un at = address_of(folder_, own);
   unlinkat(folder_.get(), own.c_str(), 0);
@@ -107,16 +112,16 @@
   return true;
 }
 
-Handle Succession::heir() const {
-  if (!folder_ || inode_of(folder_, name_) == own_) return Handle();
-  Handle there = unix_socket();
+net::FileDescriptor HotRestart::successor() const {
+  if (!folder_ || inode_of(folder_, name_) == own_) return net::FileDescriptor();
+  net::FileDescriptor there = unix_socket();
   const sockaddr_un at = address_of(folder_, name_);
   if (!there || connect(there.get(), reinterpret_cast<const sockaddr*>(&at), sizeof(at)) != 0)
-    return Handle();
+    return net::FileDescriptor();
   return there;
 }
 
-std::optional<int> peer_of(const Handle& connection) {
+std::optional<int> peer_of(const net::FileDescriptor& connection) {
   ucred who{};
   socklen_t size = sizeof(who);
   if (getsockopt(connection.get(), SOL_SOCKET, SO_PEERCRED, &who, &size) != 0 || who.uid != geteuid())
@@ -130,7 +135,7 @@
   return static_cast<std::size_t>(std::distance(begin(all), end(all)));
 }
 
-Gave give(const Handle& to, const net::Handed& handed) {
+Gave give(const net::FileDescriptor& to, const proxy::HandoverMessage& handed) {
   const auto binary = [](const std::string& text) {
     return nlohmann::json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
   };
@@ -156,7 +161,7 @@
   return errno == EPIPE || errno == ECONNRESET || errno == ENOTCONN ? Gave::never : Gave::later;
 }
 
-std::optional<net::Handed> taken(const Handle& from, bool& over) {
+std::optional<proxy::HandoverMessage> taken(const net::FileDescriptor& from, bool& over) {
   const auto text = std::make_unique_for_overwrite<std::uint8_t[]>(kLongestMessage);
   std::array<int, 2> fds{-1, -1};
   Descriptors control{};
@@ -169,7 +174,7 @@
     if (one->cmsg_level == SOL_SOCKET && one->cmsg_type == SCM_RIGHTS)
       std::memcpy(fds.data(), CMSG_DATA(one), std::min(sizeof(fds), one->cmsg_len - CMSG_LEN(0)));
   }
-  net::Handed handed;
+  proxy::HandoverMessage handed;
   handed.client = fds[0];
   handed.server = fds[1];
   try {
@@ -196,4 +201,4 @@
   return {};
 }
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/ops/takeover.hpp
+++ b/src/admin/hot_restart.hpp
@@ -7,39 +7,39 @@
 #include <optional>
 #include <string>
 
-#include "net/handed.hpp"
-#include "ops/handle.hpp"
+#include "net/file_descriptor.hpp"
+#include "proxy/handover_message.hpp"
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 
 // A name in the shared folder, bound to a socket of the process that announced itself last. It needs no
 // cleaning up: nobody answers at the name of a process that has died.
-class Succession {
+class HotRestart {
  public:
   // Without a folder there is no succession.
-  Succession(const std::string& folder, const std::string& name);
+  HotRestart(const std::string& folder, const std::string& name);
 
   // From now on this process is the one that serves. False if it cannot be said.
   bool announce();
   // A connection to the process that has announced itself, if that is another than this one.
-  Handle heir() const;
+  net::FileDescriptor successor() const;
   int listening() const { return listening_.get(); }
 
  private:
-  Handle folder_, listening_;
+  net::FileDescriptor folder_, listening_;
   std::string name_;
   unsigned long long own_ = 0;  // the file that is this process's own
 };
 
 // The process at the other end, 0 if it is this one; nothing if it is another user's. And how many
 // descriptors a process holds.
-std::optional<int> peer_of(const Handle& connection);
+std::optional<int> peer_of(const net::FileDescriptor& connection);
 std::size_t descriptors_of(int process);
 
 // One message between the two, with its descriptors.
 enum class Gave : std::uint8_t { yes, later, never };  // never: nobody is there any more
-Gave give(const Handle& to, const net::Handed& handed);
+Gave give(const net::FileDescriptor& to, const proxy::HandoverMessage& handed);
 // Empty if there is nothing now; `over` tells whether there will be more. The descriptors are the caller's.
-std::optional<net::Handed> taken(const Handle& from, bool& over);
+std::optional<proxy::HandoverMessage> taken(const net::FileDescriptor& from, bool& over);
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/ops/operation.hpp
+++ b/src/admin/operations.hpp
@@ -5,44 +5,44 @@
 #include <memory>
 #include <string>
 
-#include "net/door.hpp"
-#include "ops/bans.hpp"
-#include "ops/calls.hpp"
-#include "ops/takeover.hpp"
+#include "admin/admin_server.hpp"
+#include "admin/disabled_backends.hpp"
+#include "admin/hot_restart.hpp"
+#include "proxy/proxy_server.hpp"
 
-namespace cherryrail::ops {
+namespace cherryrail::admin {
 
-class Operation {
+class Operations {
  public:
-  // Throws BadSetting if operators cannot call where `mgmt` says.
-  Operation(net::Loop& loop, net::Door& door, const net::Start& start);
-  ~Operation();
+  // Throws ConfigError if operators cannot call where `mgmt` says.
+  Operations(net::EventLoop& event_loop, proxy::ProxyServer& proxy, const config::RelayConfig& start);
+  ~Operations();
   // Told to end: gives what it holds to the process that stands in for it from now on, if there is one.
   void leave();
 
  private:
   struct Peer;
-  Reply ban(const std::string& body, bool banned);
+  AdminResponse ban(const std::string& body, bool banned);
   void heed_bans();
   void hand_over(Micros until);
   void greet();
-  void meet(Handle with);
+  void meet(net::FileDescriptor with);
   void receive(Peer& from);
   void count_peers();
   void look_at_peers();
   void look_at_bans();
 
-  net::Loop& loop_;
-  net::Door& door_;
-  Bans bans_;
+  net::EventLoop& event_loop_;
+  proxy::ProxyServer& proxy_;
+  DisabledBackends bans_;
   std::string last_fault_;
-  Succession succession_;
-  std::unique_ptr<Calls> calls_;
-  Handle heir_;
+  HotRestart succession_;
+  std::unique_ptr<AdminServer> calls_;
+  net::FileDescriptor successor_;
   bool handing_ = false;
   std::unique_ptr<net::Watch> greeter_;
   std::list<std::shared_ptr<Peer>> peers_;  // connections with the processes before and after this one
   bool looking_ = false;
 };
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::admin
--- a/src/terms/terms.hpp
+++ b/src/config/site_settings.hpp
@@ -1,5 +1,5 @@
-// A site's settings, read into the module's SiteTerms and what a front needs beside them. Both fronts use it:
-// the settings come as "path=value" on one wire and as nested JSON on the other, with the same paths.
+// A site's settings, read into the module's BalancerConfig and what a front needs beside them. Both fronts
+// use it: the settings come as "path=value" on one wire and as nested JSON on the other, with the same paths.
 #pragma once
 
 #include <cstddef>
@@ -10,18 +10,18 @@
 #include <string_view>
 #include <vector>
 
-#include "brain.hpp"
+#include "balancer/balancer.hpp"
 
 namespace cherryrail {
 
-struct BadSetting : std::runtime_error {
+struct ConfigError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-using Settled = std::map<std::string, std::string, std::less<>>;  // by path, such as profiles.0.payoff
+using FlatSettings = std::map<std::string, std::string, std::less<>>;  // by path, such as profiles.0.payoff
 
-struct Facts {
-  SiteTerms terms;
+struct SiteSettings {
+  BalancerConfig config;
   std::optional<std::size_t> utilisation_at;  // position in a load report
   bool reports_on_probe = false;
   bool tells_load = false, tells_delay = false;  // what a backend says of an open tunnel
@@ -34,9 +34,9 @@
 Micros micros_of(double milliseconds);
 
 // One "path=value" a line.
-Settled split_settings(std::string_view text);
+FlatSettings split_settings(std::string_view text);
 
-// Throws BadSetting naming the key and what is wrong with its value; keys that are not known are skipped.
-Facts read_facts(const Settled& settled);
+// Throws ConfigError naming the key and what is wrong with its value; keys that are not known are skipped.
+SiteSettings read_site_settings(const FlatSettings& flat_settings);
 
 }  // namespace cherryrail
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,25 +4,25 @@
 #include <cstdlib>
 #include <exception>
 
-#include "ops/operation.hpp"
+#include "admin/operations.hpp"
 
 namespace {
 
 void serve(const std::string& path) {
-  auto start = cherryrail::net::read_start(path);
-  start.sockets = cherryrail::net::allow_descriptors(start.sockets);
-  cherryrail::net::Loop loop;
-  cherryrail::net::Door door(loop, start);
-  cherryrail::ops::Operation operation(loop, door, start);
-  loop.on_terminate([&operation] { operation.leave(); });
-  loop.on_reload([&door, &path] { door.reload(path); });
-  loop.run();
+  auto start = cherryrail::config::read_relay_config(path);
+  start.sockets = cherryrail::config::allow_descriptors(start.sockets);
+  cherryrail::net::EventLoop event_loop;
+  cherryrail::proxy::ProxyServer proxy(event_loop, start);
+  cherryrail::admin::Operations operation(event_loop, proxy, start);
+  event_loop.on_terminate([&operation] { operation.leave(); });
+  event_loop.on_reload([&proxy, &path] { proxy.reload(path); });
+  event_loop.run();
 }
 
 void check(const std::string& path) {
-  const auto start = cherryrail::net::read_start(path);
+  const auto start = cherryrail::config::read_relay_config(path);
   std::printf("%s: %zu profiles, %zu known backends, %zu sockets: the configuration can be used\n",
-              start.name.c_str(), start.facts.terms.profiles.size(), start.known.entries.size(),
+              start.name.c_str(), start.settings.config.traffic_classes.size(), start.known.entries.size(),
               start.sockets);
 }
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -56,11 +56,12 @@
   throw std::runtime_error(std::string("cannot take a socket over: ") + error.error->message);
 }
 
-std::shared_ptr<Connection> Connection::accepted(Loop& loop, SocketPtr socket, ConnectionOwner& owner) {
-  return std::make_shared<Connection>(loop, std::move(socket), owner, false);
+std::shared_ptr<Connection> Connection::accepted(EventLoop& event_loop, SocketPtr socket,
+                                                 ConnectionOwner& owner) {
+  return std::make_shared<Connection>(event_loop, std::move(socket), owner, false);
 }
 
-std::shared_ptr<Connection> Connection::open(Loop& loop, const Address& to, ConnectionOwner& owner,
+std::shared_ptr<Connection> Connection::open(EventLoop& event_loop, const Address& to, ConnectionOwner& owner,
                                              bool* no_descriptor) {
   if (!to) return nullptr;
   Error error;
@@ -73,14 +74,14 @@
   g_socket_set_blocking(socket.get(), FALSE);
   const bool up = g_socket_connect(socket.get(), to.get(), nullptr, error.out());
   if (!up && !error.later()) return nullptr;
-  return std::make_shared<Connection>(loop, std::move(socket), owner, true);
+  return std::make_shared<Connection>(event_loop, std::move(socket), owner, true);
 }
 
-Connection::Connection(Loop& loop, SocketPtr socket, ConnectionOwner& owner, bool connecting)
-    : loop_(loop), socket_(std::move(socket)), owner_(&owner), connecting_(connecting) {
+Connection::Connection(EventLoop& event_loop, SocketPtr socket, ConnectionOwner& owner, bool connecting)
+    : event_loop_(event_loop), socket_(std::move(socket)), owner_(&owner), connecting_(connecting) {
   g_socket_set_blocking(socket_.get(), FALSE);
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  watch_ = std::make_unique<Watch>(loop_, g_socket_get_fd(socket_.get()),
+  watch_ = std::make_unique<Watch>(event_loop_, g_socket_get_fd(socket_.get()),
                                    [this](bool readable, bool writable) { ready(readable, writable); });
   update();
 }
@@ -109,7 +110,7 @@
   if (readable && is_open()) receive();
 }
 
-bool Connection::settled() const {
+bool Connection::flat_settings() const {
   return socket_ && !connecting_ && unsent_.empty() && !ending_ && !peer_ended_ && !leaving_;
 }
 
@@ -140,7 +141,7 @@
 void Connection::drain() {
   const ssize_t got = drop_unread(socket_.get());
   if (got > 0)
-    drained_at_ = loop_.now();
+    drained_at_ = event_loop_.now();
   else if (got == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR))
     close();
 }
@@ -161,7 +162,7 @@
                               G_SOCKET_MSG_NONE, nullptr, error.out());
     if (sent < 0 && !error.later()) {
       // Told soon, not now: the caller is in the middle of its own step.
-      loop_.soon([weak = weak_from_this()] {
+      event_loop_.soon([weak = weak_from_this()] {
         if (const auto self = weak.lock()) self->fail();
       });
       return;
@@ -207,8 +208,8 @@
   end_sending();
   leaving_ = true;
   read_on(true);
-  drained_at_ = loop_.now();
-  stay_until_quiet(loop_.now() + kLingerMost);
+  drained_at_ = event_loop_.now();
+  stay_until_quiet(event_loop_.now() + kLingerMost);
 }
 
 void Connection::close_at_once() {
@@ -225,8 +226,8 @@
 }
 
 void Connection::stay_until_quiet(Micros latest) {
-  loop_.wake_at(std::min(drained_at_ + kLinger, latest), [self = shared_from_this(), latest] {
-    const Micros now = self->loop_.now();
+  event_loop_.call_at(std::min(drained_at_ + kLinger, latest), [self = shared_from_this(), latest] {
+    const Micros now = self->event_loop_.now();
     if (!self->is_open()) return;
     if (now >= latest || now - self->drained_at_ >= kLinger) return self->close();
     self->stay_until_quiet(latest);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "net/loop.hpp"
+#include "net/event_loop.hpp"
 
 namespace cherryrail::net {
 
@@ -43,11 +43,12 @@
 
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-  static std::shared_ptr<Connection> accepted(Loop& loop, SocketPtr socket, ConnectionOwner& owner);
+  static std::shared_ptr<Connection> accepted(EventLoop& event_loop, SocketPtr socket,
+                                              ConnectionOwner& owner);
   // Null if not even the attempt can be made; `no_descriptor` tells whether that is this process's own lack.
-  static std::shared_ptr<Connection> open(Loop& loop, const Address& to, ConnectionOwner& owner,
+  static std::shared_ptr<Connection> open(EventLoop& event_loop, const Address& to, ConnectionOwner& owner,
                                           bool* no_descriptor = nullptr);
-  Connection(Loop& loop, SocketPtr socket, ConnectionOwner& owner, bool connecting);
+  Connection(EventLoop& event_loop, SocketPtr socket, ConnectionOwner& owner, bool connecting);
   ~Connection();
 
   void send(std::initializer_list<std::string_view> pieces);
@@ -61,7 +62,7 @@
   bool is_open() const { return socket_ != nullptr; }
   std::size_t waiting() const { return unsent_.size(); }
   // Whether the socket alone is the whole of it: both ends still send, and nothing lies here.
-  bool settled() const;
+  bool flat_settings() const;
   int descriptor() const;
 
  private:
@@ -74,7 +75,7 @@
   void update();
   void fail();
 
-  Loop& loop_;
+  EventLoop& event_loop_;
   SocketPtr socket_;
   std::unique_ptr<Watch> watch_;
   ConnectionOwner* owner_;
--- a/src/net/loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,4 +1,4 @@
-#include "net/loop.hpp"
+#include "net/event_loop.hpp"
 
 #include <sys/signalfd.h>
 #include <unistd.h>
@@ -22,21 +22,22 @@
 
 }  // namespace
 
-struct Loop::Source {
+struct EventLoop::Source {
   GSource base;
-  Loop* loop;
+  EventLoop* event_loop;
 };
 
-Watch::Watch(Loop& loop, int fd, Ready ready) : loop_(loop), fd_(fd), ready_(std::move(ready)) {
-  ++loop_.sockets_;
+Watch::Watch(EventLoop& event_loop, int fd, Ready ready)
+    : event_loop_(event_loop), fd_(fd), ready_(std::move(ready)) {
+  ++event_loop_.sockets_;
 }
 
 Watch::~Watch() {
   want(false, false);
-  --loop_.sockets_;
+  --event_loop_.sockets_;
   // Danger: what has just been closed may stand further on in the batch under way.
-  for (std::size_t i = loop_.batch_at_; i < loop_.batch_size_; ++i) {
-    if (loop_.batch_[i].data.ptr == this) loop_.batch_[i].data.ptr = nullptr;
+  for (std::size_t i = event_loop_.batch_at_; i < event_loop_.batch_size_; ++i) {
+    if (event_loop_.batch_[i].data.ptr == this) event_loop_.batch_[i].data.ptr = nullptr;
   }
 }
 
@@ -48,14 +49,14 @@
   event.data.ptr = this;
   // One that wants nothing leaves the set: its hang-up would be reported without end.
   const int what = wanted == 0 ? EPOLL_CTL_DEL : wanted_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-  epoll_ctl(loop_.epoll_, what, fd_, &event);
+  epoll_ctl(event_loop_.epoll_, what, fd_, &event);
   wanted_ = wanted;
 }
 
-Loop::Loop()
-    : main_(g_main_loop_new(nullptr, FALSE)), socket_funcs_{nullptr, nullptr, &Loop::dispatch_sockets,
+EventLoop::EventLoop()
+    : main_(g_main_loop_new(nullptr, FALSE)), socket_funcs_{nullptr, nullptr, &EventLoop::dispatch_sockets,
                                                             nullptr, nullptr, nullptr},
-      alarm_funcs_{nullptr, nullptr, &Loop::dispatch_alarms, nullptr, nullptr, nullptr},
+      alarm_funcs_{nullptr, nullptr, &EventLoop::dispatch_alarms, nullptr, nullptr, nullptr},
       epoll_(epoll_create1(EPOLL_CLOEXEC)),
       offset_(micros_of<std::chrono::system_clock>() - micros_of<std::chrono::steady_clock>()) {
   if (epoll_ < 0) throw std::runtime_error(std::string("epoll: ") + std::strerror(errno));
@@ -65,7 +66,7 @@
   // Danger: after a stall both are ready, and time-outs would strike setups whose answers have come. GLib
   // goes in this order.
   for (GSource* source : {socket_source_, alarm_source_}) {
-    reinterpret_cast<Source*>(source)->loop = this;
+    reinterpret_cast<Source*>(source)->event_loop = this;
     g_source_attach(source, nullptr);
   }
   g_source_add_unix_fd(socket_source_, epoll_, G_IO_IN);
@@ -73,7 +74,7 @@
   sigemptyset(&signals_);
 }
 
-Loop::~Loop() {
+EventLoop::~EventLoop() {
   soon_.clear();  // what they hold leaves the set of sockets first
   alarms_.clear();
   signal_watch_.reset();
@@ -87,20 +88,20 @@
   g_main_loop_unref(main_);
 }
 
-Micros Loop::now() const { return micros_of<std::chrono::steady_clock>() + offset_; }
+Micros EventLoop::now() const { return micros_of<std::chrono::steady_clock>() + offset_; }
 
-void Loop::wake_at(Micros when, std::function<void()> then) {
+void EventLoop::call_at(Micros when, std::function<void()> then) {
   const bool earliest = alarms_.empty() || when < alarms_.begin()->first;
   alarms_.emplace(when, std::move(then));
   if (earliest) set_alarm();
 }
 
-void Loop::soon(std::function<void()> then) {
+void EventLoop::soon(std::function<void()> then) {
   soon_.push_back(std::move(then));
   if (soon_.size() == 1) g_source_set_ready_time(alarm_source_, 0);
 }
 
-void Loop::set_alarm() {
+void EventLoop::set_alarm() {
   if (!soon_.empty())
     g_source_set_ready_time(alarm_source_, 0);
   else
@@ -110,7 +111,7 @@
 
 // Danger: GLib's own signal sources start a second thread, and a process held while that has a lock is held
 // for good. So signals are read as sockets are, and the relay has one thread.
-void Loop::on_signal(int signal, std::function<void()> then) {
+void EventLoop::on_signal(int signal, std::function<void()> then) {
   told_[signal] = std::move(then);
   sigaddset(&signals_, signal);
   sigprocmask(SIG_BLOCK, &signals_, nullptr);
@@ -127,20 +128,20 @@
   signal_watch_->want(true, false);
 }
 
-void Loop::on_terminate(std::function<void()> then) {
+void EventLoop::on_terminate(std::function<void()> then) {
   on_signal(SIGTERM, then);
   on_signal(SIGINT, std::move(then));
 }
 
-void Loop::on_reload(std::function<void()> then) { on_signal(SIGHUP, std::move(then)); }
+void EventLoop::on_reload(std::function<void()> then) { on_signal(SIGHUP, std::move(then)); }
 
-void Loop::run() { g_main_loop_run(main_); }
-void Loop::turn() { g_main_context_iteration(nullptr, FALSE); }
-void Loop::quit() { g_main_loop_quit(main_); }
+void EventLoop::run() { g_main_loop_run(main_); }
+void EventLoop::turn() { g_main_context_iteration(nullptr, FALSE); }
+void EventLoop::quit() { g_main_loop_quit(main_); }
 
 // Danger: an exception must not cross GLib's C frames, and one failed step must not end the process.
 template <class Call>
-void Loop::guarded(const Call& call) {
+void EventLoop::guarded(const Call& call) {
   try {
     call();
   } catch (const std::exception& failure) {
@@ -148,17 +149,17 @@
   }
 }
 
-gboolean Loop::dispatch_sockets(GSource* source, GSourceFunc, gpointer) {
-  reinterpret_cast<Source*>(source)->loop->sockets_ready();
+gboolean EventLoop::dispatch_sockets(GSource* source, GSourceFunc, gpointer) {
+  reinterpret_cast<Source*>(source)->event_loop->sockets_ready();
   return G_SOURCE_CONTINUE;
 }
 
-gboolean Loop::dispatch_alarms(GSource* source, GSourceFunc, gpointer) {
-  reinterpret_cast<Source*>(source)->loop->alarms_due();
+gboolean EventLoop::dispatch_alarms(GSource* source, GSourceFunc, gpointer) {
+  reinterpret_cast<Source*>(source)->event_loop->alarms_due();
   return G_SOURCE_CONTINUE;
 }
 
-void Loop::sockets_ready() {
+void EventLoop::sockets_ready() {
   const int count = epoll_wait(epoll_, batch_.data(), static_cast<int>(batch_.size()), 0);
   batch_size_ = count > 0 ? static_cast<std::size_t>(count) : 0;
   for (batch_at_ = 0; batch_at_ < batch_size_;) {
@@ -175,7 +176,7 @@
   batch_size_ = 0;
 }
 
-void Loop::alarms_due() {
+void EventLoop::alarms_due() {
   for (std::size_t left = soon_.size(); left > 0 && !soon_.empty(); --left) {
     const auto then = std::move(soon_.front());
     soon_.pop_front();
--- a/src/net/loop.hpp
+++ b/src/net/event_loop.hpp
@@ -13,40 +13,40 @@
 #include <map>
 #include <memory>
 
-#include "brain.hpp"
+#include "balancer/time.hpp"
 #include "net/log.hpp"
 
 namespace cherryrail::net {
 
-class Loop;
+class EventLoop;
 
 // Tells its owner when a socket can be read or written. Level-triggered.
 class Watch {
  public:
   using Ready = std::function<void(bool readable, bool writable)>;
-  Watch(Loop& loop, int fd, Ready ready);
+  Watch(EventLoop& event_loop, int fd, Ready ready);
   ~Watch();
   Watch(const Watch&) = delete;
   Watch& operator=(const Watch&) = delete;
   void want(bool read, bool write);
 
  private:
-  friend class Loop;
-  Loop& loop_;
+  friend class EventLoop;
+  EventLoop& event_loop_;
   int fd_;
   Ready ready_;
   std::uint32_t wanted_ = 0;
 };
 
-class Loop {
+class EventLoop {
  public:
-  Loop();
-  ~Loop();
-  Loop(const Loop&) = delete;
-  Loop& operator=(const Loop&) = delete;
+  EventLoop();
+  ~EventLoop();
+  EventLoop(const EventLoop&) = delete;
+  EventLoop& operator=(const EventLoop&) = delete;
 
   Micros now() const;  // Unix time that never jumps: the steady clock from the start on
-  void wake_at(Micros when, std::function<void()> then);
+  void call_at(Micros when, std::function<void()> then);
   void soon(std::function<void()> then);          // after what is under way, in the order asked
   void on_terminate(std::function<void()> then);  // at SIGTERM or SIGINT
   void on_reload(std::function<void()> then);     // at SIGHUP
--- a/src/ops/handle.hpp
+++ b/src/net/file_descriptor.hpp
@@ -5,17 +5,17 @@
 
 #include <utility>
 
-namespace cherryrail::ops {
+namespace cherryrail::net {
 
-class Handle {
+class FileDescriptor {
  public:
-  explicit Handle(int fd = -1) : fd_(fd) {}
-  Handle(Handle&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-  Handle& operator=(Handle&& other) noexcept {
+  explicit FileDescriptor(int fd = -1) : fd_(fd) {}
+  FileDescriptor(FileDescriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  FileDescriptor& operator=(FileDescriptor&& other) noexcept {
     std::swap(fd_, other.fd_);
     return *this;
   }
-  ~Handle() {
+  ~FileDescriptor() {
     if (fd_ >= 0) close(fd_);
   }
   int get() const { return fd_; }
@@ -25,4 +25,4 @@
   int fd_;
 };
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::net
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -26,10 +26,11 @@
   return socket;
 }
 
-Listener::Listener(Loop& loop, SocketPtr socket, Taken taken)
-    : loop_(loop), socket_(std::move(socket)), taken_(std::move(taken)) {
+Listener::Listener(EventLoop& event_loop, SocketPtr socket, Taken taken)
+    : event_loop_(event_loop), socket_(std::move(socket)), taken_(std::move(taken)) {
   g_socket_set_blocking(socket_.get(), FALSE);
-  watch_ = std::make_unique<Watch>(loop_, g_socket_get_fd(socket_.get()), [this](bool, bool) { accept(); });
+  watch_ =
+      std::make_unique<Watch>(event_loop_, g_socket_get_fd(socket_.get()), [this](bool, bool) { accept(); });
 }
 
 void Listener::take_in(bool wanted) {
@@ -52,9 +53,9 @@
       const bool no_more = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
       if (!no_more) {
         // Danger: with no descriptor left the listener stays ready, and the loop would spin on it.
-        loop_.log().line(Topic::fault, "cannot take a connection in: %s", error->message);
+        event_loop_.log().line(Topic::fault, "cannot take a connection in: %s", error->message);
         watch_->want(false, false);
-        loop_.wake_at(loop_.now() + kAcceptPause, [this, alive = std::weak_ptr<bool>(alive_)] {
+        event_loop_.call_at(event_loop_.now() + kAcceptPause, [this, alive = std::weak_ptr<bool>(alive_)] {
           if (!alive.expired()) take_in(wanted_);
         });
       }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -14,14 +14,14 @@
 class Listener {
  public:
   using Taken = std::function<void(SocketPtr)>;
-  Listener(Loop& loop, SocketPtr socket, Taken taken);
+  Listener(EventLoop& event_loop, SocketPtr socket, Taken taken);
   void take_in(bool wanted);
   void close();  // gives on whoever has connected by now, and takes nobody after that
 
  private:
   bool accept();  // whether there may be more
 
-  Loop& loop_;
+  EventLoop& event_loop_;
   SocketPtr socket_;
   Taken taken_;
   bool wanted_ = false;
--- a/src/net/list.hpp
+++ b/src/protocol/endpoint_list.hpp
@@ -7,27 +7,27 @@
 #include <string_view>
 #include <vector>
 
-#include "brain.hpp"
+#include "balancer/balancer.hpp"
 
-namespace cherryrail::net {
+namespace cherryrail::protocol {
 
-struct Listed {
+struct EndpointEntry {
   std::string uid, endpoint, zone;
   unsigned cell = 0;
-  Standing standing = Standing::ready;
+  EndpointState state = EndpointState::ready;
   double size = 1;
-  Micros since = 0;  // Unix time
+  Micros started_at = 0;  // Unix time
 };
 
-struct List {
+struct EndpointList {
   std::int64_t version = 0;
   bool whole = false;
-  std::vector<Listed> entries;
+  std::vector<EndpointEntry> entries;
   std::size_t skipped = 0;  // entries in no known state
 };
 
 // Throw std::runtime_error naming what is wrong.
-List read_list(const nlohmann::json& json);
-List read_list(std::string_view text);
+EndpointList read_list(const nlohmann::json& json);
+EndpointList read_list(std::string_view text);
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::protocol
--- a/src/ops/call.cpp
+++ b/src/protocol/http_request.cpp
@@ -1,4 +1,4 @@
-#include "ops/call.hpp"
+#include "protocol/http_request.hpp"
 
 #include <glib.h>
 
@@ -6,12 +6,11 @@
 #include <charconv>
 #include <utility>
 
-#include "net/http.hpp"
+#include "protocol/http_response.hpp"
 
-namespace cherryrail::ops {
+namespace cherryrail::protocol {
 namespace {
 
-using net::same_word;
 
 constexpr std::size_t kLongestHead = 8192, kLongestBody = 16384;
 
@@ -30,7 +29,7 @@
 }  // namespace
 
 // What follows a whole call on the same connection is left: one call to a connection.
-Call::State Call::feed(std::string_view bytes) {
+HttpRequest::State HttpRequest::feed(std::string_view bytes) {
   while (!bytes.empty() && state_ == State::more) {
     if (in_body_) {
       const std::string_view part = bytes.substr(0, length_ - body_.size());
@@ -52,12 +51,12 @@
   return state_;
 }
 
-Call::State Call::bad(int status) {
+HttpRequest::State HttpRequest::bad(int status) {
   fault_ = status;
   return state_ = State::bad;
 }
 
-Call::State Call::take_line(std::string_view line) {
+HttpRequest::State HttpRequest::take_line(std::string_view line) {
   if (method_.empty()) {
     if (line.empty()) return state_;  // an empty line before the call is passed over
     const std::size_t first = line.find(' '), last = line.rfind(' ');
@@ -80,7 +79,7 @@
   return state_;
 }
 
-Call::State Call::take_header(std::string_view line) {
+HttpRequest::State HttpRequest::take_header(std::string_view line) {
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return bad(400);
   const std::string_view name = line.substr(0, colon), value = trimmed(line.substr(colon + 1));
@@ -89,7 +88,7 @@
 }
 
 // Danger: two lengths that differ, or one that wraps round, would have the rest taken for another call.
-Call::State Call::take_length(std::string_view value) {
+HttpRequest::State HttpRequest::take_length(std::string_view value) {
   std::size_t length = 0;
   const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), length);
   if (error == std::errc::result_out_of_range) return bad(413);
@@ -99,4 +98,4 @@
   return state_;
 }
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::protocol
--- a/src/ops/call.hpp
+++ b/src/protocol/http_request.hpp
@@ -5,9 +5,9 @@
 #include <string>
 #include <string_view>
 
-namespace cherryrail::ops {
+namespace cherryrail::protocol {
 
-class Call {
+class HttpRequest {
  public:
   enum class State { more, whole, bad };
 
@@ -31,4 +31,4 @@
   bool in_body_ = false, length_told_ = false;
 };
 
-}  // namespace cherryrail::ops
+}  // namespace cherryrail::protocol
--- a/src/net/http.cpp
+++ b/src/protocol/http_response.cpp
@@ -1,11 +1,11 @@
-#include "net/http.hpp"
+#include "protocol/http_response.hpp"
 
 #include <glib.h>
 
 #include <charconv>
 #include <utility>
 
-namespace cherryrail::net {
+namespace cherryrail::protocol {
 namespace {
 
 bool read_size(std::string_view text, int base, std::size_t& size) {
@@ -19,7 +19,7 @@
   return a.size() == b.size() && g_ascii_strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-void HttpAnswer::take_line() {
+void HttpResponse::take_line() {
   const std::string line = std::exchange(held_, {});
   std::string_view text = line;
   if (!text.empty() && text.back() == '\r') text.remove_suffix(1);
@@ -47,7 +47,7 @@
   }
 }
 
-void HttpAnswer::take_header(std::string_view line) {
+void HttpResponse::take_header(std::string_view line) {
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos) {
     state_ = State::bad;
@@ -60,11 +60,11 @@
   if (same_word(name, "Content-Length") && !read_size(value, 10, left_)) state_ = State::bad;
 }
 
-void HttpAnswer::body_part_over() {
+void HttpResponse::body_part_over() {
   if (chunk_ == Chunk::data)
     chunk_ = Chunk::end;
   else
     state_ = State::done;
 }
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::protocol
--- a/src/net/http.hpp
+++ b/src/protocol/http_response.hpp
@@ -5,16 +5,16 @@
 #include <string>
 #include <string_view>
 
-namespace cherryrail::net {
+namespace cherryrail::protocol {
 
 // Whether two words are the same, large and small letters alike.
 bool same_word(std::string_view a, std::string_view b);
 
-class HttpAnswer {
+class HttpResponse {
  public:
   enum class State { head, body, done, bad };
 
-  // Calls see(part) for each part of the body. Parts break anywhere.
+  // AdminServer see(part) for each part of the body. Parts break anywhere.
   template <class See>
   State feed(std::string_view bytes, const See& see) {
     while (!bytes.empty() && state_ != State::bad && state_ != State::done) {
@@ -54,4 +54,4 @@
   bool chunked_ = false;
 };
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::protocol
--- a/src/net/lines.hpp
+++ b/src/protocol/line_reader.hpp
@@ -5,14 +5,14 @@
 #include <string>
 #include <string_view>
 
-namespace cherryrail::net {
+namespace cherryrail::protocol {
 
 constexpr std::size_t kLongestLine = 4096;
 
-class Lines {
+class LineReader {
  public:
-  // Calls see(line, whole) for each line, without its end. `see` returns false to stop; the rest is given
-  // back. An overlong line stops it too, and overlong() is true from then on.
+  // AdminServer see(line, whole) for each line, without its end. `see` returns false to stop; the rest is
+  // given back. An overlong line stops it too, and overlong() is true from then on.
   template <class See>
   std::string_view feed(std::string_view bytes, const See& see) {
     while (!bytes.empty()) {
@@ -46,4 +46,4 @@
   bool overlong_ = false;
 };
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::protocol
--- a/src/net/head.cpp
+++ b/src/protocol/open_request.cpp
@@ -1,9 +1,9 @@
-#include "net/head.hpp"
+#include "protocol/open_request.hpp"
 
 #include <algorithm>
 #include <cmath>
 
-namespace cherryrail::net {
+namespace cherryrail::protocol {
 namespace {
 
 // Cuts off and returns what stands before the mark.
@@ -42,7 +42,7 @@
   return text.empty() ? 0 : key;
 }
 
-Head::Head(std::string_view line) : line_(line) {
+OpenRequest::OpenRequest(std::string_view line) : line_(line) {
   std::string_view rest = line_;
   if (next_part(rest, ' ') != "OPEN") {
     fault_ = "it does not begin with OPEN";
@@ -55,9 +55,9 @@
   flow_ = key_of(flow);
 }
 
-std::string_view Head::value(std::string_view name) const { return value_in(list_, name); }
+std::string_view OpenRequest::value(std::string_view name) const { return value_in(list_, name); }
 
-Head::Pieces Head::with_wait(Micros wait) const {
+OpenRequest::Pieces OpenRequest::with_wait(Micros wait) const {
   Pieces pieces{};
   const std::string_view old = value("d");
   const std::string_view line = line_;
@@ -74,19 +74,20 @@
   return pieces;
 }
 
-Answer read_answer(std::string_view line) {
+BackendReply parse_backend_reply(std::string_view line) {
   const std::string_view word = next_part(line, ' ');
-  constexpr std::pair<std::string_view, Reply> kWords[] = {
-      {"UP", Reply::up},     {"BYE", Reply::bye},   {"MOVE", Reply::move}, {"ERR", Reply::error},
-      {"BUSY", Reply::busy}, {"LOAD", Reply::load}, {"PONG", Reply::pong}};
+  constexpr std::pair<std::string_view, ReplyKind> kWords[] = {
+      {"UP", ReplyKind::up},     {"BYE", ReplyKind::bye},   {"MOVE", ReplyKind::move},
+      {"ERR", ReplyKind::error}, {"BUSY", ReplyKind::busy}, {"LOAD", ReplyKind::load},
+      {"PONG", ReplyKind::pong}};
   for (const auto& [text, reply] : kWords) {
     if (word == text) return {reply, line};
   }
-  return {Reply::other, line};
+  return {ReplyKind::other, line};
 }
 
 std::optional<double> report_field(std::string_view report, std::string_view field) {
   return number_of(value_in(report, field));
 }
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::protocol
--- a/src/net/head.hpp
+++ b/src/protocol/open_request.hpp
@@ -8,16 +8,16 @@
 #include <string>
 #include <string_view>
 
-#include "brain.hpp"
+#include "balancer/balancer.hpp"
 
-namespace cherryrail::net {
+namespace cherryrail::protocol {
 
 // The views point into the line that is kept; so it is neither copied nor moved.
-class Head {
+class OpenRequest {
  public:
-  explicit Head(std::string_view line);
-  Head(const Head&) = delete;
-  Head& operator=(const Head&) = delete;
+  explicit OpenRequest(std::string_view line);
+  OpenRequest(const OpenRequest&) = delete;
+  OpenRequest& operator=(const OpenRequest&) = delete;
 
   // Empty if the line has the form of an OPEN; else what is wrong with it.
   const char* fault() const { return fault_; }
@@ -45,14 +45,14 @@
 std::uint64_t key_of(std::string_view text);  // hexadecimal, as keys are written; else a hash of it
 std::optional<double> number_of(std::string_view text);
 
-enum class Reply : std::uint8_t { up, bye, move, error, busy, load, pong, other };
-struct Answer {
-  Reply reply = Reply::other;
+enum class ReplyKind : std::uint8_t { up, bye, move, error, busy, load, pong, other };
+struct BackendReply {
+  ReplyKind reply = ReplyKind::other;
   std::string_view rest;  // what follows the word
 };
-Answer read_answer(std::string_view line);
+BackendReply parse_backend_reply(std::string_view line);
 
 // "inflight=7,queue=2,util=0.61": the value of one field.
 std::optional<double> report_field(std::string_view report, std::string_view field);
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::protocol
--- a/src/net/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -1,4 +1,4 @@
-#include "net/discovery.hpp"
+#include "proxy/discovery.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -6,9 +6,9 @@
 #include <utility>
 
 #include "net/connection.hpp"
-#include "net/http.hpp"
+#include "protocol/http_response.hpp"
 
-namespace cherryrail::net {
+namespace cherryrail::proxy {
 namespace {
 
 constexpr Micros kBeat = 2'000'000;        // an empty line comes so often while nothing changes
@@ -20,18 +20,19 @@
 }  // namespace
 
 // One watch at one address.
-class Discovery::Feed final : public ConnectionOwner, public std::enable_shared_from_this<Feed> {
+class Discovery::DiscoveryWatch final : public net::ConnectionOwner,
+                                        public std::enable_shared_from_this<DiscoveryWatch> {
  public:
-  Feed(Discovery& discovery, std::int64_t after) : discovery_(discovery), after_(after) {}
-  ~Feed() {
+  DiscoveryWatch(Discovery& discovery, std::int64_t after) : discovery_(discovery), after_(after) {}
+  ~DiscoveryWatch() {
     if (connection_) connection_->close();
   }
 
   void start() {
-    heard_at_ = called_at_ = discovery_.loop_.now();
-    connection_ = Connection::open(discovery_.loop_, parse_address(where_), *this);
+    heard_at_ = called_at_ = discovery_.event_loop_.now();
+    connection_ = net::Connection::open(discovery_.event_loop_, net::parse_address(where_), *this);
     if (connection_) return look_at_clock();
-    discovery_.loop_.soon([weak = weak_from_this()] {
+    discovery_.event_loop_.soon([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->over("cannot connect");
     });
   }
@@ -44,13 +45,13 @@
   }
   void received(std::string_view bytes) override {
     const auto keep = shared_from_this();
-    heard_at_ = discovery_.loop_.now();
+    heard_at_ = discovery_.event_loop_.now();
     const auto state = answer_.feed(bytes, [this](std::string_view part) { take_body(part); });
     if (!connection_) return;
-    if (state == HttpAnswer::State::bad) return over("its answer is not HTTP");
-    if (state != HttpAnswer::State::head && answer_.status() != 200)
+    if (state == protocol::HttpResponse::State::bad) return over("its answer is not HTTP");
+    if (state != protocol::HttpResponse::State::head && answer_.status() != 200)
       return over("status " + std::to_string(answer_.status()));
-    if (state == HttpAnswer::State::done) over("it ended the watch");
+    if (state == protocol::HttpResponse::State::done) over("it ended the watch");
   }
   void ended() override { over("it ended the watch"); }
   void broken() override { over("no connection"); }
@@ -69,14 +70,14 @@
   // Danger: a watch whose far end has vanished stays open and silent, and what it misses counts as told some
   // time after it fell silent. All of it has to fit in: to find out, to ask again, and to be answered.
   void look_at_clock() {
-    Loop& loop = discovery_.loop_;
-    loop.wake_at(silent_at(), [weak = weak_from_this(), &loop] {
+    net::EventLoop& event_loop = discovery_.event_loop_;
+    event_loop.call_at(silent_at(), [weak = weak_from_this(), &event_loop] {
       const auto self = weak.lock();
       if (!self || !self->connection_) return;
-      if (loop.now() < self->silent_at()) return self->look_at_clock();
+      if (event_loop.now() < self->silent_at()) return self->look_at_clock();
       if (self->any_line_) return self->over("it went silent", kTold - kSilent - kBeat / 2);
       // It may have come back in the moment in which the call that is given up was made.
-      const Micros left = kTold - kBeat / 2 - (loop.now() - self->called_at_);
+      const Micros left = kTold - kBeat / 2 - (event_loop.now() - self->called_at_);
       self->over(self->connected_ ? "it never spoke" : "it does not come up",
                  std::max<Micros>(left, kBeat / 10));
     });
@@ -98,16 +99,17 @@
   Discovery& discovery_;
   const std::string where_ = discovery_.where_;
   const std::int64_t after_;
-  std::shared_ptr<Connection> connection_;
-  HttpAnswer answer_;
+  std::shared_ptr<net::Connection> connection_;
+  protocol::HttpResponse answer_;
   std::string line_;
   Micros heard_at_ = 0, called_at_ = 0;
   bool connected_ = false, any_line_ = false;
 };
 
-Discovery::Discovery(Loop& loop, std::string address, std::int64_t version, Micros first_within,
-                     std::function<void(const List&)> heard, Failed failed)
-    : loop_(loop), where_(std::move(address)), version_(version), heard_(std::move(heard)),
+Discovery::Discovery(net::EventLoop& event_loop, std::string address, std::int64_t version,
+                     Micros first_within, std::function<void(const protocol::EndpointList&)> heard,
+                     Failed failed)
+    : event_loop_(event_loop), where_(std::move(address)), version_(version), heard_(std::move(heard)),
       failed_(std::move(failed)), first_within_(first_within) {}
 
 Discovery::~Discovery() = default;
@@ -115,7 +117,7 @@
 void Discovery::follow() {
   if (feed_) return;  // a watch that stands is not asked for again
   // What follows a version that counts otherwise would tell nothing: then the whole list is asked for.
-  feed_ = std::make_shared<Feed>(*this, lower_since_ ? 0 : version_);
+  feed_ = std::make_shared<DiscoveryWatch>(*this, lower_since_ ? 0 : version_);
   feed_->start();
 }
 
@@ -127,19 +129,19 @@
   lower_since_.reset();
   if (feed_ && feed_->any_line()) former_ = std::move(feed_);
   feed_.reset();
-  loop_.log().line(Topic::discovery, "the list is at %s from now on", where_.c_str());
+  event_loop_.log().line(net::Topic::discovery, "the list is at %s from now on", where_.c_str());
   follow();
 }
 
-void Discovery::first_line(const Feed& feed) {
+void Discovery::first_line(const DiscoveryWatch& feed) {
   if (&feed != feed_.get()) return;
   former_.reset();
 }
 
-void Discovery::list_line(Feed& feed, const std::string& line) {
-  List list;
+void Discovery::list_line(DiscoveryWatch& feed, const std::string& line) {
+  protocol::EndpointList list;
   try {
-    list = read_list(line);
+    list = protocol::read_list(line);
   } catch (const std::runtime_error& error) {
     // Danger: a list that cannot be read must not be followed in part: the old one holds.
     return feed.over(error.what());
@@ -151,26 +153,26 @@
 
 // Danger: a place that lags tells of backends that have gone and not of those that came since. A lower
 // version is taken only once the place that holds has told nothing else for a while: then it counts anew.
-bool Discovery::holds(const List& list) {
+bool Discovery::holds(const protocol::EndpointList& list) {
   if (list.version >= version_) {
     lower_since_.reset();
     return true;
   }
-  const Micros now = loop_.now();
+  const Micros now = event_loop_.now();
   if (!lower_since_) lower_since_ = now;
   if (now - *lower_since_ < kRecounted) return false;
   lower_since_.reset();
-  loop_.log().line(Topic::discovery, "versions are counted anew, from %lld",
-                   static_cast<long long>(list.version));
+  event_loop_.log().line(net::Topic::discovery, "versions are counted anew, from %lld",
+                         static_cast<long long>(list.version));
   return true;
 }
 
-void Discovery::over(const Feed& feed, const std::string& why, Micros most) {
-  loop_.log().line(Topic::discovery, "watch over: %s", why.c_str());
+void Discovery::over(const DiscoveryWatch& feed, const std::string& why, Micros most) {
+  event_loop_.log().line(net::Topic::discovery, "watch over: %s", why.c_str());
   if (&feed == former_.get()) former_.reset();
   if (&feed != feed_.get()) return;
   feed_.reset();
   failed_(most);
 }
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::proxy
--- a/src/net/client_side.cpp
+++ b/src/proxy/downstream.cpp
@@ -1,13 +1,13 @@
-#include "net/client_side.hpp"
+#include "proxy/downstream.hpp"
 
 #include <algorithm>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include "net/lines.hpp"
+#include "protocol/line_reader.hpp"
 
-namespace cherryrail::net {
+namespace cherryrail::proxy {
 namespace {
 
 // A connection that asks for no tunnel may stay so long: sound clients may take two seconds to write their
@@ -17,45 +17,47 @@
 
 }  // namespace
 
-class ClientSide::Client final : public ConnectionOwner, public ClientEnd {
+class DownstreamListener::Client final : public net::ConnectionOwner, public DownstreamConnection {
  public:
-  Client(ClientSide& side, std::uint64_t number) : side_(side), number_(number) {}
+  Client(DownstreamListener& side, std::uint64_t number) : side_(side), number_(number) {}
 
-  void start(SocketPtr socket) {
-    began_ = quiet_since_ = wrote_at_ = side_.loop_.now();
-    connection_ = Connection::accepted(side_.loop_, std::move(socket), *this);
+  void start(net::SocketPtr socket) {
+    began_ = quiet_since_ = wrote_at_ = side_.event_loop_.now();
+    connection_ = net::Connection::accepted(side_.event_loop_, std::move(socket), *this);
   }
-  void stand(SocketPtr socket, const std::shared_ptr<Exchange>& exchange) {
-    exchange_ = exchange;
-    exchange_->client = this;
+  void stand(net::SocketPtr socket, const std::shared_ptr<ProxySession>& session) {
+    session_ = session;
+    session_->client = this;
     up_ = true;
     start(std::move(socket));
   }
   void has_waited(Micros time) { quiet_since_ -= time; }
-  std::optional<Handed> to_hand() const {
-    if (exchange_ && !over_) return exchange_->to_hand();
-    Handed handed;
-    handed.client = settled();
+  std::optional<HandoverMessage> to_hand() const {
+    if (session_ && !over_) return session_->to_hand();
+    HandoverMessage handed;
+    handed.client = flat_settings();
     if (handed.client < 0) return {};
     handed.begun = lines_.begun();
-    handed.waited = side_.loop_.now() - quiet_since_;
+    handed.waited = side_.event_loop_.now() - quiet_since_;
     return handed;
   }
-  const Exchange* exchange() const { return exchange_.get(); }
-  void gone() { exchange_ ? exchange_->gone() : handed(); }
-  int settled() const override { return !over_ && connection_->settled() ? connection_->descriptor() : -1; }
+  const ProxySession* session() const { return session_.get(); }
+  void gone() { session_ ? session_->gone() : handed(); }
+  int flat_settings() const override {
+    return !over_ && connection_->flat_settings() ? connection_->descriptor() : -1;
+  }
   void handed() override {
     connection_->close();
     leave("handed_over");
   }
-  bool has_tunnel() const { return exchange_ && !over_; }
-  bool quiet() const { return !exchange_ && !over_; }
+  bool has_tunnel() const { return session_ && !over_; }
+  bool quiet() const { return !session_ && !over_; }
   Micros quiet_since() const { return quiet_since_; }
   Micros wrote_at() const { return wrote_at_; }  // a part of its first line, or when it came
   void last_call() {
     look();  // its line may lie there unread
     if (over_) return;
-    exchange_ ? exchange_->last_call() : turn_out("relay_ends");
+    session_ ? session_->last_call() : turn_out("relay_ends");
   }
   bool has_begun() const { return !lines_.begun().empty(); }
   void look() override { connection_->look(); }
@@ -63,25 +65,25 @@
   // Danger: a connection that has not asked for a tunnel yet may be anybody's. What can be no first line is
   // turned away at its first wrong byte; a client that does not wait for its answer is not served.
   void received(std::string_view bytes) override {
-    if (exchange_) return up_ ? exchange_->client_passes(bytes) : exchange_->client_spoke_early();
+    if (session_) return up_ ? session_->client_passes(bytes) : session_->client_spoke_early();
     int pings = 0;
     const std::string_view rest = lines_.feed(bytes, [this, &pings](std::string_view line) {
       if (line == "PING" && ++pings <= kPingsAtOnce) {
-        quiet_since_ = side_.loop_.now();
+        quiet_since_ = side_.event_loop_.now();
         connection_->send({"PONG\r\n"});
         return connection_->is_open();
       }
-      exchange_ = side_.make_(line);
-      exchange_->client = this;
+      session_ = side_.make_(line);
+      session_->client = this;
       return false;
     });
-    if (exchange_) {
+    if (session_) {
       side_.quiet_.erase(number_);
       if (!rest.empty()) return finish("ERR", "spoke_early");
       look();  // its end may lie right behind its line
-      return over_ ? void() : side_.take_(exchange_);
+      return over_ ? void() : side_.take_(session_);
     }
-    if (!lines_.begun().empty()) wrote_at_ = side_.loop_.now();
+    if (!lines_.begun().empty()) wrote_at_ = side_.event_loop_.now();
     if (lines_.overlong()) return finish("ERR", "overlong_line");
     if (!may_begin(lines_.begun())) finish("ERR", "not_understood");
   }
@@ -94,12 +96,12 @@
   void ended() override { client_ended(Ended::orderly); }
   void broken() override { client_ended(Ended::broken); }
   void all_sent() override {
-    if (exchange_ && exchange_->server) exchange_->server->read_on(true);
+    if (session_ && session_->server) session_->server->read_on(true);
   }
 
   void pass(std::string_view bytes, std::string_view more) override {
     connection_->send({bytes, more});
-    if (connection_->waiting() > kMuchWaiting && exchange_->server) exchange_->server->read_on(false);
+    if (connection_->waiting() > kMuchWaiting && session_->server) session_->server->read_on(false);
     up_ = true;
   }
   void finish(std::string_view last_line, const char* reason) override {
@@ -125,60 +127,62 @@
   }
   void client_ended(Ended how) {
     if (over_) return;
-    if (exchange_) exchange_->client_ended(how);
-    if (!over_ && (how == Ended::broken || !exchange_)) finish("", "client_ended");
+    if (session_) session_->client_ended(how);
+    if (!over_ && (how == Ended::broken || !session_)) finish("", "client_ended");
   }
   void leave(const char* reason) {
     if (std::exchange(over_, true)) return;
-    Loop& loop = side_.loop_;
-    const std::string_view id = exchange_ ? exchange_->head.id() : std::string_view("-");
-    loop.log().line(Topic::connection, "client=%llu id=%.*s end=%s ms=%lld",
-                    static_cast<unsigned long long>(number_), static_cast<int>(id.size()), id.data(), reason,
-                    static_cast<long long>((loop.now() - began_) / 1000));
-    if (exchange_) exchange_->client = nullptr;
+    net::EventLoop& event_loop = side_.event_loop_;
+    const std::string_view id = session_ ? session_->head.id() : std::string_view("-");
+    event_loop.log().line(net::Topic::connection, "client=%llu id=%.*s end=%s ms=%lld",
+                          static_cast<unsigned long long>(number_), static_cast<int>(id.size()), id.data(),
+                          reason, static_cast<long long>((event_loop.now() - began_) / 1000));
+    if (session_) session_->client = nullptr;
     side_.quiet_.erase(number_);
-    loop.soon([&side = side_, number = number_] { side.clients_.erase(number); });
+    event_loop.soon([&side = side_, number = number_] { side.clients_.erase(number); });
   }
 
-  ClientSide& side_;
+  DownstreamListener& side_;
   std::uint64_t number_;
-  std::shared_ptr<Connection> connection_;
-  std::shared_ptr<Exchange> exchange_;
-  Lines lines_;
+  std::shared_ptr<net::Connection> connection_;
+  std::shared_ptr<ProxySession> session_;
+  protocol::LineReader lines_;
   Micros began_ = 0, quiet_since_ = 0, wrote_at_ = 0;
   bool up_ = false, over_ = false;
 };
 
-ClientSide::ClientSide(Loop& loop, SocketPtr listening, Make make, Take take, Full full)
-    : loop_(loop), make_(std::move(make)), take_(std::move(take)), full_(std::move(full)),
-      listener_(loop, std::move(listening), [this](SocketPtr socket) { come(std::move(socket)); }) {}
+DownstreamListener::DownstreamListener(net::EventLoop& event_loop, net::SocketPtr listening, Make make,
+                                       Take take, Full full)
+    : event_loop_(event_loop), make_(std::move(make)), take_(std::move(take)), full_(std::move(full)),
+      listener_(event_loop, std::move(listening),
+                [this](net::SocketPtr socket) { come(std::move(socket)); }) {}
 
-ClientSide::~ClientSide() = default;
+DownstreamListener::~DownstreamListener() = default;
 
-std::size_t ClientSide::tunnels() const {
+std::size_t DownstreamListener::tunnels() const {
   return static_cast<std::size_t>(std::count_if(clients_.begin(), clients_.end(),
                                                 [](const auto& one) { return one.second->has_tunnel(); }));
 }
 
-std::vector<std::shared_ptr<ClientSide::Client>> ClientSide::everybody() const {
+std::vector<std::shared_ptr<DownstreamListener::Client>> DownstreamListener::everybody() const {
   std::vector<std::shared_ptr<Client>> all;
   for (const auto& [number, client] : clients_) all.push_back(client);
   return all;
 }
 
-bool ClientSide::awaits_lines() const {
+bool DownstreamListener::awaits_lines() const {
   return std::any_of(quiet_.begin(), quiet_.end(),
                      [this](std::uint64_t number) { return clients_.at(number)->has_begun(); });
 }
 
 // Danger: who has written its line to this machine counts as taken, though nobody may have read it yet or
 // even accepted its connection; what the process holds when it ends is cut off with no answer.
-void ClientSide::last_call(bool closing) {
+void DownstreamListener::last_call(bool closing) {
   closing ? listener_.close() : listener_.take_in(false);
   for (const auto& client : everybody()) client->last_call();
 }
 
-void ClientSide::come(SocketPtr socket) {
+void DownstreamListener::come(net::SocketPtr socket) {
   // What has its answer needs its descriptor no longer than it takes to read that.
   while (!on_their_way_.empty()) {
     const auto oldest = on_their_way_.front().lock();
@@ -187,19 +191,19 @@
   }
   make_room();
   if (full_()) {  // every one serves somebody: told at once, and nothing kept
-    tell_and_close(std::move(socket), "BUSY\r\n");
-    return loop_.log().line(Topic::fault, "a client is turned away: descriptors run short");
+    net::tell_and_close(std::move(socket), "BUSY\r\n");
+    return event_loop_.log().line(net::Topic::fault, "a client is turned away: descriptors run short");
   }
   come(std::move(socket), "", 0);
 }
 
-std::shared_ptr<ClientSide::Client> ClientSide::admit() {
+std::shared_ptr<DownstreamListener::Client> DownstreamListener::admit() {
   const auto client = std::make_shared<Client>(*this, ++last_);
   clients_.emplace(last_, client);
   return client;
 }
 
-void ClientSide::come(SocketPtr socket, std::string_view begun, Micros waited) {
+void DownstreamListener::come(net::SocketPtr socket, std::string_view begun, Micros waited) {
   const auto client = admit();
   quiet_.insert(last_);
   client->start(std::move(socket));
@@ -209,22 +213,22 @@
   client->look();  // most have said by now what they want
 }
 
-void ClientSide::stands(SocketPtr socket, const std::shared_ptr<Exchange>& exchange) {
-  admit()->stand(std::move(socket), exchange);
+void DownstreamListener::stands(net::SocketPtr socket, const std::shared_ptr<ProxySession>& session) {
+  admit()->stand(std::move(socket), session);
 }
 
-void ClientSide::hand_over(const Give& give) {
+void DownstreamListener::hand_over(const Give& give) {
   for (const auto& client : everybody()) {
     auto handed = client->to_hand();
     if (!handed) continue;
-    if (!give(std::move(*handed), client->exchange())) return;
+    if (!give(std::move(*handed), client->session())) return;
     client->gone();
   }
 }
 
 // Danger: hundreds that connect and say nothing, or ask for a sign of life and stay, would hold all
 // descriptors; then clients with a tunnel to open find none, nor setups, probes and discovery.
-void ClientSide::make_room() {
+void DownstreamListener::make_room() {
   if (full_())
     std::erase_if(on_their_way_, [this](const auto& one) {
       const auto leaving = one.lock();
@@ -248,15 +252,15 @@
   making_room_ = false;
 }
 
-void ClientSide::look_whether_quiet(const std::shared_ptr<Client>& client, Micros at) {
-  loop_.wake_at(at, [this, weak = std::weak_ptr<Client>(client)] {
+void DownstreamListener::look_whether_quiet(const std::shared_ptr<Client>& client, Micros at) {
+  event_loop_.call_at(at, [this, weak = std::weak_ptr<Client>(client)] {
     const auto late = weak.lock();
     if (!late || !late->quiet()) return;
-    if (loop_.now() < late->quiet_since() + kFirstLine)
+    if (event_loop_.now() < late->quiet_since() + kFirstLine)
       look_whether_quiet(late, late->quiet_since() + kFirstLine);
     else
       late->said_nothing();
   });
 }
 
-}  // namespace cherryrail::net
+}  // namespace cherryrail::proxy
--- a/src/benchlink/link.cpp
+++ b/src/simulator/adapter.cpp
@@ -1,4 +1,4 @@
-#include "benchlink/link.hpp"
+#include "simulator/adapter.hpp"
 
 #include <bit>
 #include <cstring>
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-namespace cherryrail::benchlink {
+namespace cherryrail::simulator {
 namespace {
 
 static_assert(std::endian::native == std::endian::little,
@@ -59,33 +59,34 @@
 
 double millis_of(Micros time) { return static_cast<double>(time) / 1000; }
 
-Facts read_site(std::string_view text) {
+SiteSettings read_site(std::string_view text) {
   try {
-    return read_facts(split_settings(text));
-  } catch (const BadSetting& bad) {
+    return read_site_settings(split_settings(text));
+  } catch (const ConfigError& bad) {
     throw WireError(bad.what());
   }
 }
 
-struct BenchTunnel : Tunnel {
+struct SimulatorSession : Session {
   std::uint32_t id = 0;
   std::uint8_t sends = 0;
 };
 
-struct BenchBackend : Backend {
+struct SimulatorBackend : Backend {
   std::uint32_t id = 0;
 };
 
-std::uint32_t id_of(Tunnel& tun) { return static_cast<BenchTunnel&>(tun).id; }
-std::uint32_t id_of(Backend& ep) { return static_cast<BenchBackend&>(ep).id; }
+std::uint32_t id_of(Session& session) { return static_cast<SimulatorSession&>(session).id; }
+std::uint32_t id_of(Backend& backend) { return static_cast<SimulatorBackend&>(backend).id; }
 
 }  // namespace
 
-class Instance final : public Host {
+class BalancerInstance final : public BalancerActions {
  public:
-  Instance(std::uint16_t number, std::string& out, Micros now, Facts facts, std::uint64_t seed)
-      : number_(number), out_(out), now_(now), utilisation_at_(facts.utilisation_at),
-        profiles_(facts.terms.profiles.size()), relay_(*this, facts.terms, seed) {}
+  BalancerInstance(std::uint16_t number, std::string& out, Micros now, SiteSettings settings,
+                   std::uint64_t seed)
+      : number_(number), out_(out), now_(now), utilisation_at_(settings.utilisation_at),
+        traffic_classes_(settings.config.traffic_classes.size()), balancer_(*this, settings.config, seed) {}
 
   void roster(Reader& in);
   void query(Reader& in);
@@ -93,7 +94,7 @@
   void outcome(Reader& in);
   void established(Reader& in);
   void health(Reader& in);
-  void client_gone(Reader& in);
+  void on_client_left(Reader& in);
   void heartbeat(Reader& in);
   void wakeup(Reader& in);
 
@@ -105,89 +106,92 @@
   }
 
   Micros now() const override { return now_; }
-  void send_setup(Tunnel& tun, Backend& ep, Micros limit) override {
-    ++static_cast<BenchTunnel&>(tun).sends;
+  void start_attempt(Session& session, Backend& backend, Micros limit) override {
+    ++static_cast<SimulatorSession&>(session).sends;
     // On the wire no time-out at all is 0; one that has run out is negative.
-    put(out_, std::uint16_t{1000}, number_, id_of(tun), id_of(ep), limit > 0 ? millis_of(limit) : -1.0);
+    put(out_, std::uint16_t{1000}, number_, id_of(session), id_of(backend),
+        limit > 0 ? millis_of(limit) : -1.0);
   }
-  void abandon_setup(Tunnel& tun) override {
-    const std::uint8_t sends = static_cast<BenchTunnel&>(tun).sends;
-    if (sends > 0) put(out_, std::uint16_t{1030}, number_, id_of(tun), static_cast<std::uint8_t>(sends - 1));
+  void cancel_attempt(Session& session) override {
+    const std::uint8_t sends = static_cast<SimulatorSession&>(session).sends;
+    if (sends > 0)
+      put(out_, std::uint16_t{1030}, number_, id_of(session), static_cast<std::uint8_t>(sends - 1));
   }
-  void decline(Tunnel& tun, Micros hold_off) override {
-    put(out_, std::uint16_t{1010}, number_, id_of(tun), millis_of(hold_off));
-    answered_.push_back(id_of(tun));
+  void reject_session(Session& session, Micros retry_after) override {
+    put(out_, std::uint16_t{1010}, number_, id_of(session), millis_of(retry_after));
+    answered_.push_back(id_of(session));
   }
-  void close_with_error(Tunnel& tun) override {
-    put(out_, std::uint16_t{1020}, number_, id_of(tun));
-    answered_.push_back(id_of(tun));
+  void fail_session(Session& session) override {
+    put(out_, std::uint16_t{1020}, number_, id_of(session));
+    answered_.push_back(id_of(session));
   }
-  void move(Tunnel& tun) override { put(out_, std::uint16_t{1120}, number_, id_of(tun)); }
-  void probe(Backend& ep) override { put(out_, std::uint16_t{1050}, number_, id_of(ep)); }
-  void follow_list() override { put(out_, std::uint16_t{1100}, number_, std::uint8_t{1}); }
-  void wake_at(Micros when, std::function<void()> then) override {
+  void migrate_session(Session& session) override { put(out_, std::uint16_t{1120}, number_, id_of(session)); }
+  void check_health(Backend& backend) override { put(out_, std::uint16_t{1050}, number_, id_of(backend)); }
+  void watch_endpoints() override { put(out_, std::uint16_t{1100}, number_, std::uint8_t{1}); }
+  void call_at(Micros when, std::function<void()> then) override {
     alarms_.emplace(++last_alarm_, std::move(then));
     put(out_, std::uint16_t{1040}, number_, last_alarm_, millis_of(when));
   }
   void log(const std::string& line) override { put_text(out_, 1080, number_, line); }
 
  private:
-  BenchTunnel* tunnel(std::uint32_t id) const {
+  SimulatorSession* tunnel(std::uint32_t id) const {
     const auto found = tunnels_.find(id);
     return found == tunnels_.end() ? nullptr : found->second.get();
   }
   void forget_if_over(std::uint32_t id) {
-    const BenchTunnel* tun = tunnel(id);
-    if (tun && tun->answered && !tun->ep) tunnels_.erase(id);
+    const SimulatorSession* session = tunnel(id);
+    if (session && session->is_answered && !session->backend) tunnels_.erase(id);
   }
-  std::shared_ptr<BenchTunnel> read_tunnel(Reader& in, std::uint32_t id, std::uint8_t profile) const;
-  void read_rest(Reader& in, BenchTunnel& tun, std::uint8_t flags) const;
-  static Result read_result(Reader& in);
+  std::shared_ptr<SimulatorSession> read_tunnel(Reader& in, std::uint32_t id,
+                                                std::uint8_t traffic_class) const;
+  void read_rest(Reader& in, SimulatorSession& session, std::uint8_t flags) const;
+  static AttemptResult read_result(Reader& in);
   LoadReport read_report(Reader& in) const;
 
   std::uint16_t number_;
   std::string& out_;
   Micros now_;
   std::optional<std::size_t> utilisation_at_;
-  std::size_t profiles_;
+  std::size_t traffic_classes_;
   // Looked up by id only, never walked: their order means nothing.
-  std::unordered_map<std::uint32_t, std::shared_ptr<BenchTunnel>> tunnels_;
+  std::unordered_map<std::uint32_t, std::shared_ptr<SimulatorSession>> tunnels_;
   std::unordered_map<std::uint64_t, std::function<void()>> alarms_;
-  std::map<std::uint32_t, std::shared_ptr<BenchBackend>> backends_;
+  std::map<std::uint32_t, std::shared_ptr<SimulatorBackend>> backends_;
   std::vector<std::uint32_t> answered_;
   std::uint64_t last_alarm_ = 0;
-  Relay relay_;  // last: it acts through the rest from its first moment on
+  Balancer balancer_;  // last: it acts through the rest from its first moment on
 };
 
-Result Instance::read_result(Reader& in) {
-  static constexpr Result kResults[] = {
-      Result::opened,         Result::error, Result::rejected,  Result::timed_out,
-      Result::connect_failed, Result::reset, Result::cancelled, Result::moot};
+AttemptResult BalancerInstance::read_result(Reader& in) {
+  static constexpr AttemptResult kResults[] = {
+      AttemptResult::succeeded,      AttemptResult::error, AttemptResult::rejected,  AttemptResult::timed_out,
+      AttemptResult::connect_failed, AttemptResult::reset, AttemptResult::cancelled, AttemptResult::not_sent};
   const auto code = in.take<std::uint16_t>("disposition");
   if (code < 1 || code > 8) in.fail("unknown disposition " + std::to_string(code));
   return kResults[code - 1];
 }
 
-LoadReport Instance::read_report(Reader& in) const {
+LoadReport BalancerInstance::read_report(Reader& in) const {
   LoadReport report;
   const auto count = in.take<std::uint8_t>("stats");
   for (std::size_t i = 0; i < count; ++i) {
     const float value = in.take<float>("stats");
-    if (utilisation_at_ == i && value >= 0 && value < 1e6F) report.utilisation = value;
+    if (utilisation_at_ == i && value >= 0 && value < 1e6F) report.reported_utilization = value;
   }
   return report;
 }
 
-void Instance::roster(Reader& in) {
+void BalancerInstance::roster(Reader& in) {
   in.take<std::uint32_t>("index");
   const auto mode = in.take<std::uint8_t>("mode");
   if (mode > 3) in.fail("unknown list mode " + std::to_string(mode));
   const auto rows = in.take<std::uint32_t>("rows");
   struct Row {
-    std::shared_ptr<BenchBackend> ep;
-    Standing standing;
+    std::shared_ptr<SimulatorBackend> backend;
+    EndpointState state;
     double size;
-    Micros since;
+    Micros started_at;
   };
   std::vector<Row> read;
   std::map<std::uint32_t, bool> named;
@@ -196,129 +200,133 @@
     const auto zone = in.take<std::uint8_t>("area");
     in.take<std::uint8_t>("model");
     const auto cell = in.take<std::uint16_t>("block");
-    const auto state = in.take<std::uint8_t>("stage_state");
+    const auto state_code = in.take<std::uint8_t>("stage_state");
     const auto weight = in.take<float>("weight");
     const Micros since = in.time("since");
-    if (state > 2) in.fail("unknown stage_state " + std::to_string(state));
-    auto& ep = backends_[id];
-    if (!ep) {
-      ep = std::make_shared<BenchBackend>();
-      ep->id = id;
-      ep->name = id;
+    if (state_code > 2) in.fail("unknown stage_state " + std::to_string(state_code));
+    auto& backend = backends_[id];
+    if (!backend) {
+      backend = std::make_shared<SimulatorBackend>();
+      backend->id = id;
+      backend->name = id;
     }
-    ep->zone = zone;
-    ep->cell = cell;
+    backend->zone = zone;
+    backend->cell = cell;
     named[id] = true;
-    const Standing standing = state == 0 ? Standing::ready : state == 1 ? Standing::gone : Standing::draining;
-    read.push_back({ep, standing, weight >= 0 && weight < 1e9F ? static_cast<double>(weight) : 0, since});
+    const EndpointState state = state_code == 0   ? EndpointState::ready
+                                : state_code == 1 ? EndpointState::gone
+                                                  : EndpointState::draining;
+    read.push_back({backend, state, weight >= 0 && weight < 1e9F ? static_cast<double>(weight) : 0, since});
   }
-  if (mode == 2) return relay_.list_failed();
-  for (const Row& row : read) relay_.list_entry(row.ep, row.standing, row.size, row.since);
+  if (mode == 2) return balancer_.on_discovery_failed();
+  for (const Row& row : read) balancer_.update_endpoint(row.backend, row.state, row.size, row.started_at);
   if (mode != 1) {  // a complete list: what it leaves out has been removed
-    for (const auto& [id, ep] : backends_) {
-      if (!named.contains(id)) relay_.list_entry(ep, Standing::gone, ep->size, ep->since);
+    for (const auto& [id, backend] : backends_) {
+      if (!named.contains(id))
+        balancer_.update_endpoint(backend, EndpointState::gone, backend->size, backend->started_at);
     }
   }
-  if (mode != 3) relay_.list_read();
+  if (mode != 3) balancer_.on_endpoints_updated();
 }
 
-std::shared_ptr<BenchTunnel> Instance::read_tunnel(Reader& in, std::uint32_t id, std::uint8_t profile) const {
-  if (profile >= profiles_) in.fail("unknown band " + std::to_string(profile));
-  auto tun = std::make_shared<BenchTunnel>();
-  tun->id = id;
-  tun->profile = &relay_.profiles()[profile];
-  return tun;
+std::shared_ptr<SimulatorSession> BalancerInstance::read_tunnel(Reader& in, std::uint32_t id,
+                                                                std::uint8_t traffic_class) const {
+  if (traffic_class >= traffic_classes_) in.fail("unknown band " + std::to_string(traffic_class));
+  auto session = std::make_shared<SimulatorSession>();
+  session->id = id;
+  session->traffic_class = &balancer_.traffic_classes()[traffic_class];
+  return session;
 }
 
-void Instance::read_rest(Reader& in, BenchTunnel& tun, std::uint8_t flags) const {
-  tun.expires_at = now_ + in.time("expires_in");
-  tun.tenant = in.take<std::uint32_t>("realm");
+void BalancerInstance::read_rest(Reader& in, SimulatorSession& session, std::uint8_t flags) const {
+  session.deadline = now_ + in.time("expires_in");
+  session.tenant = in.take<std::uint32_t>("realm");
   const double hint = in.take<double>("work_hint");
-  if ((flags & 1) && hint > 0) tun.hinted_load = hint * 1000;  // told in milliseconds of work a second
-  tun.mid_flow = (flags & 8) != 0;
-  tun.returning = (flags & (2 | 16)) != 0;
+  if ((flags & 1) && hint > 0) session.load_hint = hint * 1000;  // told in milliseconds of work a second
+  session.is_mid_flow = (flags & 8) != 0;
+  session.is_reconnecting = (flags & (2 | 16)) != 0;
 }
 
-void Instance::query(Reader& in) {
+void BalancerInstance::query(Reader& in) {
   const auto id = in.take<std::uint32_t>("req");
-  const auto tun = read_tunnel(in, id, in.take<std::uint8_t>("band"));
+  const auto session = read_tunnel(in, id, in.take<std::uint8_t>("band"));
   const auto flags = in.take<std::uint8_t>("bitmap");
-  tun->group_key = in.take<std::uint64_t>("room");
-  tun->client_key = in.take<std::uint64_t>("affinity");
-  read_rest(in, *tun, flags);
-  tunnels_.insert_or_assign(id, tun);
-  relay_.take(tun);
+  session->group_key = in.take<std::uint64_t>("room");
+  session->client_key = in.take<std::uint64_t>("affinity");
+  read_rest(in, *session, flags);
+  tunnels_.insert_or_assign(id, session);
+  balancer_.admit(session);
 }
 
-void Instance::already_open(Reader& in) {
+void BalancerInstance::already_open(Reader& in) {
   const auto id = in.take<std::uint32_t>("req");
-  const auto tun = read_tunnel(in, id, in.take<std::uint8_t>("band"));
-  tun->group_key = in.take<std::uint64_t>("room");
-  tun->client_key = in.take<std::uint64_t>("affinity");
-  const auto backend = in.take<std::uint32_t>("backend");
-  read_rest(in, *tun, in.take<std::uint8_t>("bitmap"));
-  const auto ep = backends_.find(backend);
-  if (ep == backends_.end())
-    in.fail("AlreadyOpen on a backend that no list named: " + std::to_string(backend));
-  tun->sends = 1;
-  tunnels_.insert_or_assign(id, tun);
-  relay_.adopt(tun, ep->second);
+  const auto session = read_tunnel(in, id, in.take<std::uint8_t>("band"));
+  session->group_key = in.take<std::uint64_t>("room");
+  session->client_key = in.take<std::uint64_t>("affinity");
+  const auto backend_id = in.take<std::uint32_t>("backend");
+  read_rest(in, *session, in.take<std::uint8_t>("bitmap"));
+  const auto backend = backends_.find(backend_id);
+  if (backend == backends_.end())
+    in.fail("AlreadyOpen on a backend that no list named: " + std::to_string(backend_id));
+  session->sends = 1;
+  tunnels_.insert_or_assign(id, session);
+  balancer_.adopt(session, backend->second);
 }
 
-void Instance::outcome(Reader& in) {
+void BalancerInstance::outcome(Reader& in) {
   const auto id = in.take<std::uint32_t>("req");
   in.take<std::uint8_t>("send_no");
   in.take<std::uint32_t>("backend");
-  Ending ending;
-  ending.result = read_result(in);
-  ending.took = in.time("cost_time");
+  AttemptOutcome outcome;
+  outcome.result = read_result(in);
+  outcome.duration = in.time("cost_time");
   const bool finished = in.take<std::uint8_t>("done_flag") != 0;
   const LoadReport report = read_report(in);
-  if (BenchTunnel* tun = tunnel(id)) {
-    relay_.setup_ended(*tun, ending, finished, report);
+  if (SimulatorSession* session = tunnel(id)) {
+    balancer_.on_attempt_ended(*session, outcome, finished, report);
     forget_if_over(id);
   }
 }
 
-void Instance::established(Reader& in) {
+void BalancerInstance::established(Reader& in) {
   const auto id = in.take<std::uint32_t>("req");
   in.take<std::uint8_t>("send_no");
   in.take<std::uint32_t>("backend");
-  const Micros took = in.time("cost_time");
-  if (BenchTunnel* tun = tunnel(id)) relay_.established(*tun, took);
+  const Micros duration = in.time("cost_time");
+  if (SimulatorSession* session = tunnel(id)) balancer_.on_established(*session, duration);
 }
 
-void Instance::health(Reader& in) {
-  const auto backend = in.take<std::uint32_t>("backend");
-  Ending ending;
-  ending.result = read_result(in);
-  ending.took = in.time("cost_time");
+void BalancerInstance::health(Reader& in) {
+  const auto backend_id = in.take<std::uint32_t>("backend");
+  AttemptOutcome outcome;
+  outcome.result = read_result(in);
+  outcome.duration = in.time("cost_time");
   const LoadReport report = read_report(in);
-  const auto ep = backends_.find(backend);
-  if (ep != backends_.end()) relay_.probe_ended(*ep->second, ending, report);
+  const auto backend = backends_.find(backend_id);
+  if (backend != backends_.end()) balancer_.on_health_check_ended(*backend->second, outcome, report);
 }
 
-void Instance::client_gone(Reader& in) {
+void BalancerInstance::on_client_left(Reader& in) {
   const auto id = in.take<std::uint32_t>("req");
-  if (BenchTunnel* tun = tunnel(id)) {
-    relay_.client_gone(*tun);
+  if (SimulatorSession* session = tunnel(id)) {
+    balancer_.on_client_left(*session);
     forget_if_over(id);
   }
 }
 
-void Instance::heartbeat(Reader& in) {
+void BalancerInstance::heartbeat(Reader& in) {
   const auto id = in.take<std::uint32_t>("req");
   in.take<std::uint8_t>("send_no");
   in.take<std::uint32_t>("backend");
   const auto what = in.take<std::uint8_t>("what");
   const double amount = static_cast<double>(in.take<float>("amount"));
-  BenchTunnel* tun = tunnel(id);
-  if (!tun || !(amount >= 0 && amount < 1e12)) return;
-  if (what == 1) relay_.load_told(*tun, amount);
-  if (what == 2) relay_.delay_told(*tun, micros_of(amount));
+  SimulatorSession* session = tunnel(id);
+  if (!session || !(amount >= 0 && amount < 1e12)) return;
+  if (what == 1) balancer_.on_load_reported(*session, amount);
+  if (what == 2) balancer_.on_message_latency_reported(*session, micros_of(amount));
 }
 
-void Instance::wakeup(Reader& in) {
+void BalancerInstance::wakeup(Reader& in) {
   const auto found = alarms_.find(in.take<std::uint64_t>("handle"));
   if (found == alarms_.end()) return;
   const auto then = std::move(found->second);
@@ -326,10 +334,10 @@
   then();
 }
 
-Link::Link() = default;
-Link::~Link() = default;
+Adapter::Adapter() = default;
+Adapter::~Adapter() = default;
 
-std::size_t Link::frame_length(std::string_view bytes) {
+std::size_t Adapter::frame_length(std::string_view bytes) {
   if (bytes.size() < kHeader) return 0;
   Reader in(bytes);
   in.take<double>("clock");
@@ -339,7 +347,7 @@
   return length;
 }
 
-std::string_view Link::play(std::string_view frame) {
+std::string_view Adapter::play(std::string_view frame) {
   Reader in(frame);
   const Micros now = in.time("clock");
   in.take<std::uint32_t>("length");
@@ -355,15 +363,16 @@
     const auto found = instances_.find(number);
     if (code != 1070 && found == instances_.end())
       in.fail("an event for instance " + std::to_string(number) + ", which was not started");
-    Instance* instance = code == 1070 ? nullptr : found->second.get();
+    BalancerInstance* instance = code == 1070 ? nullptr : found->second.get();
     if (instance) instance->begin(now);
     try {
       switch (code) {
         case 1070: {
           const auto seed = in.take<std::uint64_t>("salt");
           const auto length = in.take<std::uint32_t>("facts");
-          Facts facts = read_site(in.run(length, "facts"));
-          instances_[number] = std::make_unique<Instance>(number, reply_, now, std::move(facts), seed);
+          SiteSettings settings = read_site(in.run(length, "facts"));
+          instances_[number] =
+              std::make_unique<BalancerInstance>(number, reply_, now, std::move(settings), seed);
           continue;
         }
         case 1080:
@@ -385,7 +394,7 @@
           instance->health(in);
           break;
         case 1050:
-          instance->client_gone(in);
+          instance->on_client_left(in);
           break;
         case 1040:
           instance->heartbeat(in);
@@ -416,4 +425,4 @@
   return reply_;
 }
 
-}  // namespace cherryrail::benchlink
+}  // namespace cherryrail::simulator
--- a/src/benchlink/link.hpp
+++ b/src/simulator/adapter.hpp
@@ -1,4 +1,4 @@
-// The bench's wire: batches in, replies out, one Relay for each instance, ids turned into objects at the
+// The bench's wire: batches in, replies out, one Balancer for each instance, ids turned into objects at the
 // door.
 #pragma once
 
@@ -10,22 +10,22 @@
 #include <string>
 #include <string_view>
 
-#include "terms/terms.hpp"
+#include "config/site_settings.hpp"
 
-namespace cherryrail::benchlink {
+namespace cherryrail::simulator {
 
 struct WireError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
-class Instance;
+class BalancerInstance;
 
-class Link {
+class Adapter {
  public:
-  Link();
-  ~Link();
-  Link(const Link&) = delete;
-  Link& operator=(const Link&) = delete;
+  Adapter();
+  ~Adapter();
+  Adapter(const Adapter&) = delete;
+  Adapter& operator=(const Adapter&) = delete;
 
   // The length of the frame that begins here, or 0 while too little is there to tell.
   static std::size_t frame_length(std::string_view bytes);
@@ -33,8 +33,8 @@
   std::string_view play(std::string_view frame);
 
  private:
-  std::map<std::uint16_t, std::unique_ptr<Instance>> instances_;
+  std::map<std::uint16_t, std::unique_ptr<BalancerInstance>> instances_;
   std::string reply_;
 };
 
-}  // namespace cherryrail::benchlink
+}  // namespace cherryrail::simulator
--- a/src/benchlink/main.cpp
+++ b/src/simulator/main.cpp
@@ -6,11 +6,11 @@
 #include <cstring>
 #include <string>
 
-#include "benchlink/link.hpp"
+#include "simulator/adapter.hpp"
 
 namespace {
 
-using cherryrail::benchlink::WireError;
+using cherryrail::simulator::WireError;
 
 void write_all(std::string_view bytes) {
   while (!bytes.empty()) {
@@ -22,12 +22,12 @@
 }
 
 void serve() {
-  cherryrail::benchlink::Link link;
+  cherryrail::simulator::Adapter link;
   std::string buffer(1 << 20, '\0');
   std::size_t begin = 0, end = 0;
   while (true) {
     const std::string_view held(buffer.data() + begin, end - begin);
-    const std::size_t length = cherryrail::benchlink::Link::frame_length(held);
+    const std::size_t length = cherryrail::simulator::Adapter::frame_length(held);
     if (length != 0 && length <= held.size()) {
       write_all(link.play(held.substr(0, length)));
       begin += length;
--- a/tests/ops_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -5,8 +5,8 @@
 #include <cstdlib>
 #include <filesystem>
 
-#include "helpers.hpp"
-#include "ops/operation.hpp"
+#include "admin/operations.hpp"
+#include "support/fixtures.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -20,25 +20,25 @@
 };
 
 // A relay with an operator's door.
-struct Office : Town {
+struct Office : LoopbackRelay {
   Folder folder;
   int desk = 0;
-  std::unique_ptr<ops::Operation> operation;
+  std::unique_ptr<admin::Operations> operation;
 
-  explicit Office(std::size_t count) : Town(count, 500, "", false) {
-    desk = End::listening().port();
+  explicit Office(std::size_t count) : LoopbackRelay(count, 500, "", false) {
+    desk = TestSocket::listening().port();
     start.mgmt = "127.0.0.1:" + std::to_string(desk);
     start.mgmt_on = net::parse_address(start.mgmt);
     start.kept_in = folder.path;
-    door = std::make_unique<net::Door>(loop, start);
-    operation = std::make_unique<ops::Operation>(loop, *door, start);
+    proxy = std::make_unique<proxy::ProxyServer>(event_loop, start);
+    operation = std::make_unique<admin::Operations>(event_loop, *proxy, start);
   }
-  End caller(std::string_view text) const {
-    End end = End::to(desk);
+  TestSocket caller(std::string_view text) const {
+    TestSocket end = TestSocket::to(desk);
     end.say(text);
     return end;
   }
-  std::string answer(End end) {
+  std::string answer(TestSocket end) {
     EXPECT_TRUE(until([&] { return end.ended(); }));
     return end.heard().substr(0, 12);
   }
@@ -52,7 +52,7 @@
   std::string uid(std::size_t i) const { return "s-" + std::to_string(i); }
 };
 
-TEST(Calls, EachBadCallIsToldSoAndNoneDelaysTheNext) {
+TEST(AdminServer, EachBadCallIsToldSoAndNoneDelaysTheNext) {
   Office office(1);
   const std::string many(20000, 'x');
   const std::pair<std::string, const char*> calls[] = {
@@ -77,28 +77,28 @@
       {"GET /ready HTTP/9\r\n\r\n", "HTTP/1.1 505"}};
   for (const auto& [call, answer] : calls)
     EXPECT_EQ(office.answer(office.caller(call)), answer) << call.substr(0, 80);
-  End half = office.caller("POST /backends/disable HTTP/1.1\r\nContent-Le");
+  TestSocket half = office.caller("POST /backends/disable HTTP/1.1\r\nContent-Le");
   half.end_sending();
   EXPECT_EQ(office.answer(std::move(half)), "HTTP/1.1 400");
   office.open("1");  // and nothing of it banned the only backend
 }
 
-TEST(Calls, ACallMayComeInPiecesOfAnySize) {
+TEST(AdminServer, ACallMayComeInPiecesOfAnySize) {
   const std::string text =
       "\r\nPOST /backends/disable?x=1 HTTP/1.1\r\ncontent-LENGTH:  7\r\n\r\n{\"a\":1}GET /";
   for (std::size_t step = 1; step <= text.size(); ++step) {
-    ops::Call call;
+    protocol::HttpRequest call;
     for (std::size_t at = 0; at < text.size(); at += step) call.feed(std::string_view(text).substr(at, step));
-    EXPECT_EQ(call.state(), ops::Call::State::whole) << step;
+    EXPECT_EQ(call.state(), protocol::HttpRequest::State::whole) << step;
     EXPECT_EQ(call.path(), "/backends/disable");
     EXPECT_EQ(call.body(), "{\"a\":1}");  // what follows is not of this call
   }
 }
 
 // Callers that hold a connection with no whole call must not keep the next one out, nor clients.
-TEST(Calls, CallersThatSayNothingGiveWayToOneThatCalls) {
+TEST(AdminServer, CallersThatSayNothingGiveWayToOneThatCalls) {
   Office office(1);
-  std::vector<End> idle;
+  std::vector<TestSocket> idle;
   for (int i = 0; i < 40; ++i) idle.push_back(office.caller(i % 2 ? "GET /rea" : ""));
   EXPECT_EQ(office.answer(office.caller("GET /ready HTTP/1.1\r\n\r\n")), "HTTP/1.1 200");
   EXPECT_TRUE(office.until([&] { return idle.front().ended(); }));  // the longest idle went first
@@ -106,21 +106,21 @@
   office.open("1");
 }
 
-TEST(Calls, AnAddressInUseEndsTheStartNamingTheKey) {
-  Town town(1);
-  End taken = End::listening();
-  town.start.mgmt = "127.0.0.1:" + std::to_string(taken.port());
-  town.start.mgmt_on = net::parse_address(town.start.mgmt);
+TEST(AdminServer, AnAddressInUseEndsTheStartNamingTheKey) {
+  LoopbackRelay relay(1);
+  TestSocket taken = TestSocket::listening();
+  relay.start.mgmt = "127.0.0.1:" + std::to_string(taken.port());
+  relay.start.mgmt_on = net::parse_address(relay.start.mgmt);
   try {
-    ops::Operation operation(town.loop, *town.door, town.start);
+    admin::Operations operation(relay.event_loop, *relay.proxy, relay.start);
     FAIL() << "it started";
-  } catch (const BadSetting& bad) {
+  } catch (const ConfigError& bad) {
     EXPECT_TRUE(std::string(bad.what()).starts_with("mgmt: ")) << bad.what();
   }
 }
 
 // The list knows nothing of the ban: it goes on naming the backend ready, and must not bring it back.
-TEST(Bans, ABannedBackendIsEmptiedAndGetsNothingWhateverTheListSays) {
+TEST(DisabledBackends, ABannedBackendIsEmptiedAndGetsNothingWhateverTheListSays) {
   Office office(2);
   auto [here, there] = office.open("1");
   const std::size_t at = office.holder(there);
@@ -141,32 +141,32 @@
       5000));
 }
 
-TEST(Bans, TheyHoldInTheProcessThatComesNextAndADamagedFileEndsNothing) {
+TEST(DisabledBackends, TheyHoldInTheProcessThatComesNextAndADamagedFileEndsNothing) {
   Office office(2);
   EXPECT_EQ(office.call("disable", "s-1"), "HTTP/1.1 200");
-  ops::Operation next(office.loop, *office.door, [&] {
-    net::Start start = office.start;
-    start.mgmt = "127.0.0.1:" + std::to_string(End::listening().port());
+  admin::Operations next(office.event_loop, *office.proxy, [&] {
+    config::RelayConfig start = office.start;
+    start.mgmt = "127.0.0.1:" + std::to_string(TestSocket::listening().port());
     start.mgmt_on = net::parse_address(start.mgmt);
     return start;
   }());
   for (int i = 0; i < 6; ++i) EXPECT_EQ(office.holder(office.open(std::to_string(i)).second), 0u);
   const std::string file = office.folder.file("cherryrail-n.bans");
   ASSERT_TRUE(std::filesystem::exists(file));
-  ops::Bans other(file);
+  admin::DisabledBackends other(file);
   EXPECT_TRUE(other.names().contains("s-1"));
   std::ofstream(file) << "{\"bans\":[7";
   EXPECT_FALSE(other.look());
   EXPECT_NE(other.fault().find("damaged"), std::string::npos);
   EXPECT_TRUE(other.names().contains("s-1"));  // what is known holds on
   EXPECT_TRUE(other.change("s-0", true));      // and the next change mends the file
-  EXPECT_EQ(ops::Bans(file).names(), (std::set<std::string>{"s-0", "s-1"}));
+  EXPECT_EQ(admin::DisabledBackends(file).names(), (std::set<std::string>{"s-0", "s-1"}));
 }
 
 // Each of the two processes is called: neither loses what the other was told.
-TEST(Bans, TwoProcessesKeepOneSet) {
+TEST(DisabledBackends, TwoProcessesKeepOneSet) {
   Folder folder;
-  ops::Bans one(folder.file("b")), two(folder.file("b"));
+  admin::DisabledBackends one(folder.file("b")), two(folder.file("b"));
   EXPECT_TRUE(one.change("x", true));
   EXPECT_TRUE(two.change("y", true));
   EXPECT_TRUE(one.look());
@@ -175,58 +175,59 @@
   EXPECT_TRUE(two.look());
   EXPECT_EQ(two.names(), std::set<std::string>{"y"});
   EXPECT_FALSE(two.look());  // nothing new
-  ops::Bans nowhere("/nonexistent/b");
+  admin::DisabledBackends nowhere("/nonexistent/b");
   EXPECT_FALSE(nowhere.change("x", true));
   EXPECT_TRUE(nowhere.names().contains("x"));  // it holds here all the same
 }
 
-TEST(Succession, TheLastToAnnounceItselfIsTheHeirOfTheOthers) {
+TEST(HotRestart, TheLastToAnnounceItselfIsTheHeirOfTheOthers) {
   Folder folder;
-  ops::Succession none("", "n");
+  admin::HotRestart none("", "n");
   EXPECT_FALSE(none.announce());
-  EXPECT_FALSE(none.heir());
-  ops::Succession first(folder.path, "n");
+  EXPECT_FALSE(none.successor());
+  admin::HotRestart first(folder.path, "n");
   EXPECT_TRUE(first.announce());
-  EXPECT_FALSE(first.heir());  // nobody but itself
+  EXPECT_FALSE(first.successor());  // nobody but itself
   {
-    ops::Succession second(folder.path, "n");
-    EXPECT_FALSE(first.heir());  // it runs, but does not serve yet
+    admin::HotRestart second(folder.path, "n");
+    EXPECT_FALSE(first.successor());  // it runs, but does not serve yet
     EXPECT_TRUE(second.announce());
-    EXPECT_TRUE(first.heir());
-    EXPECT_FALSE(second.heir());
+    EXPECT_TRUE(first.successor());
+    EXPECT_FALSE(second.successor());
   }
-  EXPECT_FALSE(first.heir());  // it has died
+  EXPECT_FALSE(first.successor());  // it has died
 }
 
 // One relay, of which there may be two processes: both have the clients' listening socket.
-struct House : Town {
+struct House : LoopbackRelay {
   Folder folder;
-  End listening = End::listening();
+  TestSocket listening = TestSocket::listening();
   struct Process {
-    net::Door door;
-    std::unique_ptr<ops::Operation> operation;
-    Process(net::Loop& loop, const net::Start& start)
-        : door(loop, start), operation(std::make_unique<ops::Operation>(loop, door, start)) {}
+    proxy::ProxyServer proxy;
+    std::unique_ptr<admin::Operations> operation;
+    Process(net::EventLoop& event_loop, const config::RelayConfig& start)
+        : proxy(event_loop, start), operation(std::make_unique<admin::Operations>(event_loop, proxy, start)) {
+    }
     bool empty() {
-      return door.hand_over([](const net::Handed&) { return false; });
+      return proxy.hand_over([](const proxy::HandoverMessage&) { return false; });
     }
   };
-  std::vector<End> watches;
+  std::vector<TestSocket> watches;
   std::unique_ptr<Process> first, second;
 
-  explicit House(std::size_t count) : Town(count, 500, "", false) {
+  explicit House(std::size_t count) : LoopbackRelay(count, 500, "", false) {
     port = listening.port();
-    start = net::read_start_text(told(500));
+    start = config::parse_relay_config(told(500));
     start.kept_in = folder.path;
     first = process();
   }
   std::unique_ptr<Process> process() {
     start.clients_fd = dup(listening.fd());
-    auto made = std::make_unique<Process>(loop, start);
+    auto made = std::make_unique<Process>(event_loop, start);
     watched();
     list(R"({"rev":5,"all":false,"targets":[]})");
-    watches.push_back(std::exchange(watch, End()));
-    EXPECT_TRUE(until([&] { return made->door.ready(); }, 500));
+    watches.push_back(std::exchange(watch, TestSocket()));
+    EXPECT_TRUE(until([&] { return made->proxy.ready(); }, 500));
     until([] { return false; }, 20);
     return made;
   }
@@ -255,7 +256,7 @@
   half.close();
   EXPECT_TRUE(house.until([&] { return torn.ended(); }));
   EXPECT_EQ(torn.heard(), "UP r\r\nhalf a line\r\nBYE\r\n");
-  End thief = house.client("OPEN 1 1 c=talk,d=1200\r\n");
+  TestSocket thief = house.client("OPEN 1 1 c=talk,d=1200\r\n");
   EXPECT_TRUE(house.until([&] { return thief.heard() == "ERR\r\n"; }));  // its id went over with it
 }
 
@@ -263,14 +264,14 @@
 // answer.
 TEST(Handover, ClientsWithoutATunnelAreServedAllTheSame) {
   House house(1);
-  End slow = house.client("OPEN 5 5 c=ta"), silent = house.client("");
-  End waits = house.client("OPEN 6 6 c=talk,d=1200\r\n");
-  End setup = house.setup();
+  TestSocket slow = house.client("OPEN 5 5 c=ta"), silent = house.client("");
+  TestSocket waits = house.client("OPEN 6 6 c=talk,d=1200\r\n");
+  TestSocket setup = house.setup();
   house.until([] { return false; }, 30);
   house.replace();
   house.until([] { return false; }, 60);
   slow.say("lk,d=1200\r\n");
-  End other = house.setup();
+  TestSocket other = house.setup();
   other.say("UP 5\r\n");
   EXPECT_TRUE(house.until([&] { return slow.heard() == "UP 5\r\n"; }));
   setup.say("UP 6\r\n");
@@ -307,9 +308,9 @@
 
 // An open tunnel as a process hands it over, with its other ends.
 struct HandedTunnel {
-  End one = End::listening(), client = End::to(one.port()), theirs = one.accept();
-  End two = End::listening(), server = End::to(two.port());
-  net::Handed handed;
+  TestSocket one = TestSocket::listening(), client = TestSocket::to(one.port()), theirs = one.accept();
+  TestSocket two = TestSocket::listening(), server = TestSocket::to(two.port());
+  proxy::HandoverMessage handed;
   explicit HandedTunnel(const std::string& backend) {
     handed.head = "OPEN 9 9 c=talk,d=1200";
     handed.backend = backend;
@@ -326,7 +327,7 @@
   house.second = house.process();
   HandedTunnel over("s-left");
   over.theirs.close();
-  house.second->door.take_over(over.handed);
+  house.second->proxy.take_over(over.handed);
   EXPECT_TRUE(house.until([&] { return over.client.heard() == "MOVE\r\n"; }));
   EXPECT_FALSE(here.ended()) << at;
 }
@@ -334,10 +335,10 @@
 // A tunnel may come over before the list names its backend; a ban holds for that backend all the same.
 TEST(Handover, ABanHoldsForABackendKnownFromATunnelFirst) {
   House house(1);
-  house.backends.push_back(End::listening());
-  house.first->door.ban({"s-1"});
+  house.backends.push_back(TestSocket::listening());
+  house.first->proxy.ban({"s-1"});
   HandedTunnel over("s-1");
-  house.first->door.take_over(over.handed);
+  house.first->proxy.take_over(over.handed);
   house.watch = std::move(house.watches.back());
   house.list(R"({"rev":6,"all":false,"targets":[)" + house.target(1, "active") + "]}");
   house.until([] { return false; }, 50);
@@ -345,15 +346,15 @@
 }
 
 // Two processes at once are one relay to the limit on descriptors.
-TEST(Succession, WhatTheOtherProcessHoldsCountsToo) {
+TEST(HotRestart, WhatTheOtherProcessHoldsCountsToo) {
   House house(1);
   int ready[2], go[2];
   ASSERT_EQ(pipe(ready) + pipe(go), 0);
   const pid_t child = fork();
   if (child == 0) {  // the process that comes next: it says that it is there, and holds much
-    ops::Succession there(house.folder.path, "cherryrail-n.serves");
-    const ops::Handle before = there.heir();
-    while (dup(0) >= 0 && ops::descriptors_of(getpid()) < 480) {
+    admin::HotRestart there(house.folder.path, "cherryrail-n.serves");
+    const net::FileDescriptor before = there.successor();
+    while (dup(0) >= 0 && admin::descriptors_of(getpid()) < 480) {
     }
     char one = before ? 'y' : 'n';
     _exit(write(ready[1], &one, 1) == 1 && read(go[0], &one, 1) == 1 ? 0 : 1);
@@ -362,7 +363,7 @@
   ASSERT_EQ(read(ready[0], &answer, 1), 1);
   EXPECT_EQ(answer, 'y');
   house.until([] { return false; }, 150);
-  End refused = house.client("OPEN 1 1 c=talk,d=1200\r\n");
+  TestSocket refused = house.client("OPEN 1 1 c=talk,d=1200\r\n");
   EXPECT_TRUE(house.until([&] { return refused.ended(); }));
   EXPECT_EQ(refused.heard(), "BUSY\r\n");
   EXPECT_EQ(write(go[1], "g", 1), 1);
@@ -372,51 +373,51 @@
   for (const int fd : {ready[0], ready[1], go[0], go[1]}) close(fd);
 }
 
-TEST(Succession, WhatWasLearnedArrivesAsItWas) {
+TEST(HotRestart, WhatWasLearnedArrivesAsItWas) {
   Folder folder;
-  ops::Succession first(folder.path, "n"), second(folder.path, "n");
+  admin::HotRestart first(folder.path, "n"), second(folder.path, "n");
   ASSERT_TRUE(second.announce());
-  const ops::Handle to = first.heir();
+  const net::FileDescriptor to = first.successor();
   ASSERT_TRUE(to);
-  const ops::Handle from(accept(second.listening(), nullptr, nullptr));
-  net::Handed handed;
-  handed.memory =
-      Memory{5, 6, 7, 8, 2.5, 3, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
-  EXPECT_EQ(ops::give(to, handed), ops::Gave::yes);
+  const net::FileDescriptor from(accept(second.listening(), nullptr, nullptr));
+  proxy::HandoverMessage handed;
+  handed.memory = StateSnapshot{
+      5, 6, 7, 8, 2.5, 3, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
+  EXPECT_EQ(admin::give(to, handed), admin::Gave::yes);
   bool over = false;
-  const auto got = ops::taken(from, over);
+  const auto got = admin::taken(from, over);
   ASSERT_TRUE(got && got->memory && got->memory->backends.size() == 1);
   EXPECT_EQ(got->memory->new_clients, 8u);
-  const Memory::Of& of = got->memory->backends[0];
+  const StateSnapshot::Of& of = got->memory->backends[0];
   EXPECT_EQ(of.name, 0xffffffffffffffffULL);
-  EXPECT_EQ(of.room, 1e300);
+  EXPECT_EQ(of.capacity_limit, 1e300);
   EXPECT_EQ(of.cold_turn, -1);
   EXPECT_EQ(of.cold_sent, 9u);
-  EXPECT_TRUE(of.aside && of.presumed && !of.silent);
+  EXPECT_TRUE(of.is_ejected && of.is_capacity_inferred && !of.is_unresponsive);
   // What cannot be understood costs nothing but itself.
   EXPECT_EQ(send(to.get(), "rubbish", 7, 0), 7);
-  EXPECT_FALSE(ops::taken(from, over));
+  EXPECT_FALSE(admin::taken(from, over));
   EXPECT_FALSE(over);
 }
 
-TEST(Succession, AnInheritedDescriptorThatIsNotOursIsNamed) {
-  Town town(1);
+TEST(HotRestart, AnInheritedDescriptorThatIsNotOursIsNamed) {
+  LoopbackRelay relay(1);
   const auto fault = [&](int fd) {
     setenv("EDGE_SOCKET_FD", std::to_string(fd).c_str(), 1);
     std::string what;
     try {
-      net::read_start_text(town.told(500));
-    } catch (const BadSetting& bad) {
+      config::parse_relay_config(relay.told(500));
+    } catch (const ConfigError& bad) {
       what = bad.what();
     }
     unsetenv("EDGE_SOCKET_FD");
     return what;
   };
-  End elsewhere = End::listening(), stream = End::to(town.port);
+  TestSocket elsewhere = TestSocket::listening(), stream = TestSocket::to(relay.port);
   EXPECT_NE(fault(9999).find("EDGE_SOCKET_FD"), std::string::npos);
   EXPECT_NE(fault(stream.fd()).find("not a listening"), std::string::npos);
   EXPECT_NE(fault(elsewhere.fd()).find("does not listen where"), std::string::npos);
-  town.port = elsewhere.port();
+  relay.port = elsewhere.port();
   EXPECT_EQ(fault(elsewhere.fd()), "");
 }
 
--- a/tests/sum_test.cpp
+++ b/tests/balancer/fleet_sum_test.cpp
@@ -1,5 +1,5 @@
-// What all relays do together: many Relay objects, each on a fake host of its own, and what the sum of them
-// is. What one does alone can be right in every one of them and wrong in the sum.
+// What all relays do together: many Balancer objects, each on a fake host of its own, and what the sum of
+// them is. What one does alone can be right in every one of them and wrong in the sum.
 #include <gtest/gtest.h>
 
 #include <cmath>
@@ -7,13 +7,13 @@
 #include <set>
 #include <tuple>
 
-#include "helpers.hpp"
+#include "support/fixtures.hpp"
 
 namespace cherryrail::testing {
 namespace {
 
 struct Order {
-  unsigned relays = 100, told_relays = 0;  // really, and as the settings say; 0: the same
+  unsigned relay_count = 100, told_relays = 0;  // really, and as the settings say; 0: the same
   std::size_t tunnels = 1500, old = 40, fresh = 40;
   std::size_t largest_group = 37;
   Micros warm_up = 9 * kS, window = 3 * kS;
@@ -27,12 +27,12 @@
 class Fleet {
  public:
   explicit Fleet(const Order& order) : order_(order), chance_(order.seed) {
-    SiteTerms terms = plain_terms();
-    terms.relays = order.told_relays > 0 ? order.told_relays : order.relays;
-    terms.warm_up = order.warm_up, terms.fall_window = order.window, terms.cold_from = order.cold_from;
-    for (unsigned i = 0; i < order.relays; ++i) {
-      terms.me = i % terms.relays;
-      stories_.push_back(std::make_unique<Story>(order.old, terms));
+    BalancerConfig config = plain_terms();
+    config.relay_count = order.told_relays > 0 ? order.told_relays : order.relay_count;
+    config.warm_up = order.warm_up, config.fall_window = order.window, config.cold_from = order.cold_from;
+    for (unsigned i = 0; i < order.relay_count; ++i) {
+      config.me = i % config.relay_count;
+      stories_.push_back(std::make_unique<BalancerFixture>(order.old, config));
     }
     // Sizes as 1, 1/2, 1/3 ... of the largest.
     for (std::size_t group = 1, made = 0; made < order.tunnels; ++group)
@@ -45,11 +45,11 @@
   // Warm ones hold everything; then as many cold ones start, and half of the tunnels come again.
   void run() {
     for (std::size_t i = 0; i < order_.tunnels; ++i) come(i, false);
-    for (auto& story : stories_) story->host.pass(60 * kS);
-    const Micros now = stories_[0]->host.clock;
-    for (auto& story : stories_) {
-      for (std::size_t i = 0; i < order_.fresh; ++i) story->add(now);
-      for (std::size_t i = 0; i < order_.old / 2; ++i) story->list(i, Standing::draining);
+    for (auto& fixture : stories_) fixture->actions.pass(60 * kS);
+    const Micros now = stories_[0]->actions.clock;
+    for (auto& fixture : stories_) {
+      for (std::size_t i = 0; i < order_.fresh; ++i) fixture->add(now);
+      for (std::size_t i = 0; i < order_.old / 2; ++i) fixture->list(i, EndpointState::draining);
     }
     // Over the first window or so; whoever is declined comes again.
     std::vector<std::size_t> waiting;
@@ -66,7 +66,7 @@
         }
       }
       waiting = later;
-      for (auto& story : stories_) story->host.pass(100 * kMs);
+      for (auto& fixture : stories_) fixture->actions.pass(100 * kMs);
     }
   }
 
@@ -95,24 +95,24 @@
     // Uneven: one relay of ten gets half of the traffic.
     std::size_t at = chance_() % stories_.size();
     if (order_.uneven && chance_() % 2) at = at / 10;
-    Story& story = *stories_[at];
-    Tunnel& tun = story.fresh(1'000'000 + 7919 * index);
-    tun.group_key = 77 + 104729 * groups_[index];
-    tun.returning = again;
-    story.relay.take(story.tuns.back());
-    if (!tun.ep) return false;
-    if (again && tun.ep->since > 0) {
+    BalancerFixture& fixture = *stories_[at];
+    Session& session = fixture.fresh(1'000'000 + 7919 * index);
+    session.group_key = 77 + 104729 * groups_[index];
+    session.is_reconnecting = again;
+    fixture.balancer.admit(fixture.sessions.back());
+    if (!session.backend) return false;
+    if (again && session.backend->started_at > 0) {
       ++cold_;
-      sent_[tun.ep->name].push_back(story.host.clock);
-      began_ = tun.ep->since;
+      sent_[session.backend->name].push_back(fixture.actions.clock);
+      began_ = session.backend->started_at;
     }
-    story.relay.established(tun, 20 * kMs);
+    fixture.balancer.on_established(session, 20 * kMs);
     return true;
   }
 
   Order order_;
   std::mt19937 chance_;
-  std::vector<std::unique_ptr<Story>> stories_;
+  std::vector<std::unique_ptr<BalancerFixture>> stories_;
   std::vector<std::size_t> groups_;
   std::map<std::uint64_t, std::vector<Micros>> sent_;
   std::size_t cold_ = 0, again_ = 0;
@@ -123,10 +123,10 @@
 // drop drowns them again. Their part by weight is a third and more.
 TEST(Sum, ClientsOfAReleaseLandOnTheColdBackendsByTheirPart) {
   for (unsigned seed = 1; seed <= 3; ++seed) {
-    for (const unsigned relays : {30u, 100u, 350u}) {
-      Fleet fleet({.relays = relays, .seed = seed});
+    for (const unsigned relay_count : {30u, 100u, 350u}) {
+      Fleet fleet({.relay_count = relay_count, .seed = seed});
       fleet.run();
-      EXPECT_GT(fleet.to_cold(), 0.25) << relays << " relays, seed " << seed;
+      EXPECT_GT(fleet.to_cold(), 0.25) << relay_count << " relays, seed " << seed;
     }
   }
 }
@@ -134,7 +134,7 @@
 class SumOf : public ::testing::TestWithParam<std::tuple<unsigned, unsigned>> {};
 
 TEST_P(SumOf, NoColdBackendIsSentMoreThanTheRuleLeavesByAnyNumberOfRelays) {
-  const auto [relays, seed] = GetParam();
+  const auto [relay_count, seed] = GetParam();
   double worst = 0;
   const auto play = [&worst, seed = seed](Order order, const char* what) {
     order.seed = seed;
@@ -143,13 +143,13 @@
     worst = std::max(worst, fleet.nearest());
     EXPECT_LE(fleet.nearest(), 1) << what;
   };
-  play({.relays = relays}, "even");
-  play({.relays = relays, .uneven = true}, "uneven");
-  play({.relays = relays, .told_relays = std::max(1u, relays / 2)}, "told half");
-  play({.relays = relays, .told_relays = 2 * relays}, "told double");
-  play({.relays = relays, .fresh = 3}, "few fresh");
-  play({.relays = relays, .fresh = 1, .uneven = true}, "one fresh");
-  play({.relays = relays, .warm_up = 24 * kS, .cold_from = 0.13}, "slow to warm");
+  play({.relay_count = relay_count}, "even");
+  play({.relay_count = relay_count, .uneven = true}, "uneven");
+  play({.relay_count = relay_count, .told_relays = std::max(1u, relay_count / 2)}, "told half");
+  play({.relay_count = relay_count, .told_relays = 2 * relay_count}, "told double");
+  play({.relay_count = relay_count, .fresh = 3}, "few fresh");
+  play({.relay_count = relay_count, .fresh = 1, .uneven = true}, "one fresh");
+  play({.relay_count = relay_count, .warm_up = 24 * kS, .cold_from = 0.13}, "slow to warm");
   std::printf("nearest to the rule: %.0f%%\n", 100 * worst);
 }
 
@@ -161,35 +161,35 @@
 // choice and drain.
 TEST(Sum, TwelveHundredBackendsInAsManyZonesAndAsManyRelays) {
   constexpr std::size_t kMany = 1200;
-  Town town(2, 500, R"(,"balancers":1200)");
+  LoopbackRelay relay(2, 500, R"(,"balancers":1200)");
   std::string targets;
   for (std::size_t i = 0; i < kMany; ++i)
     targets += R"({"uid":"t-)" + std::to_string(i) + R"(","endpoint":"127.0.0.1:1","az":"z)" +
                std::to_string(i) + R"(","pod_group":)" + std::to_string(i) +
                R"(,"state":"leaving","capacity_hint":1.0,"boot_ms":0},)";
-  const auto began = town.loop.now();
-  town.list(R"({"rev":5,"all":true,"targets":[)" + targets + town.target(0, "leaving") + "," +
-            town.target(1, "active") + "]}");
-  End here = town.client("OPEN 1 1 c=talk,d=1200\r\n");
-  End there = town.setup();
+  const auto began = relay.event_loop.now();
+  relay.list(R"({"rev":5,"all":true,"targets":[)" + targets + relay.target(0, "leaving") + "," +
+             relay.target(1, "active") + "]}");
+  TestSocket here = relay.client("OPEN 1 1 c=talk,d=1200\r\n");
+  TestSocket there = relay.setup();
   ASSERT_TRUE(there);
-  EXPECT_LT(town.loop.now() - began, kS);
+  EXPECT_LT(relay.event_loop.now() - began, kS);
 
-  SiteTerms terms = plain_terms();
-  terms.relays = kMany, terms.cross_price = 0.02;
-  Story story(0, terms);
-  for (unsigned i = 0; i < kMany; ++i) story.add(0, i);
-  for (std::uint64_t key = 1; key <= 300; ++key) ASSERT_TRUE(story.open(key * 7919).ep);
+  BalancerConfig config = plain_terms();
+  config.relay_count = kMany, config.cross_price = 0.02;
+  BalancerFixture fixture(0, config);
+  for (unsigned i = 0; i < kMany; ++i) fixture.add(0, i);
+  for (std::uint64_t key = 1; key <= 300; ++key) ASSERT_TRUE(fixture.open(key * 7919).backend);
   std::set<const Backend*> used;
-  for (const auto& tun : story.tuns) used.insert(tun->ep.get());
+  for (const auto& session : fixture.sessions) used.insert(session->backend.get());
   EXPECT_GT(used.size(), 100u);  // the one at home weighs more, but is not all
-  const auto fullest = std::max_element(story.eps.begin(), story.eps.end(), [](const auto& a, const auto& b) {
-    return a->held.size() < b->held.size();
-  });
-  const std::size_t held = (*fullest)->held.size();
-  story.list(static_cast<std::size_t>(fullest - story.eps.begin()), Standing::draining);
-  for (int i = 0; i < 10; ++i) story.host.pass(kS);
-  EXPECT_GE(story.host.moved.size(), held);
+  const auto fullest =
+      std::max_element(fixture.backends.begin(), fixture.backends.end(),
+                       [](const auto& a, const auto& b) { return a->sessions.size() < b->sessions.size(); });
+  const std::size_t held = (*fullest)->sessions.size();
+  fixture.list(static_cast<std::size_t>(fullest - fixture.backends.begin()), EndpointState::draining);
+  for (int i = 0; i < 10; ++i) fixture.actions.pass(kS);
+  EXPECT_GE(fixture.actions.moved.size(), held);
 }
 
 }  // namespace
--- a/tests/link_test.cpp
+++ b/tests/simulator/adapter_test.cpp
@@ -1,11 +1,11 @@
 // Frames against the worked bytes of the wire, and what is malformed.
-#include "benchlink/link.hpp"
+#include "simulator/adapter.hpp"
 
 #include <gtest/gtest.h>
 
 #include <cstring>
 
-namespace cherryrail::benchlink {
+namespace cherryrail::simulator {
 namespace {
 
 std::string bytes(std::string_view hex) {
@@ -33,8 +33,8 @@
     "3\n"
     "some.new.key=whatever\n";
 
-std::string spawn(const std::string& facts = kFacts) {
-  return little(1070, 2) + little(3, 2) + little(42, 8) + little(facts.size(), 4) + facts;
+std::string spawn(const std::string& settings = kFacts) {
+  return little(1070, 2) + little(3, 2) + little(42, 8) + little(settings.size(), 4) + settings;
 }
 
 const std::string kRoster = bytes(
@@ -43,13 +43,13 @@
 const std::string kQuery = bytes(
     "0604 0300 c4913a5d 00 01 107cf3d901648e2b 640ad2557c3bf091 0000000000006e40 00000000 0000000000002840");
 
-TEST(Link, EmptyBatchGetsAnEmptyReply) {
-  Link link;
+TEST(Adapter, EmptyBatchGetsAnEmptyReply) {
+  Adapter link;
   EXPECT_EQ(link.play(batch(0, "")), bytes("04000000"));
 }
 
-TEST(Link, QueryLeadsToAForwardToAListedBackend) {
-  Link link;
+TEST(Adapter, QueryLeadsToAForwardToAListedBackend) {
+  Adapter link;
   link.play(batch(2, spawn() + kRoster));
   const std::string reply(link.play(batch(1, kQuery)));
   const std::size_t at = reply.find(bytes("e803 0300 c4913a5d"));
@@ -64,27 +64,28 @@
   EXPECT_EQ(link.play(batch(1, outcome)), bytes("04000000"));  // an id no longer held is passed over
 }
 
-TEST(Link, SettingsWithoutAValueAreAbsent) {
-  const Facts facts =
-      read_facts(split_settings("profiles.count=1\nprofiles.0.payoff=null\ntenants.count=2\n"
-                                "domain.tenant_quota_connections=7.0,null\nprofiles.0.setup_goal=300\n"
-                                "domain.message_aim=null\n"));
-  EXPECT_EQ(facts.terms.profiles[0].message_goal, 100'000);  // a third of the setup goal, where none is told
-  EXPECT_EQ(facts.terms.profiles[0].payoff, 1);
-  EXPECT_EQ(facts.terms.tenant_shares, (std::vector<double>{7, 0}));
+TEST(Adapter, SettingsWithoutAValueAreAbsent) {
+  const SiteSettings settings = read_site_settings(
+      split_settings("profiles.count=1\nprofiles.0.payoff=null\ntenants.count=2\n"
+                     "domain.tenant_quota_connections=7.0,null\nprofiles.0.setup_goal=300\n"
+                     "domain.message_aim=null\n"));
+  EXPECT_EQ(settings.config.traffic_classes[0].message_latency_objective,
+            100'000);  // a third of the setup goal, where none is told
+  EXPECT_EQ(settings.config.traffic_classes[0].priority_weight, 1);
+  EXPECT_EQ(settings.config.tenant_shares, (std::vector<double>{7, 0}));
 }
 
-TEST(Link, BudgetOfSetupsIsReadFromTheSettings) {
-  const Facts facts = read_facts(split_settings(
+TEST(Adapter, BudgetOfSetupsIsReadFromTheSettings) {
+  const SiteSettings settings = read_site_settings(split_settings(
       "profiles.count=1\ninvariants.budget_free=1\ninvariants.extra_per_request=0.15\n"
       "invariants.resend_span=5000.0\nobjective_mix.nines_part=0.2\nobjective_mix.top_nines=2\n"));
-  EXPECT_EQ(facts.terms.budget_window, 5'000'000);
-  EXPECT_EQ(facts.terms.budget_free, 1);
-  EXPECT_EQ(facts.terms.budget_share, 0.15);
+  EXPECT_EQ(settings.config.budget_window, 5'000'000);
+  EXPECT_EQ(settings.config.budget_free, 1);
+  EXPECT_EQ(settings.config.budget_share, 0.15);
 }
 
 void expect_refused(const std::string& frame, const std::string& word) {
-  Link link;
+  Adapter link;
   link.play(batch(2, spawn() + kRoster));
   try {
     link.play(frame);
@@ -94,7 +95,7 @@
   }
 }
 
-TEST(Link, BadInputIsNamedPlainly) {
+TEST(Adapter, BadInputIsNamedPlainly) {
   expect_refused(batch(1, kQuery.substr(0, kQuery.size() - 3)), "work_hint");
   expect_refused(batch(1, kQuery + "xx"), "left over");
   expect_refused(batch(1, little(4711, 2) + little(3, 2)), "unknown event code 4711");
@@ -102,8 +103,8 @@
   expect_refused(batch(1, spawn("profiles.count=1\ndiscovery=sometimes\n")), "discovery");
   expect_refused(batch(1, spawn("profiles.count=1\ninvariants.budget_free=1\n")), "invariants.resend_span");
   expect_refused(batch(1, spawn("profiles.count=1\nobjective_mix.top_nines=0\n")), "objective_mix.top_nines");
-  EXPECT_THROW(Link::frame_length(bytes("00000000206ec040 03000000 00000000")), WireError);
+  EXPECT_THROW(Adapter::frame_length(bytes("00000000206ec040 03000000 00000000")), WireError);
 }
 
 }  // namespace
-}  // namespace cherryrail::benchlink
+}  // namespace cherryrail::simulator
--- a/tests/helpers.hpp
+++ b/tests/support/fixtures.hpp
@@ -20,37 +20,41 @@
 #include <utility>
 #include <vector>
 
-#include "brain.hpp"
-#include "net/door.hpp"
+#include "balancer/balancer.hpp"
+#include "proxy/proxy_server.hpp"
 
 namespace cherryrail::testing {
 
 constexpr Micros kMs = 1000, kS = 1000 * kMs;
 
-struct FakeHost final : Host {
+struct RecordingActions final : BalancerActions {
   struct Sent {
-    Tunnel* tun;
-    Backend* ep;
+    Session* session;
+    Backend* backend;
     Micros limit;
   };
   Micros clock = 100 * kS;
   std::vector<Sent> sent;
-  std::vector<std::pair<Tunnel*, Micros>> declined;
-  std::vector<Tunnel*> closed, moved, abandoned;
+  std::vector<std::pair<Session*, Micros>> declined;
+  std::vector<Session*> closed, moved, abandoned;
   std::vector<Backend*> probed;
   std::vector<Micros> followed;
   std::vector<std::string> lines;
   std::multimap<Micros, std::function<void()>> alarms;
 
   Micros now() const override { return clock; }
-  void send_setup(Tunnel& tun, Backend& ep, Micros limit) override { sent.push_back({&tun, &ep, limit}); }
-  void abandon_setup(Tunnel& tun) override { abandoned.push_back(&tun); }
-  void decline(Tunnel& tun, Micros hold_off) override { declined.emplace_back(&tun, hold_off); }
-  void close_with_error(Tunnel& tun) override { closed.push_back(&tun); }
-  void move(Tunnel& tun) override { moved.push_back(&tun); }
-  void probe(Backend& ep) override { probed.push_back(&ep); }
-  void follow_list() override { followed.push_back(clock); }
-  void wake_at(Micros when, std::function<void()> then) override { alarms.emplace(when, std::move(then)); }
+  void start_attempt(Session& session, Backend& backend, Micros limit) override {
+    sent.push_back({&session, &backend, limit});
+  }
+  void cancel_attempt(Session& session) override { abandoned.push_back(&session); }
+  void reject_session(Session& session, Micros retry_after) override {
+    declined.emplace_back(&session, retry_after);
+  }
+  void fail_session(Session& session) override { closed.push_back(&session); }
+  void migrate_session(Session& session) override { moved.push_back(&session); }
+  void check_health(Backend& backend) override { probed.push_back(&backend); }
+  void watch_endpoints() override { followed.push_back(clock); }
+  void call_at(Micros when, std::function<void()> then) override { alarms.emplace(when, std::move(then)); }
   void log(const std::string& line) override { lines.push_back(line); }
 
   void pass(Micros time) {
@@ -65,111 +69,114 @@
   }
 };
 
-inline SiteTerms plain_terms(Effect effect = Effect::repeatable) {
-  SiteTerms terms;
-  Profile profile;
-  profile.setup_goal = 400 * kMs;
-  profile.client_timeout = 2 * kS;
-  profile.message_goal = 150 * kMs;
-  profile.window = 5 * kS;
-  profile.effect = effect;
-  terms.profiles = {profile};
-  terms.max_setups = 4;
-  terms.may_abandon = terms.may_advise = true;
-  terms.longest_advice = kS;
-  terms.ask_within = 10 * kS;
-  terms.step = kMs;
-  terms.fall_window = 2 * kS;
-  terms.warm_up = 20 * kS;
-  terms.fall_multiple = 3;
-  terms.cold_from = 0.2;
-  return terms;
+inline BalancerConfig plain_terms(Idempotency effect = Idempotency::idempotent) {
+  BalancerConfig config;
+  TrafficClass traffic_class;
+  traffic_class.attempt_latency_objective = 400 * kMs;
+  traffic_class.client_timeout = 2 * kS;
+  traffic_class.message_latency_objective = 150 * kMs;
+  traffic_class.window = 5 * kS;
+  traffic_class.idempotency = effect;
+  config.traffic_classes = {traffic_class};
+  config.max_attempts = 4;
+  config.may_cancel_attempts = config.may_advise = true;
+  config.longest_advice = kS;
+  config.ask_within = 10 * kS;
+  config.step = kMs;
+  config.fall_window = 2 * kS;
+  config.warm_up = 20 * kS;
+  config.fall_multiple = 3;
+  config.cold_from = 0.2;
+  return config;
 }
 
-inline SiteTerms probing_terms(unsigned relays) {
-  SiteTerms terms = plain_terms();
-  terms.may_probe = true;
-  terms.probe_price = 0.002;
-  terms.relays = relays;
-  return terms;
+inline BalancerConfig probing_terms(unsigned relay_count) {
+  BalancerConfig config = plain_terms();
+  config.may_probe = true;
+  config.probe_price = 0.002;
+  config.relay_count = relay_count;
+  return config;
 }
 
 // A relay on a fake host with some ready backends, and short words for what happens to it.
-struct Story {
-  FakeHost host;
-  Relay relay;
-  std::vector<std::shared_ptr<Backend>> eps;
-  std::vector<std::shared_ptr<Tunnel>> tuns;
+struct BalancerFixture {
+  RecordingActions actions;
+  Balancer balancer;
+  std::vector<std::shared_ptr<Backend>> backends;
+  std::vector<std::shared_ptr<Session>> sessions;
 
-  explicit Story(std::size_t backends, const SiteTerms& terms = plain_terms()) : relay(host, terms, 7) {
-    for (std::size_t i = 0; i < backends; ++i) add(0);
+  explicit BalancerFixture(std::size_t count, const BalancerConfig& config = plain_terms())
+      : balancer(actions, config, 7) {
+    for (std::size_t i = 0; i < count; ++i) add(0);
   }
   Backend& add(Micros since, std::optional<unsigned> zone = {}) {
-    eps.push_back(std::make_shared<Backend>());
-    eps.back()->name = 1000 + eps.size();
-    eps.back()->zone = zone.value_or(static_cast<unsigned>(eps.size() % 2));
-    relay.list_entry(eps.back(), Standing::ready, 1, since);
-    return *eps.back();
-  }
-  void list(std::size_t index, Standing standing) {
-    relay.list_entry(eps[index], standing, 1, eps[index]->since);
-  }
-  Tunnel& fresh(std::uint64_t key) {
-    tuns.push_back(std::make_shared<Tunnel>());
-    Tunnel& tun = *tuns.back();
-    tun.profile = &relay.profiles()[0];
-    tun.client_key = key;
-    tun.expires_at = host.clock + tun.profile->client_timeout;
-    return tun;
-  }
-  Tunnel& arrive(std::uint64_t key) {
-    Tunnel& tun = fresh(key);
-    relay.take(tuns.back());
-    return tun;
-  }
-  Tunnel& open(std::uint64_t key) {
-    Tunnel& tun = arrive(key);
-    if (tun.ep) relay.established(tun, 20 * kMs);
-    return tun;
+    backends.push_back(std::make_shared<Backend>());
+    backends.back()->name = 1000 + backends.size();
+    backends.back()->zone = zone.value_or(static_cast<unsigned>(backends.size() % 2));
+    balancer.update_endpoint(backends.back(), EndpointState::ready, 1, since);
+    return *backends.back();
+  }
+  void list(std::size_t index, EndpointState state) {
+    balancer.update_endpoint(backends[index], state, 1, backends[index]->started_at);
+  }
+  Session& fresh(std::uint64_t key) {
+    sessions.push_back(std::make_shared<Session>());
+    Session& session = *sessions.back();
+    session.traffic_class = &balancer.traffic_classes()[0];
+    session.client_key = key;
+    session.deadline = actions.clock + session.traffic_class->client_timeout;
+    return session;
+  }
+  Session& arrive(std::uint64_t key) {
+    Session& session = fresh(key);
+    balancer.admit(sessions.back());
+    return session;
+  }
+  Session& open(std::uint64_t key) {
+    Session& session = arrive(key);
+    if (session.backend) balancer.on_established(session, 20 * kMs);
+    return session;
   }
   // Lets time pass while probes are answered: by this backend so, by the others well.
-  void probe(Backend& odd, Result result, int rounds) {
+  void answer_health_checks(Backend& odd, AttemptResult result, int rounds) {
     for (int i = 0; i < rounds; ++i) {
-      for (Backend* ep : std::exchange(host.probed, {}))
-        relay.probe_ended(*ep, {ep == &odd ? result : Result::opened, 10 * kMs}, {});
-      host.pass(20 * kMs);
+      for (Backend* backend : std::exchange(actions.probed, {}))
+        balancer.on_health_check_ended(*backend,
+                                       {backend == &odd ? result : AttemptResult::succeeded, 10 * kMs}, {});
+      actions.pass(20 * kMs);
     }
   }
-  void fail(Tunnel& tun, Result result, bool finished = false) {
-    relay.setup_ended(tun, {result, 10 * kMs}, finished, {});
+  void fail(Session& session, AttemptResult result, bool finished = false) {
+    balancer.on_attempt_ended(session, {result, 10 * kMs}, finished, {});
   }
-  std::size_t sent_to(const Backend& ep) const {
-    return static_cast<std::size_t>(
-        std::count_if(host.sent.begin(), host.sent.end(), [&](const auto& one) { return one.ep == &ep; }));
+  std::size_t sent_to(const Backend& backend) const {
+    return static_cast<std::size_t>(std::count_if(actions.sent.begin(), actions.sent.end(),
+                                                  [&](const auto& one) { return one.backend == &backend; }));
   }
-  std::size_t answers(const Tunnel& tun) const {
-    const auto declined = std::count_if(host.declined.begin(), host.declined.end(),
-                                        [&](const auto& one) { return one.first == &tun; });
-    return static_cast<std::size_t>(declined + std::count(host.closed.begin(), host.closed.end(), &tun));
+  std::size_t answers(const Session& session) const {
+    const auto declined = std::count_if(actions.declined.begin(), actions.declined.end(),
+                                        [&](const auto& one) { return one.first == &session; });
+    return static_cast<std::size_t>(declined +
+                                    std::count(actions.closed.begin(), actions.closed.end(), &session));
   }
 };
 
 // One end of a connection, or a listener, in a story's hand.
-class End {
+class TestSocket {
  public:
-  explicit End(int fd = -1) : fd_(fd) {}
-  End(End&& other) noexcept
+  explicit TestSocket(int fd = -1) : fd_(fd) {}
+  TestSocket(TestSocket&& other) noexcept
       : fd_(std::exchange(other.fd_, -1)), heard_(std::move(other.heard_)), ended_(other.ended_) {}
-  End& operator=(End&& other) noexcept {
+  TestSocket& operator=(TestSocket&& other) noexcept {
     std::swap(fd_, other.fd_);
     heard_ = std::move(other.heard_);
     ended_ = other.ended_;
     return *this;
   }
-  ~End() { close(); }
+  ~TestSocket() { close(); }
 
-  static End listening(int port = 0) {
-    End end(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+  static TestSocket listening(int port = 0) {
+    TestSocket end(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
     const int again = 1;
     if (port > 0) setsockopt(end.fd_, SOL_SOCKET, SO_REUSEADDR, &again, sizeof(again));
     sockaddr_in at = loopback(port);
@@ -177,8 +184,8 @@
     listen(end.fd_, 4096);
     return end;
   }
-  static End to(int port, int receive_buffer = 0) {
-    End end(socket(AF_INET, SOCK_STREAM, 0));
+  static TestSocket to(int port, int receive_buffer = 0) {
+    TestSocket end(socket(AF_INET, SOCK_STREAM, 0));
     if (receive_buffer > 0)
       setsockopt(end.fd_, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof(receive_buffer));
     sockaddr_in at = loopback(port);
@@ -193,7 +200,7 @@
     return ntohs(at.sin_port);
   }
   int fd() const { return fd_; }
-  End accept() const { return End(::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK)); }
+  TestSocket accept() const { return TestSocket(::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK)); }
   explicit operator bool() const { return fd_ >= 0; }
   void say(std::string_view text) const { EXPECT_EQ(offer(text), text.size()); }
   std::size_t offer(std::string_view text) const {  // how much the other end takes now
@@ -233,21 +240,21 @@
 };
 
 // A relay with some backends and discovery, all on loopback.
-struct Town {
-  std::vector<End> backends;
-  End discovery = End::listening();
-  End watch;  // the relay's at discovery, once it has come
-  net::Loop loop;
-  net::Start start;
-  std::unique_ptr<net::Door> door;
+struct LoopbackRelay {
+  std::vector<TestSocket> backends;
+  TestSocket discovery = TestSocket::listening();
+  TestSocket watch;  // the relay's at discovery, once it has come
+  net::EventLoop event_loop;
+  config::RelayConfig start;
+  std::unique_ptr<proxy::ProxyServer> proxy;
   int port = 0;
 
-  explicit Town(std::size_t count, std::size_t sockets = 500, const std::string& extra = "",
-                bool opened = true) {
-    for (std::size_t i = 0; i < count; ++i) backends.push_back(End::listening());
-    port = End::listening().port();
-    start = net::read_start_text(told(sockets, extra));
-    if (opened) door = std::make_unique<net::Door>(loop, start);
+  explicit LoopbackRelay(std::size_t count, std::size_t sockets = 500, const std::string& extra = "",
+                         bool opened = true) {
+    for (std::size_t i = 0; i < count; ++i) backends.push_back(TestSocket::listening());
+    port = TestSocket::listening().port();
+    start = config::parse_relay_config(told(sockets, extra));
+    if (opened) proxy = std::make_unique<proxy::ProxyServer>(event_loop, start);
   }
   std::string target(std::size_t i, const char* state) const {
     return R"({"uid":"s-)" + std::to_string(i) + R"(","endpoint":"127.0.0.1:)" +
@@ -271,23 +278,23 @@
   // Lets the relay run until something holds; false if it does not come to that.
   template <class Holds>
   bool until(const Holds& holds, int milliseconds = 2000) {
-    for (const Micros late = loop.now() + milliseconds * kMs; loop.now() < late;) {
+    for (const Micros late = event_loop.now() + milliseconds * kMs; event_loop.now() < late;) {
       if (holds()) return true;
-      loop.turn();
+      event_loop.turn();
       poll(nullptr, 0, 1);
     }
     return holds();
   }
-  End client(std::string_view line) const {
-    End end = End::to(port);
+  TestSocket client(std::string_view line) const {
+    TestSocket end = TestSocket::to(port);
     end.say(line);
     return end;
   }
   // The connection on which the next setup comes, at any backend, once its first line is whole.
-  End setup() {
-    End end;
+  TestSocket setup() {
+    TestSocket end;
     until([&] {
-      for (const End& backend : backends) {
+      for (const TestSocket& backend : backends) {
         if (!end) end = backend.accept();
       }
       return end && end.heard().ends_with("\r\n");
@@ -295,22 +302,22 @@
     return end;
   }
   // A client whose tunnel is open, and its backend's end.
-  std::pair<End, End> open(const std::string& flow) {
-    End here = client("OPEN " + flow + " " + flow + " c=talk,d=1200\r\n");
-    End there = setup();
+  std::pair<TestSocket, TestSocket> open(const std::string& flow) {
+    TestSocket here = client("OPEN " + flow + " " + flow + " c=talk,d=1200\r\n");
+    TestSocket there = setup();
     there.say("UP r\r\n");
     EXPECT_TRUE(until([&] { return here.heard() == "UP r\r\n"; }));
     return {std::move(here), std::move(there)};
   }
   // Which backend holds that end.
-  std::size_t holder(const End& there) const {
+  std::size_t holder(const TestSocket& there) const {
     std::size_t at = 0;
     while (backends.at(at).port() != there.port()) ++at;
     return at;
   }
   // What the relay asks of discovery; an answer to it has begun.
   std::string watched() {
-    watch = End();
+    watch = TestSocket();
     until([&] { return static_cast<bool>(watch = discovery.accept()); }, 3000);
     until([&] { return watch.heard().find("\r\n\r\n") != std::string::npos; });
     watch.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
@@ -320,7 +327,7 @@
   void reload(const std::string& text) {
     const std::string path = ::testing::TempDir() + "cherryrail-" + std::to_string(getpid()) + ".json";
     std::ofstream(path) << text;
-    loop.on_reload([this, path] { door->reload(path); });
+    event_loop.on_reload([this, path] { proxy->reload(path); });
     std::raise(SIGHUP);
     until([] { return false; }, 20);
     std::remove(path.c_str());
--- a/tests/fleet_count_test.py
+++ b/tests/tools/fleet_count_test.py
@@ -6,7 +6,7 @@
 import tempfile
 import unittest
 
-COUNT = pathlib.Path(__file__).resolve().parent.parent / "tools" / "fleet_count.py"
+COUNT = pathlib.Path(__file__).resolve().parent.parent.parent / "tools" / "fleet_count.py"
 ONE = """0.1 1796126648.429 conn setup=4 id=5f backend=81 end=timed_out ms=511
 1796126648.500 conn client=4 id=5f end=declined why=no_room ms=511
 1796126650.100 conn client=5 id=60 end=declined why=cold_backends ms=0
