--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -97,7 +97,7 @@
     }
   }
   void ended() override { answer(refusal(400, "the call ended before it was whole")); }
-  void broken() override { leave("caller_left"); }
+  void broken() override { leave("client_left"); }
 
  private:
   void answer(const AdminResponse& reply) {
@@ -111,10 +111,10 @@
   }
   void leave(const char* reason) {
     if (std::exchange(answered_, true)) return;
-    calls_.event_loop_.log().line(net::Topic::connection, "call=%s %s end=%s ms=%lld",
-                                  call_.method().empty() ? "-" : call_.method().c_str(),
-                                  call_.path().empty() ? "-" : call_.path().substr(0, 80).c_str(), reason,
-                                  static_cast<long long>((calls_.event_loop_.now() - began_) / 1000));
+    calls_.event_loop_.log().write(net::Topic::connection, "admin={} {} result={} duration_ms={}",
+                                   call_.method().empty() ? "-" : call_.method(),
+                                   call_.path().empty() ? "-" : call_.path().substr(0, 80), reason,
+                                   (calls_.event_loop_.now() - began_) / 1000);
   }
 
   AdminServer& calls_;
@@ -142,7 +142,7 @@
     const auto last = std::min_element(callers_.begin(), callers_.end(), [](const auto& a, const auto& b) {
       return std::pair(!a->answered(), a->heard_at()) < std::pair(!b->answered(), b->heard_at());
     });
-    (*last)->drop("no_room");
+    (*last)->drop("evicted");
     callers_.erase(last);
   }
   const auto caller = std::make_shared<AdminConnection>(*this);
--- a/src/admin/operations.cpp
+++ b/src/admin/operations.cpp
@@ -56,7 +56,8 @@
       meet(std::move(before));  // so that each counts the other in
     proxy_.on_ready([this] {
       if (!succession_.announce())
-        return event_loop_.log().line(net::Topic::fault, "cannot tell a predecessor that this serves");
+        return event_loop_.log().write(net::Topic::error,
+                                       "hot restart: cannot announce this process to its predecessor");
       greeter_ =
           std::make_unique<net::Watch>(event_loop_, succession_.listening(), [this](bool, bool) { greet(); });
       greeter_->want(true, false);
@@ -95,8 +96,8 @@
 
 void Operations::heed_bans() {
   if (bans_.fault() != std::exchange(last_fault_, bans_.fault()) && !last_fault_.empty())
-    event_loop_.log().line(net::Topic::fault, "bans are kept by this process alone: %s",
-                           bans_.fault().c_str());
+    event_loop_.log().write(net::Topic::error, "disabled backends are known to this process alone: {}",
+                            bans_.fault());
   proxy_.ban(bans_.names());
 }
 
@@ -174,7 +175,8 @@
     try {
       proxy_.take_over(*handed);
     } catch (const std::runtime_error& failure) {
-      event_loop_.log().line(net::Topic::fault, "what was handed over is lost: %s", failure.what());
+      event_loop_.log().write(net::Topic::error, "hot restart: a handover message is lost: {}",
+                              failure.what());
     }
   }
 }
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -137,7 +137,9 @@
   const bool out = backend.disabled_by_operator && backend.reported_state == EndpointState::ready;
   backend.state = out ? EndpointState::draining : backend.reported_state;
   if (backend.state == EndpointState::ready) return;
-  queue_moves(backend, out ? "is banned" : backend.state == EndpointState::draining ? "drains" : "is gone");
+  queue_moves(backend, out                                        ? "is disabled"
+                       : backend.state == EndpointState::draining ? "is draining"
+                                                                  : "is gone");
 }
 
 void Balancer::restarted(Backend& backend) {
@@ -149,7 +151,7 @@
 void Balancer::set_disabled(Backend& backend, bool disabled_by_operator) {
   if (std::exchange(backend.disabled_by_operator, disabled_by_operator) == disabled_by_operator) return;
   actions_.log("backend " + std::to_string(backend.name) +
-               (disabled_by_operator ? " banned" : " called back"));
+               (disabled_by_operator ? " disabled by operator" : " enabled by operator"));
   if (disabled_by_operator) {
     backend.disabled_at = actions_.now();
   } else {
@@ -589,7 +591,7 @@
       // Danger: what was silent may have restarted, cold, before the list can say so.
       if (backend.is_unresponsive) backend.started_at = std::max(backend.started_at, now);
       backend.is_ejected = false, backend.failure_log_odds = 0;
-      actions_.log("backend " + std::to_string(backend.name) + " back in service");
+      actions_.log("backend " + std::to_string(backend.name) + " recovered");
     }
   } else if (backend.failure_log_odds >= kAsideDoubt &&
              !cut_within(backend, 2 * kCutEvery)) {  // strain is the load's fault: room answers that
@@ -614,7 +616,7 @@
   if (std::none_of(backends_.begin(), backends_.end(), heard)) return;
   if (!backend.is_ejected) eject(backend);
   backend.is_unresponsive = true;
-  queue_moves(backend, "is silent");
+  queue_moves(backend, "is unresponsive");
 }
 
 // Danger: an open tunnel whose lines bring nothing back looks sound from here, and its client waits for good.
@@ -629,7 +631,7 @@
   backend.is_ejected = true, backend.is_unresponsive = false, backend.consecutive_successes = 0;
   backend.recovery_interval = kTrickleStart,
   backend.next_recovery_attempt_at = actions_.now() + kTrickleStart;
-  actions_.log("backend " + std::to_string(backend.name) + " set aside");
+  actions_.log("backend " + std::to_string(backend.name) + " ejected");
 }
 
 void Balancer::on_message_latency_reported(Session& session, Micros message_time) {
@@ -687,7 +689,7 @@
 void Balancer::leave_late(Backend& backend) {
   const Micros now = actions_.now();
   if (now >= backend.late.until) {  // what its first words did to rooms is undone
-    actions_.log("backend " + std::to_string(backend.name) + " is late by itself");
+    actions_.log("backend " + std::to_string(backend.name) + " is a latency outlier");
     strained_until_ = std::min(strained_until_, now);
     for (const auto& peer : backends_)
       if (peer.get() == &backend ? cut_within(backend, 2 * kCutEvery) : peer->is_capacity_inferred)
@@ -788,7 +790,7 @@
   const Micros now = actions_.now();
   if (now >= strained_until_) {
     strained_until_ = now + regrowth_;
-    actions_.log("most known backends strained: the others keep what they hold");
+    actions_.log("most known backends overloaded: capacity of the others is inferred");
   }
   for (const auto& peer : backends_) {
     // A cold one that holds nothing here is most likely empty: its own budget bounds it.
@@ -912,7 +914,8 @@
   const std::size_t before = queued_;
   for (Session* session : backend.sessions)
     if (session->open) queue_move(*session);
-  if (queued_ > before) actions_.log("moving tunnels: backend " + std::to_string(backend.name) + " " + why);
+  if (queued_ > before)
+    actions_.log("migrating sessions: backend " + std::to_string(backend.name) + " " + why);
   run_movers();
 }
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -145,7 +145,7 @@
   try {
     call();
   } catch (const std::exception& failure) {
-    log_.line(Topic::fault, "a step failed: %s", failure.what());
+    log_.write(Topic::error, "a callback failed: {}", failure.what());
   }
 }
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -53,7 +53,7 @@
       const bool no_more = g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
       if (!no_more) {
         // Danger: with no descriptor left the listener stays ready, and the loop would spin on it.
-        event_loop_.log().line(Topic::fault, "cannot take a connection in: %s", error->message);
+        event_loop_.log().write(Topic::error, "cannot accept a connection: {}", error->message);
         watch_->want(false, false);
         event_loop_.call_at(event_loop_.now() + kAcceptPause, [this, alive = std::weak_ptr<bool>(alive_)] {
           if (!alive.expired()) take_in(wanted_);
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -2,41 +2,43 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstdarg>
 #include <cstdio>
-#include <utility>
 
 namespace cherryrail::net {
 namespace {
 
-constexpr std::array<const char*, 5> kNames = {"life", "conn", "module", "list", "fault"};
-constexpr double kBurst = 500, kRate = 100;  // lines of one topic; lines a second
+constexpr std::array<const char*, 5> kTopicNames = {"lifecycle", "connection", "balancer", "discovery",
+                                                    "error"};
+constexpr double kBurst = 500;           // lines of one topic at once
+constexpr double kLinesPerSecond = 100;  // of one topic in the long run
+
+double unix_seconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration<double>(now).count();
+}
 
 }  // namespace
 
-void Log::line(Topic topic, const char* form, ...) {
-  const double now =
-      std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-  const auto index = static_cast<std::size_t>(topic);
-  Allowance& allowance = allowances_[index];
-  allowance.lines = std::min(kBurst, allowance.lines + std::max(0.0, now - allowance.at) * kRate);
-  allowance.at = now;
-  if (allowance.lines < 1) {
-    ++allowance.left_out;
-    return;
+bool Log::is_allowed(Topic topic) {
+  RateLimit& limit = limits_[static_cast<std::size_t>(topic)];
+  const double now = unix_seconds();
+  const double refill = std::max(0.0, now - limit.refilled_at) * kLinesPerSecond;
+  limit.lines = std::min(kBurst, limit.lines + refill);
+  limit.refilled_at = now;
+  if (limit.lines < 1) {
+    ++limit.left_out;
+    return false;
   }
-  allowance.lines -= 1;
-  std::array<char, 512> text{};
-  va_list values;
-  va_start(values, form);
-  std::vsnprintf(text.data(), text.size(), form, values);
-  va_end(values);
-  const std::size_t left_out = std::exchange(allowance.left_out, 0);
-  if (left_out > 0)
-    std::fprintf(stderr, "%.3f %s %s (%zu lines left out before)\n", now, kNames[index], text.data(),
-                 left_out);
-  else
-    std::fprintf(stderr, "%.3f %s %s\n", now, kNames[index], text.data());
+  limit.lines -= 1;
+  return true;
+}
+
+void Log::emit(Topic topic, std::string_view text) {
+  const auto index = static_cast<std::size_t>(topic);
+  const std::size_t left_out = std::exchange(limits_[index].left_out, 0);
+  const std::string note = left_out > 0 ? fmt::format(" ({} lines left out before)", left_out) : "";
+  // One call for the whole line: lines of two processes on one stream then do not mix.
+  fmt::print(stderr, "{:.3f} {} {}{}\n", unix_seconds(), kTopicNames[index], text, note);
 }
 
 }  // namespace cherryrail::net
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -1,27 +1,43 @@
-// The log: lines on standard error, behind one function, so many a second of each topic.
+// The log: lines on standard error, with a limit on the rate of each topic.
 #pragma once
 
+#include <fmt/format.h>
+
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
+#include <utility>
 
 namespace cherryrail::net {
 
-enum class Topic : std::uint8_t { life, connection, module, discovery, fault };
+// What a line is about; README lists the names as they stand in the log.
+enum class Topic : std::uint8_t { lifecycle, connection, balancer, discovery, error };
 
+// Writes "SECONDS.MILLISECONDS TOPIC TEXT" lines to standard error. Each topic may write a burst of 500 lines
+// and 100 a second in the long run, so that a storm of events does not cost the time that sessions need; what
+// is over the rate is counted, and the next line that gets through tells how many were left out.
 class Log {
  public:
-  // Danger: a storm of lines would cost the time that tunnels need. What is over the rate is counted, and the
-  // next line that gets through tells how many were left out.
-  [[gnu::format(printf, 3, 4)]] void line(Topic topic, const char* form, ...);
+  // Writes one line; `form` is a format string of the {fmt} library, checked when it is compiled.
+  template <class... Values>
+  void write(Topic topic, fmt::format_string<Values...> form, Values&&... values) {
+    if (!is_allowed(topic)) return;
+    emit(topic, fmt::format(form, std::forward<Values>(values)...));
+  }
 
  private:
-  // A bucket of lines that fills at a steady rate.
-  struct Allowance {
-    double lines = 0, at = 0;
+  // A token bucket: how many lines may be written now.
+  struct RateLimit {
+    double lines = 0;
+    double refilled_at = 0;
     std::size_t left_out = 0;
   };
-  std::array<Allowance, 5> allowances_{};
+
+  bool is_allowed(Topic topic);
+  void emit(Topic topic, std::string_view text);
+
+  std::array<RateLimit, 5> limits_{};
 };
 
 }  // namespace cherryrail::net
--- a/src/protocol/http_request.cpp
+++ b/src/protocol/http_request.cpp
@@ -11,7 +11,6 @@
 namespace cherryrail::protocol {
 namespace {
 
-
 constexpr std::size_t kLongestHead = 8192, kLongestBody = 16384;
 
 std::string_view trimmed(std::string_view text) {
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -75,11 +75,10 @@
       const auto self = weak.lock();
       if (!self || !self->connection_) return;
       if (event_loop.now() < self->silent_at()) return self->look_at_clock();
-      if (self->any_line_) return self->over("it went silent", kTold - kSilent - kBeat / 2);
+      if (self->any_line_) return self->over("no heartbeat", kTold - kSilent - kBeat / 2);
       // It may have come back in the moment in which the call that is given up was made.
       const Micros left = kTold - kBeat / 2 - (event_loop.now() - self->called_at_);
-      self->over(self->connected_ ? "it never spoke" : "it does not come up",
-                 std::max<Micros>(left, kBeat / 10));
+      self->over(self->connected_ ? "no first line" : "connect timeout", std::max<Micros>(left, kBeat / 10));
     });
   }
 
@@ -87,7 +86,7 @@
     while (!part.empty() && connection_ && answer_.status() == 200) {
       const std::size_t end = part.find('\n');
       line_.append(part.substr(0, end));
-      if (line_.size() > kLongestList) return over("its list has no end");
+      if (line_.size() > kLongestList) return over("endpoint list too long");
       if (end == std::string_view::npos) return;
       part.remove_prefix(end + 1);
       const std::string line = std::exchange(line_, {});
@@ -129,7 +128,7 @@
   lower_since_.reset();
   if (feed_ && feed_->any_line()) former_ = std::move(feed_);
   feed_.reset();
-  event_loop_.log().line(net::Topic::discovery, "the list is at %s from now on", where_.c_str());
+  event_loop_.log().write(net::Topic::discovery, "discovery address is now {}", where_);
   follow();
 }
 
@@ -146,7 +145,7 @@
     // Danger: a list that cannot be read must not be followed in part: the old one holds.
     return feed.over(error.what());
   }
-  if (!holds(list)) return feed.over("its list is older than the one that holds");
+  if (!holds(list)) return feed.over("endpoint list older than the current one");
   version_ = list.version;
   heard_(list);
 }
@@ -162,13 +161,12 @@
   if (!lower_since_) lower_since_ = now;
   if (now - *lower_since_ < kRecounted) return false;
   lower_since_.reset();
-  event_loop_.log().line(net::Topic::discovery, "versions are counted anew, from %lld",
-                         static_cast<long long>(list.version));
+  event_loop_.log().write(net::Topic::discovery, "version counter restarted at {}", list.version);
   return true;
 }
 
 void Discovery::over(const DiscoveryWatch& feed, const std::string& why, Micros most) {
-  event_loop_.log().line(net::Topic::discovery, "watch over: %s", why.c_str());
+  event_loop_.log().write(net::Topic::discovery, "watch ended: {}", why);
   if (&feed == former_.get()) former_.reset();
   if (&feed != feed_.get()) return;
   feed_.reset();
--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -57,7 +57,7 @@
   void last_call() {
     look();  // its line may lie there unread
     if (over_) return;
-    session_ ? session_->last_call() : turn_out("relay_ends");
+    session_ ? session_->last_call() : turn_out("shutting_down");
   }
   bool has_begun() const { return !lines_.begun().empty(); }
   void look() override { connection_->look(); }
@@ -79,15 +79,15 @@
     });
     if (session_) {
       side_.quiet_.erase(number_);
-      if (!rest.empty()) return finish("ERR", "spoke_early");
+      if (!rest.empty()) return finish("ERR", "early_data");
       look();  // its end may lie right behind its line
       return over_ ? void() : side_.take_(session_);
     }
     if (!lines_.begun().empty()) wrote_at_ = side_.event_loop_.now();
-    if (lines_.overlong()) return finish("ERR", "overlong_line");
-    if (!may_begin(lines_.begun())) finish("ERR", "not_understood");
+    if (lines_.overlong()) return finish("ERR", "line_too_long");
+    if (!may_begin(lines_.begun())) finish("ERR", "bad_request");
   }
-  void said_nothing() { finish(lines_.begun().empty() ? "" : "ERR", "said_nothing"); }
+  void said_nothing() { finish(lines_.begun().empty() ? "" : "ERR", "request_timeout"); }
   void turn_out(const char* reason) {
     connection_->send({"BUSY\r\n"});
     connection_->close_at_once();
@@ -128,15 +128,14 @@
   void client_ended(Ended how) {
     if (over_) return;
     if (session_) session_->client_ended(how);
-    if (!over_ && (how == Ended::broken || !session_)) finish("", "client_ended");
+    if (!over_ && (how == Ended::broken || !session_)) finish("", "client_closed");
   }
   void leave(const char* reason) {
     if (std::exchange(over_, true)) return;
     net::EventLoop& event_loop = side_.event_loop_;
     const std::string_view id = session_ ? session_->head.id() : std::string_view("-");
-    event_loop.log().line(net::Topic::connection, "client=%llu id=%.*s end=%s ms=%lld",
-                          static_cast<unsigned long long>(number_), static_cast<int>(id.size()), id.data(),
-                          reason, static_cast<long long>((event_loop.now() - began_) / 1000));
+    event_loop.log().write(net::Topic::connection, "downstream={} session={} result={} duration_ms={}",
+                           number_, id, reason, (event_loop.now() - began_) / 1000);
     if (session_) session_->client = nullptr;
     side_.quiet_.erase(number_);
     event_loop.soon([&side = side_, number = number_] { side.clients_.erase(number); });
@@ -192,7 +191,7 @@
   make_room();
   if (full_()) {  // every one serves somebody: told at once, and nothing kept
     net::tell_and_close(std::move(socket), "BUSY\r\n");
-    return event_loop_.log().line(net::Topic::fault, "a client is turned away: descriptors run short");
+    return event_loop_.log().write(net::Topic::error, "client rejected: descriptors run short");
   }
   come(std::move(socket), "", 0);
 }
--- a/src/proxy/health_checker.cpp
+++ b/src/proxy/health_checker.cpp
@@ -60,7 +60,7 @@
     lines_ = {};
   }
   void leave_line(const char* reason) const {
-    probes_.event_loop_.log().line(net::Topic::connection, "probe=%s end=%s", uid_.c_str(), reason);
+    probes_.event_loop_.log().write(net::Topic::connection, "health_check={} result={}", uid_, reason);
   }
   void fail(AttemptResult result) {
     leave_line(up_ ? "failed" : "connect_failed");
@@ -84,7 +84,7 @@
     probes_.event_loop_.call_at(now + probes_.idle_, [weak = weak_from_this(), turn = turn_] {
       const auto self = weak.lock();
       if (!self || self->turn_ != turn) return;
-      if (self->connection_) self->leave_line("idle");
+      if (self->connection_) self->leave_line("idle_timeout");
       self->probes_.probes_.erase(self->uid_);
     });
   }
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -77,8 +77,8 @@
     event_loop_.call_at(event_loop_.now() + for_news, [this] { serve(); });
   else
     serve();
-  event_loop_.log().line(net::Topic::life, "%s is up, %zu backends known", start.name.c_str(),
-                         backends_.size());
+  event_loop_.log().write(net::Topic::lifecycle, "{} started, {} backends known", start.name,
+                          backends_.size());
 }
 
 ProxyServer::~ProxyServer() = default;
@@ -98,7 +98,8 @@
 void ProxyServer::leave() {
   if (std::exchange(leaving_, true)) return;
   told_to_end_ = event_loop_.now();
-  event_loop_.log().line(net::Topic::life, "told to end: %zu clients to move", clients_->tunnels());
+  event_loop_.log().write(net::Topic::lifecycle, "shutting down: {} sessions to migrate",
+                          clients_->tunnels());
   // Danger: while clients are still sent here, one that is moved at once may come straight back and be
   // declined.
   event_loop_.call_at(event_loop_.now() + kStillComing, [this] {
@@ -111,7 +112,8 @@
 StateSnapshot ProxyServer::export_state() {
   leaving_ = true;
   told_to_end_ = event_loop_.now();
-  event_loop_.log().line(net::Topic::life, "told to end: %zu clients to hand over", clients_->tunnels());
+  event_loop_.log().write(net::Topic::lifecycle, "shutting down: {} sessions to hand over",
+                          clients_->tunnels());
   clients_->take_in(false);
   return balancer_->export_state();
 }
@@ -125,8 +127,8 @@
 }
 
 void ProxyServer::move_rest() {
-  event_loop_.log().line(net::Topic::life, "%zu clients could not be handed over: moving them",
-                         clients_->tunnels());
+  event_loop_.log().write(net::Topic::lifecycle, "{} sessions could not be handed over: migrating them",
+                          clients_->tunnels());
   balancer_->begin_graceful_shutdown(0);
   end_when_empty();
 }
@@ -145,7 +147,7 @@
   net::SocketPtr server = net::socket_of(handed.server);
   const auto session = std::make_shared<ProxySession>(event_loop_, *balancer_, handed.head);
   if (const char* fault = session->head.fault() ? session->head.fault() : read_tunnel(*session))
-    return event_loop_.log().line(net::Topic::fault, "a tunnel handed over is not understood: %s", fault);
+    return event_loop_.log().write(net::Topic::error, "bad open request in a handover: {}", fault);
   id_known(session);
   const bool listed = backends_.contains(handed.backend);
   const auto& backend = endpoint(handed.backend);
@@ -165,11 +167,11 @@
     sockets_ = config::allow_descriptors(fresh.sockets);
     balancer_->on_endpoints_updated();  // what failed at the old place says nothing of the new one
     discovery_.move_to(fresh.discovery);
-    event_loop_.log().line(
-        net::Topic::life, "the new configuration is taken%s",
-        fresh.flat_settings == flat_settings_ ? "" : "; its settings differ and hold from the next start");
+    event_loop_.log().write(
+        net::Topic::lifecycle, "configuration reloaded{}",
+        fresh.flat_settings == flat_settings_ ? "" : "; its settings differ and apply from the next start");
   } catch (const ConfigError& fault) {
-    event_loop_.log().line(net::Topic::fault, "the new configuration is not taken: %s", fault.what());
+    event_loop_.log().write(net::Topic::error, "configuration not reloaded: {}", fault.what());
   }
 }
 
@@ -183,8 +185,8 @@
     if (now < last && now - empty_since < kEmptyFor) return look_whether_empty(empty_since);
     clients_->last_call(!inherited_);
     event_loop_.call_at(now + kLastWords, [this] {
-      event_loop_.log().line(net::Topic::life, "%s: ending",
-                             clients_->tunnels() > 0 ? "time is up" : "every client is gone");
+      event_loop_.log().write(net::Topic::lifecycle, "stopping: {}",
+                              clients_->tunnels() > 0 ? "shutdown timeout" : "no session left");
       event_loop_.quit();
     });
   });
@@ -212,8 +214,8 @@
   const char* fault = session->head.fault() ? session->head.fault() : read_tunnel(*session);
   if (!fault && id_known(session)) fault = "its id is another's";
   if (fault) {
-    event_loop_.log().line(net::Topic::fault, "a first line was not understood: %s", fault);
-    return session->client->finish("ERR", "not_understood");
+    event_loop_.log().write(net::Topic::error, "bad open request: {}", fault);
+    return session->client->finish("ERR", "bad_request");
   }
   // Danger: a tunnel needs a second descriptor; with none left, it would be a setup that cannot be made and
   // a listener that cannot accept. What has not been sent anywhere can be declined.
@@ -288,7 +290,7 @@
 
 void ProxyServer::on_endpoint_list(const protocol::EndpointList& list) {
   if (list.skipped > 0)
-    event_loop_.log().line(net::Topic::discovery, "%zu entries in no known state passed over", list.skipped);
+    event_loop_.log().write(net::Topic::discovery, "{} endpoints in an unknown state skipped", list.skipped);
   std::set<std::string_view> named;
   for (const protocol::EndpointEntry& entry : list.entries) {
     named.insert(entry.uid);
@@ -296,11 +298,10 @@
     if (const net::Address address = net::parse_address(entry.endpoint)) backend->address = address;
     backend->zone = zone_of(entry.zone);
     backend->cell = entry.cell;
-    event_loop_.log().line(net::Topic::discovery, "backend %llu is %s: %s",
-                           static_cast<unsigned long long>(backend->name), entry.uid.c_str(),
-                           entry.state == EndpointState::ready      ? "ready"
-                           : entry.state == EndpointState::draining ? "draining"
-                                                                    : "gone");
+    event_loop_.log().write(net::Topic::discovery, "backend {} is {}: {}", backend->name, entry.uid,
+                            entry.state == EndpointState::ready      ? "ready"
+                            : entry.state == EndpointState::draining ? "draining"
+                                                                     : "gone");
     balancer_->update_endpoint(backend, entry.state, entry.size, entry.started_at);
   }
   if (list.whole && list.skipped == 0) {  // what a whole list leaves out has been removed
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -64,9 +64,7 @@
   void call_at(Micros when, std::function<void()> then) override {
     event_loop_.call_at(when, std::move(then));
   }
-  void log(const std::string& line) override {
-    event_loop_.log().line(net::Topic::module, "%s", line.c_str());
-  }
+  void log(const std::string& line) override { event_loop_.log().write(net::Topic::balancer, "{}", line); }
 
  private:
   struct Endpoint;
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -33,7 +33,7 @@
   give_up_client("client_left");
 }
 
-void ProxySession::client_spoke_early() { give_up_client("spoke_early"); }
+void ProxySession::client_spoke_early() { give_up_client("early_data"); }
 
 // It may only have ended its sending: so it is told, and the setup under way is not left to run for nobody.
 // Where the site lets none be cancelled, what has gone out already runs to its end all the same.
@@ -81,7 +81,7 @@
   server = nullptr;
   const bool finished = open || outcome.result == AttemptResult::succeeded;
   if (client && finished) {
-    const char* reason = outcome.result == AttemptResult::succeeded ? "served" : "backend_ended";
+    const char* reason = outcome.result == AttemptResult::succeeded ? "served" : "backend_closed";
     how == Ended::orderly ? client->finish(last_line, reason) : client->drop(reason);
   }
   setup_over(outcome, finished, report);
@@ -96,7 +96,7 @@
           outcome.result == AttemptResult::rejected || outcome.result == AttemptResult::connect_failed ||
           outcome.result == AttemptResult::not_sent)
         return self->balancer_.admit(self);
-      if (self->client) self->client->finish("ERR", "closed_with_error");
+      if (self->client) self->client->finish("ERR", "failed");
       return;
     }
     self->balancer_.on_attempt_ended(*self, outcome, finished, report);
@@ -129,10 +129,10 @@
 
 // For the log: what most stood in the way, as far as can be told.
 const char* ProxySession::why_declined() const {
-  if (balancer_.is_shutting_down()) return "declined why=relay_ends";
-  if (attempts > 0) return "declined why=setups_failed";
-  if (cold > full) return "declined why=cold_backends";
-  return full > 0 ? "declined why=no_room" : "declined why=no_backend";
+  if (balancer_.is_shutting_down()) return "rejected reason=shutting_down";
+  if (attempts > 0) return "rejected reason=attempts_failed";
+  if (cold > full) return "rejected reason=backends_warming_up";
+  return full > 0 ? "rejected reason=no_capacity" : "rejected reason=no_backend";
 }
 
 void ProxySession::decline(Micros retry_after) {
@@ -145,7 +145,7 @@
 }
 
 void ProxySession::fail_session() {
-  if (client) client->finish("ERR", "closed_with_error");
+  if (client) client->finish("ERR", "failed");
 }
 
 void ProxySession::abandon() {
@@ -173,7 +173,7 @@
 
 void ProxySession::part() {
   to_move_ = false;
-  if (client) client->finish(between_lines_ ? "MOVE" : "", "moved");
+  if (client) client->finish(between_lines_ ? "MOVE" : "", "migrated");
   if (server) server->abandon();
   setup_over({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, true, {});
 }
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -18,13 +18,13 @@
     case AttemptResult::error:
       return "error";
     case AttemptResult::rejected:
-      return "turned_away";
+      return "rejected";
     case AttemptResult::timed_out:
       return "timed_out";
     case AttemptResult::connect_failed:
       return "connect_failed";
     case AttemptResult::reset:
-      return "backend_ended";
+      return "backend_closed";
     case AttemptResult::cancelled:
       return "cancelled";
     case AttemptResult::not_sent:
@@ -121,11 +121,11 @@
   bool has_sent() const override { return step_ == Step::sending || step_ == Step::waiting; }
   void abandon() override {
     if (connection_) connection_->close();
-    leave("given_up");
+    leave("abandoned");
   }
   void drop() override {
     if (connection_) connection_->reset();
-    leave("given_up");
+    leave("abandoned");
   }
   int flat_settings() const override {
     // After its last words it is about to end.
@@ -169,8 +169,8 @@
       case protocol::ReplyKind::error:
         return over(Ended::orderly, AttemptResult::error, answer.rest);
       default:
-        side_.event_loop_.log().line(net::Topic::fault, "a backend answered: %.*s",
-                                     static_cast<int>(std::min<std::size_t>(80, line.size())), line.data());
+        side_.event_loop_.log().write(net::Topic::error, "unexpected reply of a backend: {}",
+                                      line.substr(0, 80));
         return over(Ended::orderly, AttemptResult::error);
     }
   }
@@ -199,11 +199,9 @@
   }
   void leave_line(const char* reason) {
     const std::string_view id = session_->head.id();
-    side_.event_loop_.log().line(
-        net::Topic::connection, "setup=%llu id=%.*s backend=%llu end=%s ms=%lld",
-        static_cast<unsigned long long>(number_), static_cast<int>(id.size()), id.data(),
-        static_cast<unsigned long long>(session_->backend ? session_->backend->name : 0), reason,
-        static_cast<long long>((side_.event_loop_.now() - began_) / 1000));
+    side_.event_loop_.log().write(
+        net::Topic::connection, "attempt={} session={} backend={} result={} duration_ms={}", number_, id,
+        session_->backend ? session_->backend->name : 0, reason, (side_.event_loop_.now() - began_) / 1000);
   }
   void forget() {
     side_.event_loop_.soon([&side = side_, number = number_] { side.servers_.erase(number); });
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -82,8 +82,8 @@
   TestSocket late = relay.client("OPEN 3 3 c=talk,d=1200\r\n");
   relay.until([&] { return late.ended(); });
   const std::string log = ::testing::internal::GetCapturedStderr();
-  for (const char* line : {"id=1 end=declined why=no_backend", "id=2 end=declined why=setups_failed",
-                           "id=3 end=declined why=relay_ends"})
+  for (const char* line : {"session=1 result=rejected reason=no_backend", "session=2 result=rejected reason=attempts_failed",
+                           "session=3 result=rejected reason=shutting_down"})
     EXPECT_NE(log.find(line), std::string::npos) << line << " in\n" << log;
 }
 
@@ -360,7 +360,7 @@
   setrlimit(RLIMIT_NOFILE, &before);
   const std::string log = ::testing::internal::GetCapturedStderr();
   EXPECT_TRUE(answered);
-  EXPECT_NE(log.find("end=no_descriptors"), std::string::npos) << log;
+  EXPECT_NE(log.find("result=no_descriptors"), std::string::npos) << log;
   EXPECT_EQ(log.find("connect_failed"), std::string::npos) << log;
 }
 
@@ -410,8 +410,8 @@
   relay.reload(bad);
   relay.reload(bad.substr(0, 90));
   const std::string log = ::testing::internal::GetCapturedStderr();
-  EXPECT_NE(log.find("not taken: setting profiles.0.setup_goal"), std::string::npos) << log;
-  EXPECT_NE(log.find("not taken: the configuration is not JSON"), std::string::npos) << log;
+  EXPECT_NE(log.find("not reloaded: setting profiles.0.setup_goal"), std::string::npos) << log;
+  EXPECT_NE(log.find("not reloaded: the configuration is not JSON"), std::string::npos) << log;
   relay.open("1");
 }
 
--- a/tests/tools/fleet_count_test.py
+++ b/tests/tools/fleet_count_test.py
@@ -7,13 +7,13 @@
 import unittest
 
 COUNT = pathlib.Path(__file__).resolve().parent.parent.parent / "tools" / "fleet_count.py"
-ONE = """0.1 1796126648.429 conn setup=4 id=5f backend=81 end=timed_out ms=511
-1796126648.500 conn client=4 id=5f end=declined why=no_room ms=511
-1796126650.100 conn client=5 id=60 end=declined why=cold_backends ms=0
-1796126650.200 conn client=6 id=61 end=served ms=9
+ONE = """0.1 1796126648.429 connection attempt=4 session=5f backend=81 result=timed_out duration_ms=511
+1796126648.500 connection downstream=4 session=5f result=rejected reason=no_capacity duration_ms=511
+1796126650.100 connection downstream=5 session=60 result=rejected reason=backends_warming_up duration_ms=0
+1796126650.200 connection downstream=6 session=61 result=served duration_ms=9
 """
-TWO = """1796126648.900 conn client=4 id=5f end=declined why=no_room ms=511
-1796126650.000 module moving tunnels: backend 81 drains
+TWO = """1796126648.900 connection downstream=4 session=5f result=rejected reason=no_capacity duration_ms=511
+1796126650.000 balancer migrating sessions: backend 81 is draining
 not a line of ours
 """
 
@@ -26,12 +26,12 @@
             done = subprocess.run([sys.executable, COUNT, folder], capture_output=True, text=True, check=True)
         rows = [line.split("\t") for line in done.stdout.splitlines()]
         seconds = {row[0]: dict(zip(rows[0][1:], row[1:])) for row in rows[1:]}
-        self.assertEqual(seconds["0"]["c:no_room"], "2")
-        self.assertEqual(seconds["0"]["s:timed_out"], "1")
-        self.assertEqual(seconds["2"]["c:cold_backends"], "1")
-        self.assertEqual(seconds["2"]["c:served"], "1")
-        self.assertEqual(seconds["2"]["m:drains"], "1")
-        self.assertEqual(seconds["0"]["c:served"], "0")
+        self.assertEqual(seconds["0"]["downstream:no_capacity"], "2")
+        self.assertEqual(seconds["0"]["attempt:timed_out"], "1")
+        self.assertEqual(seconds["2"]["downstream:backends_warming_up"], "1")
+        self.assertEqual(seconds["2"]["downstream:served"], "1")
+        self.assertEqual(seconds["2"]["balancer:is draining"], "1")
+        self.assertEqual(seconds["0"]["downstream:served"], "0")
 
 
 if __name__ == "__main__":
