--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -1,12 +1,15 @@
 // What operators and the platform ask beside the traffic: calls, bans, and a second process for the first.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <cstdlib>
 #include <filesystem>
+#include <fstream>
 
 #include "admin/operations.hpp"
-#include "support/fixtures.hpp"
+#include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -27,20 +30,20 @@
 
   explicit Office(std::size_t count) : LoopbackRelay(count, 500, "", false) {
     desk = TestSocket::listening().port();
-    start.mgmt = "127.0.0.1:" + std::to_string(desk);
-    start.mgmt_on = net::parse_address(start.mgmt);
-    start.kept_in = folder.path;
-    proxy = std::make_unique<proxy::ProxyServer>(event_loop, start);
-    operation = std::make_unique<admin::Operations>(event_loop, *proxy, start);
+    relay_config.mgmt = "127.0.0.1:" + std::to_string(desk);
+    relay_config.mgmt_on = net::parse_address(relay_config.mgmt);
+    relay_config.kept_in = folder.path;
+    proxy = std::make_unique<proxy::ProxyServer>(event_loop, relay_config);
+    operation = std::make_unique<admin::Operations>(event_loop, *proxy, relay_config);
   }
   TestSocket caller(std::string_view text) const {
-    TestSocket end = TestSocket::to(desk);
-    end.say(text);
+    TestSocket end = TestSocket::connected_to(desk);
+    end.send(text);
     return end;
   }
   std::string answer(TestSocket end) {
-    EXPECT_TRUE(until([&] { return end.ended(); }));
-    return end.heard().substr(0, 12);
+    EXPECT_TRUE(run_until([&] { return end.is_ended_by_peer(); }));
+    return end.received().substr(0, 12);
   }
   static std::string post(const std::string& path, const std::string& body) {
     return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) +
@@ -78,9 +81,9 @@
   for (const auto& [call, answer] : calls)
     EXPECT_EQ(office.answer(office.caller(call)), answer) << call.substr(0, 80);
   TestSocket half = office.caller("POST /backends/disable HTTP/1.1\r\nContent-Le");
-  half.end_sending();
+  half.finish_sending();
   EXPECT_EQ(office.answer(std::move(half)), "HTTP/1.1 400");
-  office.open("1");  // and nothing of it banned the only backend
+  office.establish_session("1");  // and nothing of it banned the only backend
 }
 
 TEST(AdminServer, ACallMayComeInPiecesOfAnySize) {
@@ -101,18 +104,19 @@
   std::vector<TestSocket> idle;
   for (int i = 0; i < 40; ++i) idle.push_back(office.caller(i % 2 ? "GET /rea" : ""));
   EXPECT_EQ(office.answer(office.caller("GET /ready HTTP/1.1\r\n\r\n")), "HTTP/1.1 200");
-  EXPECT_TRUE(office.until([&] { return idle.front().ended(); }));  // the longest idle went first
-  EXPECT_FALSE(idle.back().ended());
-  office.open("1");
+  EXPECT_TRUE(
+      office.run_until([&] { return idle.front().is_ended_by_peer(); }));  // the longest idle went first
+  EXPECT_FALSE(idle.back().is_ended_by_peer());
+  office.establish_session("1");
 }
 
 TEST(AdminServer, AnAddressInUseEndsTheStartNamingTheKey) {
   LoopbackRelay relay(1);
   TestSocket taken = TestSocket::listening();
-  relay.start.mgmt = "127.0.0.1:" + std::to_string(taken.port());
-  relay.start.mgmt_on = net::parse_address(relay.start.mgmt);
+  relay.relay_config.mgmt = "127.0.0.1:" + std::to_string(taken.port());
+  relay.relay_config.mgmt_on = net::parse_address(relay.relay_config.mgmt);
   try {
-    admin::Operations operation(relay.event_loop, *relay.proxy, relay.start);
+    admin::Operations operation(relay.event_loop, *relay.proxy, relay.relay_config);
     FAIL() << "it started";
   } catch (const ConfigError& bad) {
     EXPECT_TRUE(std::string(bad.what()).starts_with("mgmt: ")) << bad.what();
@@ -122,21 +126,22 @@
 // The list knows nothing of the ban: it goes on naming the backend ready, and must not bring it back.
 TEST(DisabledBackends, ABannedBackendIsEmptiedAndGetsNothingWhateverTheListSays) {
   Office office(2);
-  auto [here, there] = office.open("1");
-  const std::size_t at = office.holder(there);
+  auto [here, there] = office.establish_session("1");
+  const std::size_t at = office.backend_index(there);
   EXPECT_EQ(office.call("disable", office.uid(at)), "HTTP/1.1 200");
   EXPECT_EQ(office.call("disable", office.uid(at)), "HTTP/1.1 200");
-  EXPECT_TRUE(office.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }));
-  office.list(R"({"rev":5,"all":true,"targets":[)" + office.target(1 - at, "active") +
-              "]}");  // it is removed,
-  office.list(R"({"rev":6,"all":true,"targets":[)" + office.target(0, "active") + "," +
-              office.target(1, "active") + "]}");  // and comes back
-  for (int i = 2; i < 12; ++i) EXPECT_EQ(office.holder(office.open(std::to_string(i)).second), 1 - at);
+  EXPECT_TRUE(office.run_until([&] { return here.received() == "UP r\r\nMOVE\r\n"; }));
+  office.publish_endpoints(R"({"rev":5,"all":true,"targets":[)" + office.endpoint(1 - at, "active") +
+                           "]}");  // it is removed,
+  office.publish_endpoints(R"({"rev":6,"all":true,"targets":[)" + office.endpoint(0, "active") + "," +
+                           office.endpoint(1, "active") + "]}");  // and comes back
+  for (int i = 2; i < 12; ++i)
+    EXPECT_EQ(office.backend_index(office.establish_session(std::to_string(i)).second), 1 - at);
   EXPECT_EQ(office.call("enable", office.uid(at)), "HTTP/1.1 200");  // once undoes both
-  EXPECT_TRUE(office.until(
+  EXPECT_TRUE(office.run_until(
       [&] {
         static int flow = 100;
-        return office.holder(office.open(std::to_string(++flow)).second) == at;
+        return office.backend_index(office.establish_session(std::to_string(++flow)).second) == at;
       },
       5000));
 }
@@ -145,12 +150,13 @@
   Office office(2);
   EXPECT_EQ(office.call("disable", "s-1"), "HTTP/1.1 200");
   admin::Operations next(office.event_loop, *office.proxy, [&] {
-    config::RelayConfig start = office.start;
+    config::RelayConfig start = office.relay_config;
     start.mgmt = "127.0.0.1:" + std::to_string(TestSocket::listening().port());
     start.mgmt_on = net::parse_address(start.mgmt);
     return start;
   }());
-  for (int i = 0; i < 6; ++i) EXPECT_EQ(office.holder(office.open(std::to_string(i)).second), 0u);
+  for (int i = 0; i < 6; ++i)
+    EXPECT_EQ(office.backend_index(office.establish_session(std::to_string(i)).second), 0u);
   const std::string file = office.folder.file("cherryrail-n.bans");
   ASSERT_TRUE(std::filesystem::exists(file));
   admin::DisabledBackends other(file);
@@ -217,18 +223,18 @@
 
   explicit House(std::size_t count) : LoopbackRelay(count, 500, "", false) {
     port = listening.port();
-    start = config::parse_relay_config(told(500));
-    start.kept_in = folder.path;
+    relay_config = config::parse_relay_config(config_text(500));
+    relay_config.kept_in = folder.path;
     first = process();
   }
   std::unique_ptr<Process> process() {
-    start.clients_fd = dup(listening.fd());
-    auto made = std::make_unique<Process>(event_loop, start);
-    watched();
-    list(R"({"rev":5,"all":false,"targets":[]})");
+    relay_config.clients_fd = dup(listening.fd());
+    auto made = std::make_unique<Process>(event_loop, relay_config);
+    accept_watch();
+    publish_endpoints(R"({"rev":5,"all":false,"targets":[]})");
     watches.push_back(std::exchange(watch, TestSocket()));
-    EXPECT_TRUE(until([&] { return made->proxy.ready(); }, 500));
-    until([] { return false; }, 20);
+    EXPECT_TRUE(run_until([&] { return made->proxy.ready(); }, 500));
+    run_for(20);
     return made;
   }
   void replace() {
@@ -239,77 +245,78 @@
 
 TEST(Handover, OpenTunnelsGoOnAndNeitherEndNotices) {
   House house(2);
-  auto [here, there] = house.open("1");
-  auto [torn, half] = house.open("2");
-  half.say("half a li");
-  ASSERT_TRUE(house.until([&] { return torn.heard().ends_with("half a li"); }));
+  auto [here, there] = house.establish_session("1");
+  auto [torn, half] = house.establish_session("2");
+  half.send("half a li");
+  ASSERT_TRUE(house.run_until([&] { return torn.received().ends_with("half a li"); }));
   house.replace();
-  house.until([] { return false; }, 60);
-  half.say("ne\r\n");
-  house.until([] { return false; }, 60);
+  house.run_for(60);
+  half.send("ne\r\n");
+  house.run_for(60);
   EXPECT_TRUE(house.first->empty());
-  here.say("to you\r\n");
-  there.say("to you, too\r\n");
-  EXPECT_TRUE(house.until([&] { return there.heard().ends_with("to you\r\n"); }));
-  EXPECT_TRUE(house.until([&] { return here.heard() == "UP r\r\nto you, too\r\n"; }));
-  half.say("BYE\r\n");
+  here.send("to you\r\n");
+  there.send("to you, too\r\n");
+  EXPECT_TRUE(house.run_until([&] { return there.received().ends_with("to you\r\n"); }));
+  EXPECT_TRUE(house.run_until([&] { return here.received() == "UP r\r\nto you, too\r\n"; }));
+  half.send("BYE\r\n");
   half.close();
-  EXPECT_TRUE(house.until([&] { return torn.ended(); }));
-  EXPECT_EQ(torn.heard(), "UP r\r\nhalf a line\r\nBYE\r\n");
-  TestSocket thief = house.client("OPEN 1 1 c=talk,d=1200\r\n");
-  EXPECT_TRUE(house.until([&] { return thief.heard() == "ERR\r\n"; }));  // its id went over with it
+  EXPECT_TRUE(house.run_until([&] { return torn.is_ended_by_peer(); }));
+  EXPECT_EQ(torn.received(), "UP r\r\nhalf a line\r\nBYE\r\n");
+  TestSocket thief = house.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(house.run_until([&] { return thief.received() == "ERR\r\n"; }));  // its id went over with it
 }
 
 // Nobody that the first process took in is refused: some have written half a line, some wait for their
 // answer.
 TEST(Handover, ClientsWithoutATunnelAreServedAllTheSame) {
   House house(1);
-  TestSocket slow = house.client("OPEN 5 5 c=ta"), silent = house.client("");
-  TestSocket waits = house.client("OPEN 6 6 c=talk,d=1200\r\n");
-  TestSocket setup = house.setup();
-  house.until([] { return false; }, 30);
+  TestSocket slow = house.connect_client("OPEN 5 5 c=ta"), silent = house.connect_client("");
+  TestSocket waits = house.connect_client("OPEN 6 6 c=talk,d=1200\r\n");
+  TestSocket setup = house.accept_attempt();
+  house.run_for(30);
   house.replace();
-  house.until([] { return false; }, 60);
-  slow.say("lk,d=1200\r\n");
-  TestSocket other = house.setup();
-  other.say("UP 5\r\n");
-  EXPECT_TRUE(house.until([&] { return slow.heard() == "UP 5\r\n"; }));
-  setup.say("UP 6\r\n");
-  EXPECT_TRUE(house.until([&] { return waits.heard() == "UP 6\r\n"; }));
-  house.until([] { return false; }, 60);
+  house.run_for(60);
+  slow.send("lk,d=1200\r\n");
+  TestSocket other = house.accept_attempt();
+  other.send("UP 5\r\n");
+  EXPECT_TRUE(house.run_until([&] { return slow.received() == "UP 5\r\n"; }));
+  setup.send("UP 6\r\n");
+  EXPECT_TRUE(house.run_until([&] { return waits.received() == "UP 6\r\n"; }));
+  house.run_for(60);
   EXPECT_TRUE(house.first->empty());
-  waits.say("still\r\n");
-  EXPECT_TRUE(house.until([&] { return setup.heard().ends_with("still\r\n"); }));
-  silent.say("OPEN 7 7 c=talk,d=1200\r\n");
-  EXPECT_TRUE(house.setup());
+  waits.send("still\r\n");
+  EXPECT_TRUE(house.run_until([&] { return setup.received().ends_with("still\r\n"); }));
+  silent.send("OPEN 7 7 c=talk,d=1200\r\n");
+  EXPECT_TRUE(house.accept_attempt());
 }
 
 // It was given the socket and died: what was not given to it is moved, not lost.
 TEST(Handover, ASuccessorThatDiesLeavesTheClientsToBeMoved) {
   House house(1);
-  auto [here, there] = house.open("1");
-  there.say("half a li");
-  ASSERT_TRUE(house.until([&] { return here.heard().ends_with("half a li"); }));
+  auto [here, there] = house.establish_session("1");
+  there.send("half a li");
+  ASSERT_TRUE(house.run_until([&] { return here.received().ends_with("half a li"); }));
   house.replace();
   house.second->operation.reset();
-  there.say("ne\r\n");
-  EXPECT_TRUE(house.until([&] { return here.ended(); }, 1000));
-  EXPECT_EQ(here.heard(), "UP r\r\nhalf a line\r\nMOVE\r\n");
+  there.send("ne\r\n");
+  EXPECT_TRUE(house.run_until([&] { return here.is_ended_by_peer(); }, 1000));
+  EXPECT_EQ(here.received(), "UP r\r\nhalf a line\r\nMOVE\r\n");
 }
 
 TEST(Handover, WithoutASuccessorItEndsAsEver) {
   House house(1);
-  auto [here, there] = house.open("1");
+  auto [here, there] = house.establish_session("1");
   house.first->operation->leave();
-  auto late = house.open("2");  // it goes on taking clients in for a moment
-  EXPECT_TRUE(house.until([&] { return here.ended() && late.first.ended(); }));
-  EXPECT_EQ(here.heard(), "UP r\r\nMOVE\r\n");
+  auto late = house.establish_session("2");  // it goes on taking clients in for a moment
+  EXPECT_TRUE(house.run_until([&] { return here.is_ended_by_peer() && late.first.is_ended_by_peer(); }));
+  EXPECT_EQ(here.received(), "UP r\r\nMOVE\r\n");
 }
 
 // An open tunnel as a process hands it over, with its other ends.
 struct HandedTunnel {
-  TestSocket one = TestSocket::listening(), client = TestSocket::to(one.port()), theirs = one.accept();
-  TestSocket two = TestSocket::listening(), server = TestSocket::to(two.port());
+  TestSocket one = TestSocket::listening(), client = TestSocket::connected_to(one.port()),
+             theirs = one.accept();
+  TestSocket two = TestSocket::listening(), server = TestSocket::connected_to(two.port());
   proxy::HandoverMessage handed;
   explicit HandedTunnel(const std::string& backend) {
     handed.head = "OPEN 9 9 c=talk,d=1200";
@@ -322,14 +329,14 @@
 // Its successor takes it from here, wherever the list has it now.
 TEST(Handover, ATunnelWhoseBackendHasLeftTheListIsMovedByTheSuccessor) {
   House house(2);
-  auto [here, there] = house.open("1");
-  const std::size_t at = house.holder(there);
+  auto [here, there] = house.establish_session("1");
+  const std::size_t at = house.backend_index(there);
   house.second = house.process();
   HandedTunnel over("s-left");
   over.theirs.close();
   house.second->proxy.take_over(over.handed);
-  EXPECT_TRUE(house.until([&] { return over.client.heard() == "MOVE\r\n"; }));
-  EXPECT_FALSE(here.ended()) << at;
+  EXPECT_TRUE(house.run_until([&] { return over.client.received() == "MOVE\r\n"; }));
+  EXPECT_FALSE(here.is_ended_by_peer()) << at;
 }
 
 // A tunnel may come over before the list names its backend; a ban holds for that backend all the same.
@@ -340,9 +347,10 @@
   HandedTunnel over("s-1");
   house.first->proxy.take_over(over.handed);
   house.watch = std::move(house.watches.back());
-  house.list(R"({"rev":6,"all":false,"targets":[)" + house.target(1, "active") + "]}");
-  house.until([] { return false; }, 50);
-  for (int i = 1; i < 9; ++i) EXPECT_EQ(house.holder(house.open(std::to_string(i + 20)).second), 0u);
+  house.publish_endpoints(R"({"rev":6,"all":false,"targets":[)" + house.endpoint(1, "active") + "]}");
+  house.run_for(50);
+  for (int i = 1; i < 9; ++i)
+    EXPECT_EQ(house.backend_index(house.establish_session(std::to_string(i + 20)).second), 0u);
 }
 
 // Two processes at once are one relay to the limit on descriptors.
@@ -362,14 +370,14 @@
   char answer = 0;
   ASSERT_EQ(read(ready[0], &answer, 1), 1);
   EXPECT_EQ(answer, 'y');
-  house.until([] { return false; }, 150);
-  TestSocket refused = house.client("OPEN 1 1 c=talk,d=1200\r\n");
-  EXPECT_TRUE(house.until([&] { return refused.ended(); }));
-  EXPECT_EQ(refused.heard(), "BUSY\r\n");
+  house.run_for(150);
+  TestSocket refused = house.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(house.run_until([&] { return refused.is_ended_by_peer(); }));
+  EXPECT_EQ(refused.received(), "BUSY\r\n");
   EXPECT_EQ(write(go[1], "g", 1), 1);
   EXPECT_EQ(waitpid(child, nullptr, 0), child);
-  house.until([] { return false; }, 50);
-  house.open("2");  // it has gone, and all is ours again
+  house.run_for(50);
+  house.establish_session("2");  // it has gone, and all is ours again
   for (const int fd : {ready[0], ready[1], go[0], go[1]}) close(fd);
 }
 
@@ -406,14 +414,14 @@
     setenv("EDGE_SOCKET_FD", std::to_string(fd).c_str(), 1);
     std::string what;
     try {
-      config::parse_relay_config(relay.told(500));
+      config::parse_relay_config(relay.config_text(500));
     } catch (const ConfigError& bad) {
       what = bad.what();
     }
     unsetenv("EDGE_SOCKET_FD");
     return what;
   };
-  TestSocket elsewhere = TestSocket::listening(), stream = TestSocket::to(relay.port);
+  TestSocket elsewhere = TestSocket::listening(), stream = TestSocket::connected_to(relay.port);
   EXPECT_NE(fault(9999).find("EDGE_SOCKET_FD"), std::string::npos);
   EXPECT_NE(fault(stream.fd()).find("not a listening"), std::string::npos);
   EXPECT_NE(fault(elsewhere.fd()).find("does not listen where"), std::string::npos);
--- a/tests/balancer/fleet_sum_test.cpp
+++ b/tests/balancer/fleet_sum_test.cpp
@@ -7,7 +7,8 @@
 #include <set>
 #include <tuple>
 
-#include "support/fixtures.hpp"
+#include "support/balancer_fixture.hpp"
+#include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -16,7 +17,7 @@
   unsigned relay_count = 100, told_relays = 0;  // really, and as the settings say; 0: the same
   std::size_t tunnels = 1500, old = 40, fresh = 40;
   std::size_t largest_group = 37;
-  Micros warm_up = 9 * kS, window = 3 * kS;
+  Micros warm_up = 9 * kSecond, window = 3 * kSecond;
   double cold_from = 0.33;
   bool uneven = false;
   unsigned seed = 1;
@@ -27,7 +28,7 @@
 class Fleet {
  public:
   explicit Fleet(const Order& order) : order_(order), chance_(order.seed) {
-    BalancerConfig config = plain_terms();
+    BalancerConfig config = default_config();
     config.relay_count = order.told_relays > 0 ? order.told_relays : order.relay_count;
     config.warm_up = order.warm_up, config.fall_window = order.window, config.cold_from = order.cold_from;
     for (unsigned i = 0; i < order.relay_count; ++i) {
@@ -45,11 +46,12 @@
   // Warm ones hold everything; then as many cold ones start, and half of the tunnels come again.
   void run() {
     for (std::size_t i = 0; i < order_.tunnels; ++i) come(i, false);
-    for (auto& fixture : stories_) fixture->actions.pass(60 * kS);
-    const Micros now = stories_[0]->actions.clock;
+    for (auto& fixture : stories_) fixture->actions.advance(60 * kSecond);
+    const Micros now = stories_[0]->actions.current_time;
     for (auto& fixture : stories_) {
-      for (std::size_t i = 0; i < order_.fresh; ++i) fixture->add(now);
-      for (std::size_t i = 0; i < order_.old / 2; ++i) fixture->list(i, EndpointState::draining);
+      for (std::size_t i = 0; i < order_.fresh; ++i) fixture->add_backend(now);
+      for (std::size_t i = 0; i < order_.old / 2; ++i)
+        fixture->set_endpoint_state(i, EndpointState::draining);
     }
     // Over the first window or so; whoever is declined comes again.
     std::vector<std::size_t> waiting;
@@ -66,7 +68,7 @@
         }
       }
       waiting = later;
-      for (auto& fixture : stories_) fixture->actions.pass(100 * kMs);
+      for (auto& fixture : stories_) fixture->actions.advance(100 * kMillisecond);
     }
   }
 
@@ -96,17 +98,17 @@
     std::size_t at = chance_() % stories_.size();
     if (order_.uneven && chance_() % 2) at = at / 10;
     BalancerFixture& fixture = *stories_[at];
-    Session& session = fixture.fresh(1'000'000 + 7919 * index);
+    Session& session = fixture.make_session(1'000'000 + 7919 * index);
     session.group_key = 77 + 104729 * groups_[index];
     session.is_reconnecting = again;
     fixture.balancer.admit(fixture.sessions.back());
     if (!session.backend) return false;
     if (again && session.backend->started_at > 0) {
       ++cold_;
-      sent_[session.backend->name].push_back(fixture.actions.clock);
+      sent_[session.backend->name].push_back(fixture.actions.current_time);
       began_ = session.backend->started_at;
     }
-    fixture.balancer.on_established(session, 20 * kMs);
+    fixture.balancer.on_established(session, 20 * kMillisecond);
     return true;
   }
 
@@ -149,7 +151,7 @@
   play({.relay_count = relay_count, .told_relays = 2 * relay_count}, "told double");
   play({.relay_count = relay_count, .fresh = 3}, "few fresh");
   play({.relay_count = relay_count, .fresh = 1, .uneven = true}, "one fresh");
-  play({.relay_count = relay_count, .warm_up = 24 * kS, .cold_from = 0.13}, "slow to warm");
+  play({.relay_count = relay_count, .warm_up = 24 * kSecond, .cold_from = 0.13}, "slow to warm");
   std::printf("nearest to the rule: %.0f%%\n", 100 * worst);
 }
 
@@ -168,18 +170,18 @@
                std::to_string(i) + R"(","pod_group":)" + std::to_string(i) +
                R"(,"state":"leaving","capacity_hint":1.0,"boot_ms":0},)";
   const auto began = relay.event_loop.now();
-  relay.list(R"({"rev":5,"all":true,"targets":[)" + targets + relay.target(0, "leaving") + "," +
-             relay.target(1, "active") + "]}");
-  TestSocket here = relay.client("OPEN 1 1 c=talk,d=1200\r\n");
-  TestSocket there = relay.setup();
+  relay.publish_endpoints(R"({"rev":5,"all":true,"targets":[)" + targets + relay.endpoint(0, "leaving") +
+                          "," + relay.endpoint(1, "active") + "]}");
+  TestSocket here = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  TestSocket there = relay.accept_attempt();
   ASSERT_TRUE(there);
-  EXPECT_LT(relay.event_loop.now() - began, kS);
+  EXPECT_LT(relay.event_loop.now() - began, kSecond);
 
-  BalancerConfig config = plain_terms();
+  BalancerConfig config = default_config();
   config.relay_count = kMany, config.cross_price = 0.02;
   BalancerFixture fixture(0, config);
-  for (unsigned i = 0; i < kMany; ++i) fixture.add(0, i);
-  for (std::uint64_t key = 1; key <= 300; ++key) ASSERT_TRUE(fixture.open(key * 7919).backend);
+  for (unsigned i = 0; i < kMany; ++i) fixture.add_backend(0, i);
+  for (std::uint64_t key = 1; key <= 300; ++key) ASSERT_TRUE(fixture.establish_session(key * 7919).backend);
   std::set<const Backend*> used;
   for (const auto& session : fixture.sessions) used.insert(session->backend.get());
   EXPECT_GT(used.size(), 100u);  // the one at home weighs more, but is not all
@@ -187,9 +189,10 @@
       std::max_element(fixture.backends.begin(), fixture.backends.end(),
                        [](const auto& a, const auto& b) { return a->sessions.size() < b->sessions.size(); });
   const std::size_t held = (*fullest)->sessions.size();
-  fixture.list(static_cast<std::size_t>(fullest - fixture.backends.begin()), EndpointState::draining);
-  for (int i = 0; i < 10; ++i) fixture.actions.pass(kS);
-  EXPECT_GE(fixture.actions.moved.size(), held);
+  fixture.set_endpoint_state(static_cast<std::size_t>(fullest - fixture.backends.begin()),
+                             EndpointState::draining);
+  for (int i = 0; i < 10; ++i) fixture.actions.advance(kSecond);
+  EXPECT_GE(fixture.actions.migrated_sessions.size(), held);
 }
 
 }  // namespace
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -1,7 +1,12 @@
 // What is owed at the instant in which something ends: each crossing forced by the order of events.
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 
-#include "support/fixtures.hpp"
+#include "support/balancer_fixture.hpp"
+#include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -18,7 +23,7 @@
 // up the relay learns at its next turn.
 TestSocket coming(LoopbackRelay& relay) {
   TestSocket there;
-  relay.until([&] {
+  relay.run_until([&] {
     for (const TestSocket& backend : relay.backends) {
       if (!there) there = backend.accept();
     }
@@ -31,14 +36,14 @@
 bool untouched(LoopbackRelay& relay) {
   return std::none_of(relay.backends.begin(), relay.backends.end(), [](const TestSocket& backend) {
     TestSocket there = backend.accept();
-    return there && !there.heard().empty();
+    return there && !there.received().empty();
   });
 }
 
 // A connection that came up in vain.
 void expect_not_sent(LoopbackRelay& relay, TestSocket& there) {
-  EXPECT_TRUE(relay.until([&] { return there.ended(); }));
-  EXPECT_EQ(there.heard(), "");
+  EXPECT_TRUE(relay.run_until([&] { return there.is_ended_by_peer(); }));
+  EXPECT_EQ(there.received(), "");
 }
 
 // ---- The client leaves while it waits -------------------------------------------------------------------
@@ -47,15 +52,15 @@
 class AClientThatLeaves : public ::testing::TestWithParam<Leaves> {
  protected:
   static void leave(TestSocket& here) {
-    if (GetParam() == Leaves::ends_sending) here.end_sending();
+    if (GetParam() == Leaves::ends_sending) here.finish_sending();
     if (GetParam() == Leaves::closes) here.close();
     if (GetParam() == Leaves::resets) here.reset();
   }
   // The protocol has it that it has ended, so it is told; only one that ended its sending alone can read it.
   static void expect_told(LoopbackRelay& relay, TestSocket& here) {
     if (GetParam() != Leaves::ends_sending) return;
-    EXPECT_TRUE(relay.until([&] { return here.ended(); }));
-    EXPECT_EQ(here.heard(), "ERR\r\n");
+    EXPECT_TRUE(relay.run_until([&] { return here.is_ended_by_peer(); }));
+    EXPECT_EQ(here.received(), "ERR\r\n");
   }
 };
 INSTANTIATE_TEST_SUITE_P(Ways, AClientThatLeaves,
@@ -68,9 +73,9 @@
 
 TEST_P(AClientThatLeaves, RightBehindItsLineCostsNoConnection) {
   LoopbackRelay relay(2);
-  TestSocket here = relay.client(kOpen);
+  TestSocket here = relay.connect_client(kOpen);
   leave(here);  // line and end lie there together before the relay looks
-  relay.until([] { return false; }, 50);
+  relay.run_for(50);
   for (const TestSocket& backend : relay.backends) EXPECT_FALSE(backend.accept());
   expect_told(relay, here);
 }
@@ -78,7 +83,7 @@
 // Both lie ready at once, the connection first: the client's end must be looked for before the line goes.
 TEST_P(AClientThatLeaves, WhileItsSetupComesUpIsNotSentOn) {
   LoopbackRelay relay(2);
-  TestSocket here = relay.client(kOpen);
+  TestSocket here = relay.connect_client(kOpen);
   TestSocket there = coming(relay);
   leave(here);
   expect_not_sent(relay, there);
@@ -88,9 +93,9 @@
 
 TEST_P(AClientThatLeaves, BetweenAFailedSetupAndTheNextIsNotSentOn) {
   LoopbackRelay relay(2);
-  TestSocket here = relay.client(kOpen);
-  TestSocket first = relay.setup();
-  first.say("BUSY\r\n");
+  TestSocket here = relay.connect_client(kOpen);
+  TestSocket first = relay.accept_attempt();
+  first.send("BUSY\r\n");
   TestSocket next = coming(relay);
   leave(here);
   expect_not_sent(relay, next);
@@ -99,33 +104,33 @@
 
 TEST_P(AClientThatLeaves, DuringAStallIsNotSentOn) {
   LoopbackRelay relay(2);
-  TestSocket here = relay.client(kOpen);
-  TestSocket first = relay.setup();
-  first.say("ERR\r\n");
+  TestSocket here = relay.connect_client(kOpen);
+  TestSocket first = relay.accept_attempt();
+  first.send("ERR\r\n");
   leave(here);
   poll(nullptr, 0, 50);
-  relay.until([] { return false; }, 50);
+  relay.run_for(50);
   EXPECT_TRUE(untouched(relay));
 }
 
 TEST_P(AClientThatLeaves, TakesTheSetupUnderWayWithIt) {
   LoopbackRelay relay(2);
-  TestSocket here = relay.client(kOpen);
-  TestSocket there = relay.setup();
+  TestSocket here = relay.connect_client(kOpen);
+  TestSocket there = relay.accept_attempt();
   leave(here);
-  EXPECT_TRUE(relay.until([&] { return there.ended(); }, 200));  // before any time-out
+  EXPECT_TRUE(relay.run_until([&] { return there.is_ended_by_peer(); }, 200));  // before any time-out
   EXPECT_TRUE(untouched(relay));
 }
 
 // Where a site lets nothing be cancelled, what has gone out runs to its end, for nobody.
 TEST_P(AClientThatLeaves, LeavesWhatHasGoneOutWhereNothingMayBeCancelled) {
   LoopbackRelay relay(2, 500, kNoCancel);
-  TestSocket here = relay.client(kOpen);
-  TestSocket there = relay.setup();
+  TestSocket here = relay.connect_client(kOpen);
+  TestSocket there = relay.accept_attempt();
   leave(here);
-  relay.until([] { return false; }, 100);
-  EXPECT_FALSE(there.ended());
-  EXPECT_TRUE(relay.until([&] { return there.ended(); }));  // its time-out
+  relay.run_for(100);
+  EXPECT_FALSE(there.is_ended_by_peer());
+  EXPECT_TRUE(relay.run_until([&] { return there.is_ended_by_peer(); }));  // its time-out
   EXPECT_TRUE(untouched(relay));
 }
 
@@ -134,53 +139,53 @@
 // A backend whose connections come up late: its listener is full until the story lets it go.
 TEST(Endings, ABackendThatDrainsWhileAConnectionComesUpGetsNoSetupOnIt) {
   LoopbackRelay relay(2, 500, kPatient);
-  relay.list(R"({"rev":5,"all":true,"targets":[)" + relay.target(0, "active") + "]}");
-  relay.until([] { return false; }, 20);
+  relay.publish_endpoints(R"({"rev":5,"all":true,"targets":[)" + relay.endpoint(0, "active") + "]}");
+  relay.run_for(20);
   ASSERT_EQ(listen(relay.backends[0].fd(), 0), 0);
-  TestSocket filler = TestSocket::to(relay.backends[0].port());
-  TestSocket here = relay.client("OPEN 1 1 c=talk,d=8000\r\n");
-  relay.until([] { return false; }, 100);  // its connection is asked for in vain
-  relay.list(R"({"rev":6,"all":false,"targets":[)" + relay.target(0, "leaving") + "," +
-             relay.target(1, "active") + "]}");
-  relay.until([] { return false; }, 100);
+  TestSocket filler = TestSocket::connected_to(relay.backends[0].port());
+  TestSocket here = relay.connect_client("OPEN 1 1 c=talk,d=8000\r\n");
+  relay.run_for(100);  // its connection is asked for in vain
+  relay.publish_endpoints(R"({"rev":6,"all":false,"targets":[)" + relay.endpoint(0, "leaving") + "," +
+                          relay.endpoint(1, "active") + "]}");
+  relay.run_for(100);
   ASSERT_TRUE(relay.backends[0].accept());
   TestSocket late = coming(relay);  // asked again by the kernel, after a second
   expect_not_sent(relay, late);
-  TestSocket there = relay.setup();
-  EXPECT_EQ(relay.holder(there), 1u);
-  there.say("UP 1\r\n");
-  EXPECT_TRUE(relay.until([&] { return here.heard() == "UP 1\r\n"; }));
+  TestSocket there = relay.accept_attempt();
+  EXPECT_EQ(relay.backend_index(there), 1u);
+  there.send("UP 1\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP 1\r\n"; }));
 }
 
 TEST(Endings, ARepeatIsAskedForAgainBeforeItLeavesWhetherItIsStillKnown) {
-  BalancerConfig config = plain_terms(Idempotency::idempotency_key);
-  config.traffic_classes[0].window = 500 * kMs;
+  BalancerConfig config = default_config(Idempotency::idempotency_key);
+  config.traffic_classes[0].window = 500 * kMillisecond;
   BalancerFixture fixture(3, config);
-  Session& session = fixture.arrive(1);
-  fixture.fail(session, AttemptResult::timed_out);
+  Session& session = fixture.request_session(1);
+  fixture.end_attempt(session, AttemptResult::timed_out);
   ASSERT_TRUE(session.backend);
   EXPECT_TRUE(fixture.balancer.may_still_send(session, *session.backend));
-  fixture.actions.pass(600 * kMs);  // so long its connection took
+  fixture.actions.advance(600 * kMillisecond);  // so long its connection took
   EXPECT_FALSE(fixture.balancer.may_still_send(session, *session.backend));
 }
 
 TEST(Endings, WhereItStoodIsNoPlaceOnceThatLeaves) {
   LoopbackRelay relay(3);
-  relay.list(R"({"rev":5,"all":false,"targets":[)" + relay.target(2, "leaving") + "]}");
-  relay.until([] { return false; }, 20);
-  TestSocket here = relay.client("OPEN 1 5 c=talk,d=20000,at=s-2\r\n");
-  TestSocket there = relay.setup();
-  EXPECT_NE(relay.holder(there), 2u);
-  there.say("UP 9\r\n");
-  EXPECT_TRUE(relay.until([&] { return here.heard() == "UP 9\r\n"; }));
+  relay.publish_endpoints(R"({"rev":5,"all":false,"targets":[)" + relay.endpoint(2, "leaving") + "]}");
+  relay.run_for(20);
+  TestSocket here = relay.connect_client("OPEN 1 5 c=talk,d=20000,at=s-2\r\n");
+  TestSocket there = relay.accept_attempt();
+  EXPECT_NE(relay.backend_index(there), 2u);
+  there.send("UP 9\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP 9\r\n"; }));
 }
 
 // The answer to a client must leave before the client does.
 TEST(Endings, ASetupWhereItStoodEndsBeforeItsClientsTime) {
   LoopbackRelay relay(1);
-  TestSocket here = relay.client("OPEN 1 5 c=talk,d=500,at=s-0\r\n");
-  TestSocket there = relay.setup();
-  const std::string head = there.heard();
+  TestSocket here = relay.connect_client("OPEN 1 5 c=talk,d=500,at=s-0\r\n");
+  TestSocket there = relay.accept_attempt();
+  const std::string head = there.received();
   const int wait = std::stoi(head.substr(head.find("d=") + 2));
   EXPECT_LE(wait, 480);
   EXPECT_GE(wait, 300);
@@ -193,13 +198,13 @@
   for (const std::string& spoilt : {std::string("\r\n"), std::string("OK 1\r\n"), std::string(5000, 'x'),
                                     std::string("BUSY\r\nUP late\r\n"), std::string("ERR\r\nBUSY\r\n")}) {
     LoopbackRelay relay(2);
-    TestSocket here = relay.client(kOpen);
-    TestSocket bad = relay.setup();
-    bad.say(spoilt);
-    TestSocket good = relay.setup();
-    EXPECT_TRUE(relay.until([&] { return bad.ended(); }));
-    good.say("UP 1\r\n");
-    EXPECT_TRUE(relay.until([&] { return here.heard() == "UP 1\r\n"; }));
+    TestSocket here = relay.connect_client(kOpen);
+    TestSocket bad = relay.accept_attempt();
+    bad.send(spoilt);
+    TestSocket good = relay.accept_attempt();
+    EXPECT_TRUE(relay.run_until([&] { return bad.is_ended_by_peer(); }));
+    good.send("UP 1\r\n");
+    EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP 1\r\n"; }));
     EXPECT_TRUE(untouched(relay));
   }
 }
@@ -207,12 +212,12 @@
 // An answer that is there before the relay has written a byte.
 TEST(Endings, AnAnswerBeforeTheLineIsTakenAsOne) {
   LoopbackRelay relay(1);
-  TestSocket here = relay.client(kOpen);
+  TestSocket here = relay.connect_client(kOpen);
   TestSocket there = coming(relay);
-  there.say("UP 1\r\nfirst\r\n");
-  EXPECT_TRUE(relay.until([&] { return here.heard() == "UP 1\r\nfirst\r\n"; }));
-  here.say("x\r\n");
-  EXPECT_TRUE(relay.until([&] { return there.heard().ends_with("\r\nx\r\n"); }));
+  there.send("UP 1\r\nfirst\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP 1\r\nfirst\r\n"; }));
+  here.send("x\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return there.received().ends_with("\r\nx\r\n"); }));
 }
 
 // It may have run: no second setup for what must not happen twice, however the first ended.
@@ -223,16 +228,16 @@
   for (const std::string& end : {std::string("ERR\r\n"), std::string("\r\n"), std::string("reset"),
                                  std::string("closed"), std::string("nothing")}) {
     LoopbackRelay relay(2, 500, once);
-    TestSocket here = relay.client(kOpen);
-    TestSocket there = relay.setup();
+    TestSocket here = relay.connect_client(kOpen);
+    TestSocket there = relay.accept_attempt();
     if (end == "reset")
       there.reset();
     else if (end == "closed")
       there.close();
     else if (end != "nothing")
-      there.say(end);
-    EXPECT_TRUE(relay.until([&] { return here.ended(); })) << end;
-    EXPECT_EQ(here.heard(), "ERR\r\n") << end;
+      there.send(end);
+    EXPECT_TRUE(relay.run_until([&] { return here.is_ended_by_peer(); })) << end;
+    EXPECT_EQ(here.received(), "ERR\r\n") << end;
     EXPECT_TRUE(untouched(relay)) << end;
   }
 }
@@ -240,11 +245,11 @@
 // The last line and the end in one read, and a second answer some time after the first.
 TEST(Endings, LastWordsInOneReadReachTheClientWhole) {
   LoopbackRelay relay(1);
-  auto [here, there] = relay.open("1");
-  there.say("UP again\r\nline\r\nBYE\r\n");
-  there.end_sending();
-  EXPECT_TRUE(relay.until([&] { return here.ended(); }));
-  EXPECT_EQ(here.heard(), "UP r\r\nUP again\r\nline\r\nBYE\r\n");
+  auto [here, there] = relay.establish_session("1");
+  there.send("UP again\r\nline\r\nBYE\r\n");
+  there.finish_sending();
+  EXPECT_TRUE(relay.run_until([&] { return here.is_ended_by_peer(); }));
+  EXPECT_EQ(here.received(), "UP r\r\nUP again\r\nline\r\nBYE\r\n");
 }
 
 // ---- The list -------------------------------------------------------------------------------------------
@@ -253,26 +258,26 @@
 TEST(Endings, AWatchThatFellSilentIsAskedForAnewWithinTheTimeThatIsLeft) {
   LoopbackRelay relay(1, 500, R"(,"balancers":300,"discovery":"on_request",
       "invariants":{"warm_up":9000,"fall":3000,"ask_within":20000})");
-  relay.list(R"({"rev":5,"all":false,"targets":[]})");
-  relay.until([] { return false; }, 20);
+  relay.publish_endpoints(R"({"rev":5,"all":false,"targets":[]})");
+  relay.run_for(20);
   const Micros last_word = relay.event_loop.now();
-  EXPECT_TRUE(relay.until([&] { return relay.watch.ended(); }, 3500));
+  EXPECT_TRUE(relay.run_until([&] { return relay.watch.is_ended_by_peer(); }, 3500));
   TestSocket again;
-  EXPECT_TRUE(relay.until([&] { return static_cast<bool>(again = relay.discovery.accept()); }, 2500));
-  EXPECT_LT(relay.event_loop.now() - last_word, 5500 * kMs);
+  EXPECT_TRUE(relay.run_until([&] { return static_cast<bool>(again = relay.discovery.accept()); }, 2500));
+  EXPECT_LT(relay.event_loop.now() - last_word, 5500 * kMillisecond);
 }
 
 TEST(Endings, TheListIsAskedForWithinTheTimeLeftByAnyNumberOfRelays) {
   for (unsigned relay_count : {1u, 5u, 300u}) {
     for (unsigned i = 0; i < 40; ++i) {
-      BalancerConfig config = plain_terms();
+      BalancerConfig config = default_config();
       config.list_on_request = true;
       config.relay_count = relay_count;
       RecordingActions actions;
       Balancer balancer(actions, config, 100 + i);
-      balancer.on_discovery_failed(2 * kS);
-      actions.pass(2 * kS);
-      EXPECT_EQ(actions.followed.size(), 2u) << relay_count;
+      balancer.on_discovery_failed(2 * kSecond);
+      actions.advance(2 * kSecond);
+      EXPECT_EQ(actions.endpoint_watches.size(), 2u) << relay_count;
     }
   }
 }
@@ -284,18 +289,18 @@
     for (const unsigned failures : {1u, 2u, 8u}) {
       std::map<Micros, unsigned> tenths;
       for (unsigned i = 0; i < relay_count; ++i) {
-        BalancerConfig config = plain_terms();
+        BalancerConfig config = default_config();
         config.list_on_request = true;
         config.relay_count = relay_count;
-        config.ask_within = 20 * kS;
+        config.ask_within = 20 * kSecond;
         RecordingActions actions;
         Balancer balancer(actions, config, 100 + i);
         for (unsigned k = 0; k < failures; ++k) {
-          const Micros failed = actions.clock;
+          const Micros failed = actions.current_time;
           balancer.on_discovery_failed();
-          actions.pass(4 * kS);
-          ASSERT_EQ(actions.followed.size(), k + 2) << relay_count << " relays, failure " << k + 1;
-          if (k + 1 == failures) ++tenths[(actions.followed.back() - failed) / (100 * kMs)];
+          actions.advance(4 * kSecond);
+          ASSERT_EQ(actions.endpoint_watches.size(), k + 2) << relay_count << " relays, failure " << k + 1;
+          if (k + 1 == failures) ++tenths[(actions.endpoint_watches.back() - failed) / (100 * kMillisecond)];
         }
       }
       for (const auto& [tenth, calls] : tenths) EXPECT_LE(calls, relay_count / 20 + 4) << relay_count;
@@ -309,14 +314,14 @@
   LoopbackRelay relay(1, 500, R"(,"balancers":350,"discovery":"on_request",
       "invariants":{"warm_up":9000,"fall":3000,"ask_within":20000})");
   TestSocket hanging;
-  ASSERT_TRUE(relay.until([&] { return static_cast<bool>(hanging = relay.discovery.accept()); }));
+  ASSERT_TRUE(relay.run_until([&] { return static_cast<bool>(hanging = relay.discovery.accept()); }));
   for (int round = 0; round < 3; ++round) {
     const Micros made = relay.event_loop.now();
     TestSocket again;
-    EXPECT_TRUE(relay.until([&] { return static_cast<bool>(again = relay.discovery.accept()); }, 5500))
+    EXPECT_TRUE(relay.run_until([&] { return static_cast<bool>(again = relay.discovery.accept()); }, 5500))
         << round;
-    EXPECT_LE(relay.event_loop.now() - made, 5200 * kMs);
-    EXPECT_TRUE(hanging.ended());
+    EXPECT_LE(relay.event_loop.now() - made, 5200 * kMillisecond);
+    EXPECT_TRUE(hanging.is_ended_by_peer());
     hanging = std::move(again);
   }
 }
@@ -328,15 +333,15 @@
     for (const char* says : {"nothing", "refuses", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"}) {
       LoopbackRelay relay(1, 500, more, false);
       if (says[0] == 'r') relay.discovery.close();
-      proxy::ProxyServer proxy(relay.event_loop, relay.start);
-      TestSocket front = relay.client("PING\r\n");
+      proxy::ProxyServer proxy(relay.event_loop, relay.relay_config);
+      TestSocket front = relay.connect_client("PING\r\n");
       std::vector<TestSocket> calls;
-      EXPECT_TRUE(relay.until([&] {
+      EXPECT_TRUE(relay.run_until([&] {
         if (TestSocket call = says[0] == 'r' ? TestSocket() : relay.discovery.accept()) {
-          if (says[0] == 'H') call.say(says);
+          if (says[0] == 'H') call.send(says);
           calls.push_back(std::move(call));
         }
-        return front.heard() == "PONG\r\n";
+        return front.received() == "PONG\r\n";
       })) << says;
     }
   }
@@ -344,16 +349,16 @@
 
 // What an agent of the relay's own has counts as told, however long it could not be reached.
 TEST(Endings, AnAgentOfItsOwnIsAskedAgainWithinTheGraceHoweverOftenThatFailed) {
-  BalancerConfig config = plain_terms();
+  BalancerConfig config = default_config();
   config.list_on_request = true;
   config.relay_count = 300;
-  config.ask_again = 50 * kMs;
+  config.ask_again = 50 * kMillisecond;
   RecordingActions actions;
   Balancer balancer(actions, config, 7);
   for (std::size_t i = 0; i < 30; ++i) {
     balancer.on_discovery_failed();
-    actions.pass(50 * kMs);
-    EXPECT_EQ(actions.followed.size(), i + 2);
+    actions.advance(50 * kMillisecond);
+    EXPECT_EQ(actions.endpoint_watches.size(), i + 2);
   }
 }
 
@@ -362,11 +367,11 @@
   LoopbackRelay relay(3, 500, kPushed);
   std::vector<TestSocket> here;
   for (int i = 0; i < 6; ++i)
-    here.push_back(relay.client("OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n"));
-  relay.list(R"({"rev":5,"all":false,"targets":[)" + relay.target(0, "leaving") + "," +
-             relay.target(1, "leaving") + "]}");
+    here.push_back(relay.connect_client("OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n"));
+  relay.publish_endpoints(R"({"rev":5,"all":false,"targets":[)" + relay.endpoint(0, "leaving") + "," +
+                          relay.endpoint(1, "leaving") + "]}");
   std::vector<TestSocket> there;
-  EXPECT_TRUE(relay.until([&] {
+  EXPECT_TRUE(relay.run_until([&] {
     if (TestSocket one = relay.backends[2].accept()) there.push_back(std::move(one));
     return there.size() == 6;
   }));
@@ -377,61 +382,61 @@
 // But nobody waits for an agent that is down.
 TEST(Endings, WhereListsArePushedAndNoneComesTheRelayServesByWhatItKnows) {
   LoopbackRelay relay(1, 500, kPushed);
-  relay.open("1");
+  relay.establish_session("1");
 }
 
 // A list that never comes, and then comes very late.
 TEST(Endings, WithNoListAtAllAClientIsAnsweredAtOnceAndServedOnceOneComes) {
   LoopbackRelay relay(1, 500, "", false);
-  std::string text = relay.told(500);
-  text.replace(text.find(relay.target(0, "active")), relay.target(0, "active").size(), "");
-  relay.start = config::parse_relay_config(text);
-  relay.proxy = std::make_unique<proxy::ProxyServer>(relay.event_loop, relay.start);
-  TestSocket here = relay.client(kOpen);
-  EXPECT_TRUE(relay.until([&] { return here.ended(); }, 100));
-  EXPECT_EQ(here.heard(), "BUSY\r\n");
-  relay.list(R"({"rev":5,"all":true,"targets":[)" + relay.target(0, "active") + "]}");
-  relay.until([] { return false; }, 20);
-  relay.open("2");
+  std::string text = relay.config_text(500);
+  text.replace(text.find(relay.endpoint(0, "active")), relay.endpoint(0, "active").size(), "");
+  relay.relay_config = config::parse_relay_config(text);
+  relay.proxy = std::make_unique<proxy::ProxyServer>(relay.event_loop, relay.relay_config);
+  TestSocket here = relay.connect_client(kOpen);
+  EXPECT_TRUE(relay.run_until([&] { return here.is_ended_by_peer(); }, 100));
+  EXPECT_EQ(here.received(), "BUSY\r\n");
+  relay.publish_endpoints(R"({"rev":5,"all":true,"targets":[)" + relay.endpoint(0, "active") + "]}");
+  relay.run_for(20);
+  relay.establish_session("2");
 }
 
 TEST(Endings, AnUnusableNumberOfRelaysEndsTheStartNamingItsKey) {
   for (const char* count : {"0", "-3", "1e9", "\"many\""}) {
     try {
       config::parse_relay_config(
-          LoopbackRelay(1, 500, "", false).told(500, std::string(",\"balancers\":") + count));
+          LoopbackRelay(1, 500, "", false).config_text(500, std::string(",\"balancers\":") + count));
       ADD_FAILURE() << count;
     } catch (const ConfigError& bad) {
       EXPECT_NE(std::string(bad.what()).find("balancers"), std::string::npos) << bad.what();
     }
   }
   LoopbackRelay one(1, 500, R"(,"balancers":1)"), most(1, 500, R"(,"balancers":65535)");
-  one.open("1");
-  most.open("1");
+  one.establish_session("1");
+  most.establish_session("1");
 }
 
 TEST(Endings, ACallThatBringsNoFirstLineIsMadeAgain) {
   LoopbackRelay relay(1, 500, kPushed);
   TestSocket first, again;
-  EXPECT_TRUE(relay.until([&] { return static_cast<bool>(first = relay.discovery.accept()); }));
-  EXPECT_TRUE(relay.until([&] { return static_cast<bool>(again = relay.discovery.accept()); }, 1800));
-  EXPECT_TRUE(first.ended());
+  EXPECT_TRUE(relay.run_until([&] { return static_cast<bool>(first = relay.discovery.accept()); }));
+  EXPECT_TRUE(relay.run_until([&] { return static_cast<bool>(again = relay.discovery.accept()); }, 1800));
+  EXPECT_TRUE(first.is_ended_by_peer());
 }
 
 TEST(Endings, AListMayComeIndentedAndSplitAtAnyByte) {
   LoopbackRelay relay(2);
-  auto [here, there] = relay.open("1");
-  const std::size_t at = relay.holder(there);
+  auto [here, there] = relay.establish_session("1");
+  const std::size_t at = relay.backend_index(there);
   std::string text =
-      R"(  { "rev" : 5,  "all":false,	"targets" : [ )" + relay.target(at, "leaving") + " ] }\n";
-  relay.watched();
+      R"(  { "rev" : 5,  "all":false,	"targets" : [ )" + relay.endpoint(at, "leaving") + " ] }\n";
+  relay.accept_watch();
   char size[16];
   std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
   for (const char byte : size + text + "\r\n") {
-    relay.watch.say({&byte, 1});
+    relay.watch.send({&byte, 1});
     relay.event_loop.turn();
   }
-  EXPECT_TRUE(relay.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }));
+  EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP r\r\nMOVE\r\n"; }));
 }
 
 // ---- A new configuration --------------------------------------------------------------------------------
@@ -439,35 +444,35 @@
 // It takes the connection and says nothing: the old place must be heard until it speaks.
 TEST(Endings, TheOldPlaceIsHeardWhileTheNewOneTakesTheCallAndNeverSpeaks) {
   LoopbackRelay relay(2);
-  auto [here, there] = relay.open("1");
-  const std::size_t at = relay.holder(there);
-  relay.list(R"({"rev":5,"all":false,"targets":[]})");
+  auto [here, there] = relay.establish_session("1");
+  const std::size_t at = relay.backend_index(there);
+  relay.publish_endpoints(R"({"rev":5,"all":false,"targets":[]})");
   TestSocket former = std::exchange(relay.watch, TestSocket()),
              old = std::exchange(relay.discovery, TestSocket::listening());
-  relay.reload(relay.told(500));
-  EXPECT_TRUE(relay.until([&] { return static_cast<bool>(relay.watch = relay.discovery.accept()); }));
-  relay.reload(relay.told(500));  // twice within a second: one call
+  relay.reload_config(relay.config_text(500));
+  EXPECT_TRUE(relay.run_until([&] { return static_cast<bool>(relay.watch = relay.discovery.accept()); }));
+  relay.reload_config(relay.config_text(500));  // twice within a second: one call
   EXPECT_FALSE(relay.discovery.accept());
-  former.say("200\r\n" + std::string(511, ' ') + "\n\r\n");
-  const std::string list = R"({"rev":6,"all":false,"targets":[)" + relay.target(at, "leaving") + "]}\n";
+  former.send("200\r\n" + std::string(511, ' ') + "\n\r\n");
+  const std::string list = R"({"rev":6,"all":false,"targets":[)" + relay.endpoint(at, "leaving") + "]}\n";
   char size[16];
   std::snprintf(size, sizeof(size), "%zx\r\n", list.size());
-  former.say(size + list + "\r\n");
-  EXPECT_TRUE(relay.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }));
+  former.send(size + list + "\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP r\r\nMOVE\r\n"; }));
 }
 
 // What the new place tells at once is taken at once, though the old one's last calls had failed.
 TEST(Endings, TheNewPlaceIsAskedAtOnceHoweverOftenTheOldOneFailed) {
   LoopbackRelay relay(2, 500,
                       R"(,"balancers":300,"discovery":"on_request","invariants":{"ask_within":20000})");
-  auto [here, there] = relay.open("1");
-  const std::size_t at = relay.holder(there);
+  auto [here, there] = relay.establish_session("1");
+  const std::size_t at = relay.backend_index(there);
   TestSocket down = std::exchange(relay.discovery, TestSocket::listening());
   down.close();
-  relay.until([] { return false; }, 50);
-  relay.reload(relay.told(500));
-  relay.list(R"({"rev":5,"all":false,"targets":[)" + relay.target(at, "leaving") + "]}");
-  EXPECT_TRUE(relay.until([&] { return here.heard() == "UP r\r\nMOVE\r\n"; }, 500));
+  relay.run_for(50);
+  relay.reload_config(relay.config_text(500));
+  relay.publish_endpoints(R"({"rev":5,"all":false,"targets":[)" + relay.endpoint(at, "leaving") + "]}");
+  EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP r\r\nMOVE\r\n"; }, 500));
 }
 
 // ---- The process ends -----------------------------------------------------------------------------------
@@ -483,22 +488,22 @@
 }
 
 // The platform kills it 0.7 s after the longest that a client waits.
-constexpr Micros kKilledAfter = 1900 * kMs;
+constexpr Micros kKilledAfter = 1900 * kMillisecond;
 
 TEST(Endings, AClientInTheMidstOfItsFirstLineIsAnsweredBeforeTheEnd) {
   LoopbackRelay relay(1);
-  TestSocket slow = relay.client("OPEN 1 1 c=ta"), never = relay.client("OPEN 2 2 c");
-  ASSERT_FALSE(relay.until([] { return false; }, 20));
+  TestSocket slow = relay.connect_client("OPEN 1 1 c=ta"), never = relay.connect_client("OPEN 2 2 c");
+  ASSERT_FALSE(relay.run_until([] { return false; }, 20));
   bool finished = false;
-  relay.event_loop.call_at(relay.event_loop.now() + 1200 * kMs, [&] {
-    EXPECT_EQ(slow.heard(), "");  // an answer in the midst of its line might never be read
-    slow.say("lk,d=1200\r\n");
+  relay.event_loop.call_at(relay.event_loop.now() + 1200 * kMillisecond, [&] {
+    EXPECT_EQ(slow.received(), "");  // an answer in the midst of its line might never be read
+    slow.send("lk,d=1200\r\n");
     finished = true;
   });
   EXPECT_LT(told_to_end(relay), kKilledAfter);
   EXPECT_TRUE(finished);
-  EXPECT_EQ(slow.heard(), "BUSY\r\n");
-  EXPECT_EQ(never.heard(), "BUSY\r\n");
+  EXPECT_EQ(slow.received(), "BUSY\r\n");
+  EXPECT_EQ(never.received(), "BUSY\r\n");
 }
 
 // Whoever got a connection has an answer, to the last one that did.
@@ -507,56 +512,56 @@
   std::vector<TestSocket> all;
   std::size_t taken = 0;  // the first so many: then the door is shut
   std::function<void()> come = [&] {
-    all.push_back(TestSocket::to(relay.port));
+    all.push_back(TestSocket::connected_to(relay.port));
     const std::string line = "OPEN " + std::to_string(all.size()) + " 1 c=talk,d=1200\r\n";
-    taken += all.back().offer(line) == line.size();
-    relay.event_loop.call_at(relay.event_loop.now() + kMs, come);
+    taken += all.back().send_some(line) == line.size();
+    relay.event_loop.call_at(relay.event_loop.now() + kMillisecond, come);
   };
-  relay.event_loop.call_at(relay.event_loop.now() + 500 * kMs, come);
+  relay.event_loop.call_at(relay.event_loop.now() + 500 * kMillisecond, come);
   EXPECT_LT(told_to_end(relay), kKilledAfter);
   ASSERT_GT(taken, 50u);
-  for (std::size_t i = 0; i < taken; ++i) EXPECT_EQ(all[i].heard(), "BUSY\r\n") << i << " of " << taken;
+  for (std::size_t i = 0; i < taken; ++i) EXPECT_EQ(all[i].received(), "BUSY\r\n") << i << " of " << taken;
 }
 
 TEST(Endings, ASetupThatHangsAsTheRelayEndsIsAnsweredBeforeTheEnd) {
   LoopbackRelay relay(1, 500,
                       R"(,"profiles":[{"name":"talk","setup_goal":4000.0,"client_timeout":1200.0,"payoff":1.0,
       "semantics":"idempotent"}])");
-  TestSocket here = relay.client("OPEN 1 1 c=talk,d=9000\r\n");
-  TestSocket there = relay.setup();
+  TestSocket here = relay.connect_client("OPEN 1 1 c=talk,d=9000\r\n");
+  TestSocket there = relay.accept_attempt();
   EXPECT_LT(told_to_end(relay), kKilledAfter);
-  EXPECT_EQ(here.heard(), "BUSY\r\n");
-  EXPECT_TRUE(there.ended());
+  EXPECT_EQ(here.received(), "BUSY\r\n");
+  EXPECT_TRUE(there.is_ended_by_peer());
 }
 
 // What comes up at the place where it stood while the relay ends is moved like the rest.
 TEST(Endings, ATunnelThatIsPutBackWhileTheRelayEndsIsMoved) {
   LoopbackRelay relay(1);
-  TestSocket here = relay.client("OPEN 1 5 c=talk,d=20000,at=s-0\r\n");
-  TestSocket there = relay.setup();
-  relay.event_loop.call_at(relay.event_loop.now() + 700 * kMs, [&] { there.say("UP 9\r\n"); });
+  TestSocket here = relay.connect_client("OPEN 1 5 c=talk,d=20000,at=s-0\r\n");
+  TestSocket there = relay.accept_attempt();
+  relay.event_loop.call_at(relay.event_loop.now() + 700 * kMillisecond, [&] { there.send("UP 9\r\n"); });
   EXPECT_LT(told_to_end(relay), kKilledAfter);
-  EXPECT_EQ(here.heard(), "UP 9\r\nMOVE\r\n");
+  EXPECT_EQ(here.received(), "UP 9\r\nMOVE\r\n");
 }
 
 TEST(Endings, AMoveThatWaitsForATornLineDoesNotHoldTheEndUp) {
   LoopbackRelay relay(1);
   std::vector<std::pair<TestSocket, TestSocket>> open;
-  for (int i = 0; i < 4; ++i) open.push_back(relay.open(std::to_string(i)));
-  for (auto& [here, there] : open) there.say("half a li");
-  relay.event_loop.call_at(relay.event_loop.now() + 1600 * kMs, [&] {
-    for (auto& [here, there] : open) there.offer("ne\r\n");
+  for (int i = 0; i < 4; ++i) open.push_back(relay.establish_session(std::to_string(i)));
+  for (auto& [here, there] : open) there.send("half a li");
+  relay.event_loop.call_at(relay.event_loop.now() + 1600 * kMillisecond, [&] {
+    for (auto& [here, there] : open) there.send_some("ne\r\n");
   });
   EXPECT_LT(told_to_end(relay), kKilledAfter);
 }
 
 TEST(Endings, ToldToEndTwiceAndWithANewConfigurationItEndsOnce) {
   LoopbackRelay relay(2);
-  auto [here, there] = relay.open("1");
-  relay.event_loop.call_at(relay.event_loop.now() + 300 * kMs, [] { std::raise(SIGTERM); });
-  relay.reload(relay.told(400));
+  auto [here, there] = relay.establish_session("1");
+  relay.event_loop.call_at(relay.event_loop.now() + 300 * kMillisecond, [] { std::raise(SIGTERM); });
+  relay.reload_config(relay.config_text(400));
   EXPECT_LT(told_to_end(relay), kKilledAfter);
-  EXPECT_EQ(here.heard(), "UP r\r\nMOVE\r\n");
+  EXPECT_EQ(here.received(), "UP r\r\nMOVE\r\n");
 }
 
 // ---- Settings of other sites ----------------------------------------------------------------------------
@@ -574,11 +579,11 @@
   ASSERT_EQ(config.traffic_classes.size(), 4u);
   EXPECT_EQ(config.traffic_classes[1].scope, DeduplicationScope::cell);
   EXPECT_EQ(config.traffic_classes[2].idempotency, Idempotency::non_idempotent);
-  EXPECT_EQ(config.traffic_classes[3].window, 3 * kS);
+  EXPECT_EQ(config.traffic_classes[3].window, 3 * kSecond);
   EXPECT_EQ(config.tenant_shares, (std::vector<double>{10, 20}));
-  EXPECT_EQ(config.budget_window, 4 * kS);
+  EXPECT_EQ(config.budget_window, 4 * kSecond);
   EXPECT_TRUE(start.pushed);
-  EXPECT_EQ(config.ask_again, 50 * kMs);
+  EXPECT_EQ(config.ask_again, 50 * kMillisecond);
   EXPECT_FALSE(config.may_cancel_attempts || config.may_advise || config.may_probe);
   const auto bare = config::parse_relay_config(
       R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"discovery":"on_request",
