The parsers have a module a job, named states and typed errors

Cause: open_request held the backends' replies and the number and key parsers as well; a fault was a bare text, a list that cannot be read a runtime_error, and the names were of the house's own.

Change: backend_reply and text_fields are modules of their own; OpenRequest::fault is an enum with its text, ProtocolError says where and what; HttpResponse is one state machine with named steps; endpoint entries are parsed by one function. Wire words, limits and texts are as before. Call sites follow.

In tests/proxy/proxy_test.cpp two enum names follow (State::done and bad are complete and malformed).

--- a/src/config/relay_config.cpp
+++ b/src/config/relay_config.cpp
@@ -10,7 +10,7 @@
 #include <sstream>
 #include <utility>
 
-#include "protocol/open_request.hpp"
+#include "protocol/text_fields.hpp"
 
 namespace cherryrail::config {
 namespace {
@@ -120,7 +120,7 @@
       throw ConfigError("mgmt: clients connect there; it needs a place of its own");
   }
   if (const char* folder = std::getenv("TMPDIR")) start.kept_in = folder;
-  start.seed = protocol::key_of(text_of(root, "seed", ""));
+  start.seed = protocol::parse_key(text_of(root, "seed", ""));
 
   start.sockets = kUsualSockets;
   if (const auto limits = root.find("limits"); limits != root.end()) {
@@ -149,7 +149,7 @@
 
   if (const auto known = root.find("known"); known != root.end() && !known->is_null()) {
     try {
-      start.known = protocol::read_list(*known);
+      start.known = protocol::parse_endpoint_list(*known);
     } catch (const std::exception& error) {
       throw ConfigError(std::string("known: ") + error.what());
     }
--- /dev/null
+++ b/src/protocol/backend_reply.cpp
@@ -0,0 +1,26 @@
+#include "protocol/backend_reply.hpp"
+
+#include <utility>
+
+#include "protocol/text_fields.hpp"
+
+namespace cherryrail::protocol {
+namespace {
+
+constexpr std::pair<std::string_view, ReplyKind> kReplyWords[] = {
+    {"UP", ReplyKind::up},     {"BYE", ReplyKind::bye},   {"MOVE", ReplyKind::move},
+    {"ERR", ReplyKind::error}, {"BUSY", ReplyKind::busy}, {"LOAD", ReplyKind::load},
+    {"PONG", ReplyKind::pong}};
+
+}  // namespace
+
+BackendReply parse_backend_reply(std::string_view line) {
+  std::string_view arguments = line;
+  const std::string_view first_word = take_until(arguments, ' ');
+  for (const auto& [word, kind] : kReplyWords) {
+    if (first_word == word) return {kind, arguments};
+  }
+  return {ReplyKind::other, arguments};
+}
+
+}  // namespace cherryrail::protocol
--- a/src/protocol/endpoint_list.cpp
+++ b/src/protocol/endpoint_list.cpp
@@ -3,59 +3,88 @@
 #include <algorithm>
 #include <cmath>
 #include <nlohmann/json.hpp>
-#include <stdexcept>
+#include <optional>
+#include <utility>
 
 namespace cherryrail::protocol {
 namespace {
 
-double number_at(const nlohmann::json& entry, const char* key, double otherwise) {
+using nlohmann::json;
+
+constexpr double kNumberLimit = 1e15;  // below it, every number fits the integers that it is cast to
+constexpr double kLargestCell = 1e9;
+constexpr double kMicrosPerMillisecond = 1000;
+constexpr std::size_t kLongestQuote = 80;  // of a text that is not JSON
+
+// A number that is missing or cannot be used counts as not stated.
+double number_or(const json& entry, const char* key, double fallback) {
   const auto found = entry.find(key);
-  if (found == entry.end() || !found->is_number()) return otherwise;
+  if (found == entry.end() || !found->is_number()) return fallback;
   const double value = found->get<double>();
-  return std::isfinite(value) && value >= 0 && value < 1e15 ? value : otherwise;
+  const bool is_usable = std::isfinite(value) && value >= 0 && value < kNumberLimit;
+  return is_usable ? value : fallback;
 }
 
-std::string text_at(const nlohmann::json& entry, const char* key) {
+std::string text_or_empty(const json& entry, const char* key) {
   const auto found = entry.find(key);
   return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
-}  // namespace
+std::optional<EndpointState> parse_state(std::string_view word) {
+  if (word == "active") return EndpointState::ready;
+  if (word == "leaving") return EndpointState::draining;
+  if (word == "left") return EndpointState::gone;
+  return {};
+}
+
+// None for an entry in a state that is not known: a state of a later version is not acted on.
+std::optional<EndpointEntry> parse_entry(const json& target) {
+  EndpointEntry entry;
+  if (target.is_object()) entry.uid = text_or_empty(target, "uid");
+  if (entry.uid.empty()) throw ProtocolError("targets", target.type_name(), "an entry without uid");
+  const auto state = parse_state(text_or_empty(target, "state"));
+  if (!state) return {};
+  entry.state = *state;
+  entry.address = text_or_empty(target, "endpoint");
+  entry.zone = text_or_empty(target, "az");
+  entry.cell = static_cast<unsigned>(std::min(number_or(target, "pod_group", 0), kLargestCell));
+  entry.capacity_hint = number_or(target, "capacity_hint", 1);
+  entry.started_at = static_cast<Micros>(number_or(target, "boot_ms", 0) * kMicrosPerMillisecond);
+  return entry;
+}
 
-EndpointList read_list(const nlohmann::json& json) {
-  if (!json.is_object()) throw std::runtime_error("the list is not an object");
+EndpointList parse_list(const json& root) {
+  if (!root.is_object()) throw ProtocolError("", root.type_name(), "the list is not an object");
   EndpointList list;
-  list.version = static_cast<std::int64_t>(number_at(json, "rev", 0));
-  list.whole = json.value("all", false);
-  const auto targets = json.find("targets");
-  if (targets == json.end() || !targets->is_array()) throw std::runtime_error("targets: not a list");
-  for (const auto& target : *targets) {
-    EndpointEntry entry;
-    entry.uid = target.is_object() ? text_at(target, "uid") : std::string();
-    if (entry.uid.empty()) throw std::runtime_error("targets: an entry without uid");
-    entry.endpoint = text_at(target, "endpoint");
-    entry.zone = text_at(target, "az");
-    entry.cell = static_cast<unsigned>(std::min(number_at(target, "pod_group", 0), 1e9));
-    entry.size = number_at(target, "capacity_hint", 1);
-    entry.started_at = static_cast<Micros>(number_at(target, "boot_ms", 0) * 1000);
-    const std::string state = text_at(target, "state");
-    if (state != "active" && state != "leaving" && state != "left") {
-      ++list.skipped;  // a state of a later time: what is not understood is not acted on
-      continue;
-    }
-    entry.state = state == "active"    ? EndpointState::ready
-                  : state == "leaving" ? EndpointState::draining
-                                       : EndpointState::gone;
-    list.entries.push_back(std::move(entry));
+  list.version = static_cast<std::int64_t>(number_or(root, "rev", 0));
+  list.is_complete = root.value("all", false);
+  const auto targets = root.find("targets");
+  if (targets == root.end()) throw ProtocolError("targets", "", "not a list");
+  if (!targets->is_array()) throw ProtocolError("targets", targets->type_name(), "not a list");
+  for (const json& target : *targets) {
+    if (auto entry = parse_entry(target))
+      list.entries.push_back(std::move(*entry));
+    else
+      ++list.skipped_entries;
   }
   return list;
 }
 
-EndpointList read_list(std::string_view text) {
+}  // namespace
+
+EndpointList parse_endpoint_list(const json& root) {
+  try {
+    return parse_list(root);
+  } catch (const json::exception& error) {
+    throw ProtocolError("", "", error.what());
+  }
+}
+
+EndpointList parse_endpoint_list(std::string_view text) {
   try {
-    return read_list(nlohmann::json::parse(text));
-  } catch (const nlohmann::json::exception& error) {
-    throw std::runtime_error(error.what());
+    return parse_list(json::parse(text));
+  } catch (const json::exception& error) {
+    throw ProtocolError("", std::string(text.substr(0, kLongestQuote)), error.what());
   }
 }
 
--- a/src/protocol/http_request.cpp
+++ b/src/protocol/http_request.cpp
@@ -6,7 +6,7 @@
 #include <charconv>
 #include <utility>
 
-#include "protocol/http_response.hpp"
+#include "protocol/text_fields.hpp"
 
 namespace cherryrail::protocol {
 namespace {
@@ -82,8 +82,8 @@
   const std::size_t colon = line.find(':');
   if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return bad(400);
   const std::string_view name = line.substr(0, colon), value = trimmed(line.substr(colon + 1));
-  if (same_word(name, "Transfer-Encoding")) return bad(501);
-  return same_word(name, "Content-Length") ? take_length(value) : state_;
+  if (equals_ignoring_case(name, "Transfer-Encoding")) return bad(501);
+  return equals_ignoring_case(name, "Content-Length") ? take_length(value) : state_;
 }
 
 // Danger: two lengths that differ, or one that wraps round, would have the rest taken for another call.
--- a/src/protocol/http_response.hpp
+++ b/src/protocol/http_response.hpp
@@ -1,57 +1,67 @@
-// Reads one HTTP/1.1 answer as it comes in: its status, then the body, chunked or not.
+// Reads one HTTP/1.1 response as it comes in: its status, then the body, chunked or not. Knows nothing of
+// sockets; endpoint discovery feeds it.
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace cherryrail::protocol {
 
-// Whether two words are the same, large and small letters alike.
-bool same_word(std::string_view a, std::string_view b);
-
 class HttpResponse {
  public:
-  enum class State { head, body, done, bad };
-
-  // AdminServer see(part) for each part of the body. Parts break anywhere.
-  template <class See>
-  State feed(std::string_view bytes, const See& see) {
-    while (!bytes.empty() && state_ != State::bad && state_ != State::done) {
-      if (state_ == State::head || chunk_ == Chunk::size || chunk_ == Chunk::end) {
-        const std::size_t end = bytes.find('\n');
-        held_.append(bytes.substr(0, end));
-        if (held_.size() > kLongest) return state_ = State::bad;
-        if (end == std::string_view::npos) return state_;
-        bytes.remove_prefix(end + 1);
-        take_line();
+  enum class State : std::uint8_t { reading_head, reading_body, complete, malformed };
+
+  // Takes the next bytes and calls on_body(part) for each part of the body in them; parts break anywhere.
+  // Bytes after the end of the response are left. Returns the state after them.
+  template <class OnBody>
+  State feed(std::string_view bytes, const OnBody& on_body) {
+    while (!bytes.empty() && !is_over()) {
+      if (is_reading_line()) {
+        read_line(bytes);
         continue;
       }
-      const std::string_view part = bytes.substr(0, left_);
+      const std::string_view part = bytes.substr(0, remaining_);
       bytes.remove_prefix(part.size());
-      left_ -= part.size();
-      if (left_ == 0) body_part_over();
-      see(part);
+      remaining_ -= part.size();
+      if (remaining_ == 0) end_body_part();
+      on_body(part);
     }
-    return state_;
+    return state();
   }
-  State state() const { return state_; }
-  int status() const { return status_; }
+
+  State state() const;
+  int status() const { return status_; }  // 0 until the status line has been read
 
  private:
-  enum class Chunk { none, size, data, end };
-  static constexpr std::size_t kLongest = 8192;
+  // What the next bytes are.
+  enum class Step : std::uint8_t {
+    status_line,
+    header_line,
+    plain_body,  // `remaining_` bytes, or all until the connection ends
+    chunk_size_line,
+    chunk_data,  // `remaining_` bytes
+    chunk_end_line,
+    complete,
+    malformed
+  };
 
-  void take_line();
+  bool is_over() const { return step_ == Step::complete || step_ == Step::malformed; }
+  bool is_reading_line() const { return step_ != Step::plain_body && step_ != Step::chunk_data; }
+  void read_line(std::string_view& bytes);
+  void take_line(std::string_view line);
+  void take_status_line(std::string_view line);
   void take_header(std::string_view line);
-  void body_part_over();
+  void end_head();
+  void take_chunk_size(std::string_view line);
+  void end_body_part();
 
-  State state_ = State::head;
-  Chunk chunk_ = Chunk::none;
-  std::string held_;
-  std::size_t left_ = std::string_view::npos;  // of the body or the chunk; until the end where nobody says
+  Step step_ = Step::status_line;
+  std::string partial_line_;
+  std::size_t remaining_ = std::string_view::npos;  // of the body or chunk; npos if no length is stated
   int status_ = 0;
-  bool chunked_ = false;
+  bool is_chunked_ = false;
 };
 
 }  // namespace cherryrail::protocol
--- a/src/protocol/line_reader.hpp
+++ b/src/protocol/line_reader.hpp
@@ -1,4 +1,4 @@
-// Lines ended by CRLF, cut out of what comes in; what is whole is seen where it lies.
+// Cuts a stream of bytes into lines. Knows nothing of sockets.
 #pragma once
 
 #include <cstddef>
@@ -7,43 +7,57 @@
 
 namespace cherryrail::protocol {
 
+// Longer lines are refused, so that a peer that never ends its line cannot fill the memory.
 constexpr std::size_t kLongestLine = 4096;
 
+// Reads lines that end in CRLF or LF, in pieces of any size. A line that lies whole in one piece is passed on
+// without a copy.
 class LineReader {
  public:
-  // AdminServer see(line, whole) for each line, without its end. `see` returns false to stop; the rest is
-  // given back. An overlong line stops it too, and overlong() is true from then on.
-  template <class See>
-  std::string_view feed(std::string_view bytes, const See& see) {
+  // Calls on_line(line) for each complete line, without its line end. `on_line` returns false to stop after
+  // that line. Returns the bytes that were not read: those after the line that stopped it, or all from the
+  // start of a line that is too long; is_overlong() is true from then on.
+  template <class OnLine>
+  std::string_view feed(std::string_view bytes, const OnLine& on_line) {
     while (!bytes.empty()) {
       const std::size_t end = bytes.find('\n');
-      const std::size_t length = end == std::string_view::npos ? bytes.size() : end;
-      if (held_.size() + length > kLongestLine) {
-        overlong_ = true;
+      const bool is_complete = end != std::string_view::npos;
+      const std::size_t length = is_complete ? end : bytes.size();
+      if (partial_line_.size() + length > kLongestLine) {
+        is_overlong_ = true;
         return bytes;
       }
-      if (end == std::string_view::npos) {
-        held_.append(bytes);
+      if (!is_complete) {
+        partial_line_.append(bytes);
         return {};
       }
-      std::string_view line = bytes.substr(0, end);
+      std::string joined;  // the line, if its beginning came in an earlier piece
+      const std::string_view line = complete_line(bytes.substr(0, end), joined);
       bytes.remove_prefix(end + 1);
-      std::string whole;
-      if (!held_.empty()) {
-        whole.swap(held_);
-        line = whole.append(line);
-      }
-      if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-      if (!see(line)) return bytes;
+      if (!on_line(line)) return bytes;
     }
     return {};
   }
-  bool overlong() const { return overlong_; }
-  std::string_view begun() const { return held_; }  // of the line that has not ended yet
+
+  bool is_overlong() const { return is_overlong_; }
+
+  // The part that has come of a line that has not ended yet.
+  std::string_view partial_line() const { return partial_line_; }
 
  private:
-  std::string held_;
-  bool overlong_ = false;
+  std::string_view complete_line(std::string_view last_part, std::string& joined) {
+    std::string_view line = last_part;
+    if (!partial_line_.empty()) {
+      joined.swap(partial_line_);
+      joined.append(last_part);
+      line = joined;
+    }
+    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+    return line;
+  }
+
+  std::string partial_line_;
+  bool is_overlong_ = false;
 };
 
 }  // namespace cherryrail::protocol
--- a/src/protocol/open_request.cpp
+++ b/src/protocol/open_request.cpp
@@ -1,93 +1,62 @@
 #include "protocol/open_request.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <charconv>
+
+#include "protocol/text_fields.hpp"
 
 namespace cherryrail::protocol {
 namespace {
 
-// Cuts off and returns what stands before the mark.
-std::string_view next_part(std::string_view& text, char mark) {
-  const std::size_t end = text.find(mark);
-  const std::string_view part = text.substr(0, end);
-  text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
-  return part;
-}
-
-std::string_view value_in(std::string_view list, std::string_view name) {
-  while (!list.empty()) {
-    const std::string_view item = next_part(list, ',');
-    if (item.size() > name.size() && item[name.size()] == '=' && item.starts_with(name))
-      return item.substr(name.size() + 1);
-  }
-  return {};
-}
+constexpr std::string_view kOpenWord = "OPEN";
+constexpr std::string_view kClientTimeoutField = "d";  // in milliseconds
+constexpr Micros kMicrosPerMillisecond = 1000;
+// 0 would not be a timeout: this relay, for one, refuses such a line.
+constexpr Micros kShortestTimeoutMilliseconds = 1;
 
 }  // namespace
 
-std::optional<double> number_of(std::string_view text) {
-  double value = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
-    return {};
-  return value;
-}
-
-std::uint64_t key_of(std::string_view text) {
-  std::uint64_t key = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), key, 16);
-  if (!text.empty() && error == std::errc{} && end == text.data() + text.size()) return key;
-  key = 0xcbf29ce484222325ULL;  // FNV-1a: the same at every relay
-  for (const char c : text) key = (key ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-  return text.empty() ? 0 : key;
+const char* describe(OpenRequestFault fault) {
+  switch (fault) {
+    case OpenRequestFault::not_an_open:
+      return "it does not begin with OPEN";
+    case OpenRequestFault::missing_id_or_flow:
+      return "it has no id or no flow";
+  }
+  return "unknown fault";
 }
 
 OpenRequest::OpenRequest(std::string_view line) : line_(line) {
-  std::string_view rest = line_;
-  if (next_part(rest, ' ') != "OPEN") {
-    fault_ = "it does not begin with OPEN";
+  std::string_view unread = line_;
+  if (take_until(unread, ' ') != kOpenWord) {
+    fault_ = OpenRequestFault::not_an_open;
     return;
   }
-  id_ = next_part(rest, ' ');
-  const std::string_view flow = next_part(rest, ' ');
-  list_ = rest;
-  if (id_.empty() || flow.empty()) fault_ = "it has no id or no flow";
-  flow_ = key_of(flow);
+  id_ = take_until(unread, ' ');
+  const std::string_view flow = take_until(unread, ' ');
+  fields_ = unread;
+  if (id_.empty() || flow.empty()) fault_ = OpenRequestFault::missing_id_or_flow;
+  flow_key_ = parse_key(flow);
 }
 
-std::string_view OpenRequest::value(std::string_view name) const { return value_in(list_, name); }
+std::string_view OpenRequest::value(std::string_view name) const { return find_field(fields_, name); }
 
-OpenRequest::Pieces OpenRequest::with_wait(Micros wait) const {
-  Pieces pieces{};
-  const std::string_view old = value("d");
+OpenRequest::LinePieces OpenRequest::with_client_timeout(Micros remaining) const {
+  LinePieces pieces{};
   const std::string_view line = line_;
-  if (old.empty()) {
+  const std::string_view stated = value(kClientTimeoutField);
+  if (stated.empty()) {
     pieces.before = line;
     return pieces;
   }
-  const auto at = static_cast<std::size_t>(old.data() - line.data());
-  pieces.before = line.substr(0, at);
-  pieces.after = line.substr(at + old.size());
-  const auto end = std::to_chars(pieces.digits.data(), pieces.digits.data() + pieces.digits.size(),
-                                 std::max<Micros>(1, wait / 1000));
-  pieces.length = static_cast<std::size_t>(end.ptr - pieces.digits.data());
+  const auto position = static_cast<std::size_t>(stated.data() - line.data());
+  pieces.before = line.substr(0, position);
+  pieces.after = line.substr(position + stated.size());
+  const Micros milliseconds = std::max(kShortestTimeoutMilliseconds, remaining / kMicrosPerMillisecond);
+  char* const digits = pieces.digits.data();
+  const auto written = std::to_chars(digits, digits + pieces.digits.size(), milliseconds);
+  pieces.digit_count = static_cast<std::size_t>(written.ptr - digits);
   return pieces;
 }
 
-BackendReply parse_backend_reply(std::string_view line) {
-  const std::string_view word = next_part(line, ' ');
-  constexpr std::pair<std::string_view, ReplyKind> kWords[] = {
-      {"UP", ReplyKind::up},     {"BYE", ReplyKind::bye},   {"MOVE", ReplyKind::move},
-      {"ERR", ReplyKind::error}, {"BUSY", ReplyKind::busy}, {"LOAD", ReplyKind::load},
-      {"PONG", ReplyKind::pong}};
-  for (const auto& [text, reply] : kWords) {
-    if (word == text) return {reply, line};
-  }
-  return {ReplyKind::other, line};
-}
-
-std::optional<double> report_field(std::string_view report, std::string_view field) {
-  return number_of(value_in(report, field));
-}
-
 }  // namespace cherryrail::protocol
--- a/src/protocol/open_request.hpp
+++ b/src/protocol/open_request.hpp
@@ -1,58 +1,58 @@
-// A client's first line, parsed where it stands, and what a backend may answer.
+// A client's first line, "OPEN <id> <flow> <name=value,...>", and the copy of it that goes to a backend.
 #pragma once
 
 #include <array>
-#include <charconv>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "balancer/balancer.hpp"
+#include "balancer/time.hpp"
 
 namespace cherryrail::protocol {
 
-// The views point into the line that is kept; so it is neither copied nor moved.
+// Why a line is not an open request.
+enum class OpenRequestFault : std::uint8_t { not_an_open, missing_id_or_flow };
+
+// The text for the log, after "bad open request: ".
+const char* describe(OpenRequestFault fault);
+
+// A parsed open request. It keeps the line and views into it, and so can be neither copied nor moved. The
+// proxy makes one for each session and reads the session's settings from its fields.
 class OpenRequest {
  public:
   explicit OpenRequest(std::string_view line);
   OpenRequest(const OpenRequest&) = delete;
   OpenRequest& operator=(const OpenRequest&) = delete;
+  ~OpenRequest() = default;
 
-  // Empty if the line has the form of an OPEN; else what is wrong with it.
-  const char* fault() const { return fault_; }
-  std::string_view value(std::string_view name) const;  // empty if the list does not have it
+  // Empty if the line has the form of an open request. The fields' values are not checked here.
+  std::optional<OpenRequestFault> fault() const { return fault_; }
+  std::string_view value(std::string_view name) const;  // of one field; empty if the line does not have it
   std::string_view id() const { return id_; }
   const std::string& line() const { return line_; }
-  std::uint64_t flow() const { return flow_; }
-
-  // The line in three pieces, with another figure for how long its sender waits.
-  struct Pieces {
-    std::array<char, 24> digits;
-    std::size_t length;
-    std::string_view before, after;
-    std::string_view wait() const { return {digits.data(), length}; }
+  std::uint64_t flow_key() const { return flow_key_; }
+
+  // The line with another client timeout, in three pieces that are to be sent one after the other: `before`,
+  // client_timeout(), `after`. The views point into the request, which has to outlive them.
+  struct LinePieces {
+    std::array<char, 24> digits;  // room for any 64-bit number
+    std::size_t digit_count;
+    std::string_view before;
+    std::string_view after;
+    std::string_view client_timeout() const { return {digits.data(), digit_count}; }
   };
-  Pieces with_wait(Micros wait) const;
+  // `remaining`: how long the client will still wait when the backend reads the line. A request that states
+  // no client timeout keeps its line.
+  LinePieces with_client_timeout(Micros remaining) const;
 
  private:
   std::string line_;
-  std::string_view id_, list_;
-  std::uint64_t flow_ = 0;
-  const char* fault_ = nullptr;
-};
-
-std::uint64_t key_of(std::string_view text);  // hexadecimal, as keys are written; else a hash of it
-std::optional<double> number_of(std::string_view text);
-
-enum class ReplyKind : std::uint8_t { up, bye, move, error, busy, load, pong, other };
-struct BackendReply {
-  ReplyKind reply = ReplyKind::other;
-  std::string_view rest;  // what follows the word
+  std::string_view id_;
+  std::string_view fields_;
+  std::uint64_t flow_key_ = 0;
+  std::optional<OpenRequestFault> fault_;
 };
-BackendReply parse_backend_reply(std::string_view line);
-
-// "inflight=7,queue=2,util=0.61": the value of one field.
-std::optional<double> report_field(std::string_view report, std::string_view field);
 
 }  // namespace cherryrail::protocol
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -48,10 +48,10 @@
     heard_at_ = discovery_.event_loop_.now();
     const auto state = answer_.feed(bytes, [this](std::string_view part) { take_body(part); });
     if (!connection_) return;
-    if (state == protocol::HttpResponse::State::bad) return over("its answer is not HTTP");
-    if (state != protocol::HttpResponse::State::head && answer_.status() != 200)
+    if (state == protocol::HttpResponse::State::malformed) return over("its answer is not HTTP");
+    if (state != protocol::HttpResponse::State::reading_head && answer_.status() != 200)
       return over("status " + std::to_string(answer_.status()));
-    if (state == protocol::HttpResponse::State::done) over("it ended the watch");
+    if (state == protocol::HttpResponse::State::complete) over("it ended the watch");
   }
   void ended() override { over("it ended the watch"); }
   void broken() override { over("no connection"); }
@@ -140,8 +140,8 @@
 void Discovery::list_line(DiscoveryWatch& feed, const std::string& line) {
   protocol::EndpointList list;
   try {
-    list = protocol::read_list(line);
-  } catch (const std::runtime_error& error) {
+    list = protocol::parse_endpoint_list(line);
+  } catch (const protocol::ProtocolError& error) {
     // Danger: a list that cannot be read must not be followed in part: the old one holds.
     return feed.over(error.what());
   }
--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -37,7 +37,7 @@
     HandoverMessage handed;
     handed.client = flat_settings();
     if (handed.client < 0) return {};
-    handed.begun = lines_.begun();
+    handed.begun = lines_.partial_line();
     handed.waited = side_.event_loop_.now() - quiet_since_;
     return handed;
   }
@@ -59,7 +59,7 @@
     if (over_) return;
     session_ ? session_->last_call() : turn_out("shutting_down");
   }
-  bool has_begun() const { return !lines_.begun().empty(); }
+  bool has_begun() const { return !lines_.partial_line().empty(); }
   void look() override { connection_->look(); }
 
   // Danger: a connection that has not asked for a tunnel yet may be anybody's. What can be no first line is
@@ -83,11 +83,11 @@
       look();  // its end may lie right behind its line
       return over_ ? void() : side_.take_(session_);
     }
-    if (!lines_.begun().empty()) wrote_at_ = side_.event_loop_.now();
-    if (lines_.overlong()) return finish("ERR", "line_too_long");
-    if (!may_begin(lines_.begun())) finish("ERR", "bad_request");
+    if (!lines_.partial_line().empty()) wrote_at_ = side_.event_loop_.now();
+    if (lines_.is_overlong()) return finish("ERR", "line_too_long");
+    if (!may_begin(lines_.partial_line())) finish("ERR", "bad_request");
   }
-  void said_nothing() { finish(lines_.begun().empty() ? "" : "ERR", "request_timeout"); }
+  void said_nothing() { finish(lines_.partial_line().empty() ? "" : "ERR", "request_timeout"); }
   void turn_out(const char* reason) {
     connection_->send({"BUSY\r\n"});
     connection_->close_at_once();
--- a/src/proxy/health_checker.cpp
+++ b/src/proxy/health_checker.cpp
@@ -2,8 +2,8 @@
 
 #include <utility>
 
+#include "protocol/backend_reply.hpp"
 #include "protocol/line_reader.hpp"
-#include "protocol/open_request.hpp"
 
 namespace cherryrail::proxy {
 
@@ -40,14 +40,14 @@
   void received(std::string_view bytes) override {
     lines_.feed(bytes, [this](std::string_view line) {
       const protocol::BackendReply answer = protocol::parse_backend_reply(line);
-      if (answer.reply == protocol::ReplyKind::pong)
-        over(AttemptResult::succeeded, answer.rest);
+      if (answer.kind == protocol::ReplyKind::pong)
+        over(AttemptResult::succeeded, answer.arguments);
       else  // turned away: too many, or none are allowed
-        over(answer.reply == protocol::ReplyKind::error ? AttemptResult::error : AttemptResult::rejected,
-             answer.rest);
+        over(answer.kind == protocol::ReplyKind::error ? AttemptResult::error : AttemptResult::rejected,
+             answer.arguments);
       return connection_ != nullptr;
     });
-    if (lines_.overlong()) fail(AttemptResult::error);
+    if (lines_.is_overlong()) fail(AttemptResult::error);
   }
   void ended() override { fail(AttemptResult::reset); }
   void broken() override { fail(up_ ? AttemptResult::reset : AttemptResult::connect_failed); }
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "protocol/open_request.hpp"
+#include "protocol/text_fields.hpp"
 
 namespace cherryrail::proxy {
 namespace {
@@ -146,7 +147,7 @@
   if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
   net::SocketPtr server = net::socket_of(handed.server);
   const auto session = std::make_shared<ProxySession>(event_loop_, *balancer_, handed.head);
-  if (const char* fault = session->head.fault() ? session->head.fault() : read_tunnel(*session))
+  if (const char* fault = fault_of(*session))
     return event_loop_.log().write(net::Topic::error, "bad open request in a handover: {}", fault);
   id_known(session);
   const bool listed = backends_.contains(handed.backend);
@@ -211,7 +212,7 @@
 // ---- What comes in --------------------------------------------------------------------------------------
 
 void ProxyServer::take(const std::shared_ptr<ProxySession>& session) {
-  const char* fault = session->head.fault() ? session->head.fault() : read_tunnel(*session);
+  const char* fault = fault_of(*session);
   if (!fault && id_known(session)) fault = "its id is another's";
   if (fault) {
     event_loop_.log().write(net::Topic::error, "bad open request: {}", fault);
@@ -245,6 +246,11 @@
   return !fresh;
 }
 
+const char* ProxyServer::fault_of(ProxySession& session) {
+  if (const auto fault = session.head.fault()) return protocol::describe(*fault);
+  return read_tunnel(session);
+}
+
 const char* ProxyServer::read_tunnel(ProxySession& session) {
   const auto named = [](const std::vector<std::string>& names, std::string_view name) {
     return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
@@ -252,16 +258,16 @@
   const std::size_t traffic_class = named(settings_.profile_names, session.head.value("c"));
   if (traffic_class >= balancer_->traffic_classes().size()) return "its class is not known";
   session.traffic_class = &balancer_->traffic_classes()[traffic_class];
-  const auto wait = protocol::number_of(session.head.value("d"));
+  const auto wait = protocol::parse_number(session.head.value("d"));
   if (!wait || *wait <= 0 || *wait > 1e9) return "it does not tell how long the client waits";
   session.deadline = event_loop_.now() + micros_of(*wait);
-  session.client_key = session.head.flow();
-  const std::uint64_t key = protocol::key_of(session.head.value("g"));
+  session.client_key = session.head.flow_key();
+  const std::uint64_t key = protocol::parse_key(session.head.value("g"));
   if (settings_.grouped)
     session.group_key = key;
   else if (key)
     session.client_key = key;
-  if (const auto hint = protocol::number_of(session.head.value("h")); hint && *hint > 0 && *hint < 1e12)
+  if (const auto hint = protocol::parse_number(session.head.value("h")); hint && *hint > 0 && *hint < 1e12)
     session.load_hint = *hint * 1000;
   for (const char* name : {"t", "tenant", "realm"}) {
     if (const std::string_view tenant = session.head.value(name); !tenant.empty())
@@ -283,28 +289,29 @@
   if (backend) return backend;
   backend = std::make_shared<Endpoint>();
   backend->uid = uid;
-  backend->name = protocol::key_of("uid " + uid);  // hashed as a text: the same at every relay
+  backend->name = protocol::parse_key("uid " + uid);  // hashed as a text: the same at every relay
   backend->disabled_by_operator = banned_.contains(uid);
   return backend;
 }
 
 void ProxyServer::on_endpoint_list(const protocol::EndpointList& list) {
-  if (list.skipped > 0)
-    event_loop_.log().write(net::Topic::discovery, "{} endpoints in an unknown state skipped", list.skipped);
+  if (list.skipped_entries > 0)
+    event_loop_.log().write(net::Topic::discovery, "{} endpoints in an unknown state skipped",
+                            list.skipped_entries);
   std::set<std::string_view> named;
   for (const protocol::EndpointEntry& entry : list.entries) {
     named.insert(entry.uid);
     const auto& backend = endpoint(entry.uid);
-    if (const net::Address address = net::parse_address(entry.endpoint)) backend->address = address;
+    if (const net::Address address = net::parse_address(entry.address)) backend->address = address;
     backend->zone = zone_of(entry.zone);
     backend->cell = entry.cell;
     event_loop_.log().write(net::Topic::discovery, "backend {} is {}: {}", backend->name, entry.uid,
                             entry.state == EndpointState::ready      ? "ready"
                             : entry.state == EndpointState::draining ? "draining"
                                                                      : "gone");
-    balancer_->update_endpoint(backend, entry.state, entry.size, entry.started_at);
+    balancer_->update_endpoint(backend, entry.state, entry.capacity_hint, entry.started_at);
   }
-  if (list.whole && list.skipped == 0) {  // what a whole list leaves out has been removed
+  if (list.is_complete && list.skipped_entries == 0) {  // what a whole list leaves out has been removed
     for (const auto& [uid, backend] : backends_) {
       if (!named.contains(uid))
         balancer_->update_endpoint(backend, EndpointState::gone, backend->size, backend->reported_started_at);
@@ -316,7 +323,7 @@
 LoadReport ProxyServer::read_report(std::string_view text) const {
   LoadReport report;
   for (const std::string_view field : {"util", "busy", "x0"}) {
-    if (const auto value = protocol::report_field(text, field); value && *value >= 0 && *value < 1e6)
+    if (const auto value = protocol::find_report_field(text, field); value && *value >= 0 && *value < 1e6)
       report.reported_utilization = *value;
   }
   return report;
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -71,6 +71,7 @@
 
   void take(const std::shared_ptr<ProxySession>& session);
   const char* read_tunnel(ProxySession& session);
+  const char* fault_of(ProxySession& session);  // of its first line, null if it can be served
   // Danger: with all that is usually kept back, the smallest limit would leave nothing for clients.
   static std::size_t most_kept_back(std::size_t sockets) { return 5 * sockets / 8; }
   bool full() const;  // descriptors run short
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -4,7 +4,9 @@
 #include <utility>
 #include <vector>
 
+#include "protocol/backend_reply.hpp"
 #include "protocol/line_reader.hpp"
+#include "protocol/text_fields.hpp"
 
 namespace cherryrail::proxy {
 namespace {
@@ -68,9 +70,10 @@
 
   void connected() override {
     if (!session_->may_still_send()) return over(Ended::orderly, AttemptResult::not_sent);
-    const protocol::OpenRequest::Pieces head = session_->head.with_wait(until_ - side_.event_loop_.now());
+    const protocol::OpenRequest::LinePieces head =
+        session_->head.with_client_timeout(until_ - side_.event_loop_.now());
     step_ = Step::sending;
-    connection_->send({head.before, head.wait(), head.after, "\r\n"});
+    connection_->send({head.before, head.client_timeout(), head.after, "\r\n"});
     if (connection_->waiting() == 0) step_ = Step::waiting;
   }
   void all_sent() override {
@@ -84,17 +87,17 @@
         answered(line);
         return false;
       });
-      if (lines_.overlong() && step_ != Step::over) return over(Ended::broken, AttemptResult::error);
+      if (lines_.is_overlong() && step_ != Step::over) return over(Ended::broken, AttemptResult::error);
     }
     if (step_ != Step::up || rest.empty()) return;
     session_->server_passes(rest);
     if (step_ != Step::up) return;
-    while (!rest.empty() && !lines_.overlong() && step_ == Step::up) {
+    while (!rest.empty() && !lines_.is_overlong() && step_ == Step::up) {
       rest = lines_.feed(rest, [this](std::string_view line) {
         const protocol::BackendReply answer = protocol::parse_backend_reply(line);
-        last_ = answer.reply;
-        if (answer.reply == protocol::ReplyKind::load) {
-          if (const auto figure = protocol::number_of(answer.rest)) side_.told_(*session_, *figure);
+        last_ = answer.kind;
+        if (answer.kind == protocol::ReplyKind::load) {
+          if (const auto figure = protocol::parse_number(answer.arguments)) side_.told_(*session_, *figure);
         }
         return step_ == Step::up;
       });
@@ -155,19 +158,19 @@
   }
   void answered(std::string_view line) {
     const protocol::BackendReply answer = protocol::parse_backend_reply(line);
-    switch (answer.reply) {
+    switch (answer.kind) {
       case protocol::ReplyKind::up:
         step_ = Step::up;
         session_->came_up(line, side_.event_loop_.now() - began_);
         return;
       case protocol::ReplyKind::bye:
-        return over(Ended::orderly, AttemptResult::succeeded, answer.rest, line);
+        return over(Ended::orderly, AttemptResult::succeeded, answer.arguments, line);
       case protocol::ReplyKind::busy:
-        return over(Ended::orderly, AttemptResult::rejected, answer.rest);
+        return over(Ended::orderly, AttemptResult::rejected, answer.arguments);
       case protocol::ReplyKind::move:
         return over(Ended::orderly, AttemptResult::cancelled);
       case protocol::ReplyKind::error:
-        return over(Ended::orderly, AttemptResult::error, answer.rest);
+        return over(Ended::orderly, AttemptResult::error, answer.arguments);
       default:
         side_.event_loop_.log().write(net::Topic::error, "unexpected reply of a backend: {}",
                                       line.substr(0, 80));
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -479,12 +479,12 @@
       answer.feed(whole.substr(at, step), [&](std::string_view part) { body += part; });
     EXPECT_EQ(body, "ab\ncde");
     EXPECT_EQ(answer.status(), 200);
-    EXPECT_EQ(answer.state(), protocol::HttpResponse::State::done);
+    EXPECT_EQ(answer.state(), protocol::HttpResponse::State::complete);
   }
   for (const char* bad : {"SSH-2.0-x\r\n", "HTTP/1.1 200\r\nnonsense\r\n",
                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
     protocol::HttpResponse answer;
-    EXPECT_EQ(answer.feed(bad, [](std::string_view) {}), protocol::HttpResponse::State::bad) << bad;
+    EXPECT_EQ(answer.feed(bad, [](std::string_view) {}), protocol::HttpResponse::State::malformed) << bad;
   }
 }
 
