ProxyServer's public methods are named for what they do

Cause: leave, ban, knows, others_hold, keep_back, move_rest and longest_wait were house words. Change: begin_graceful_shutdown, set_disabled_backends, knows_backend, set_descriptors_held_by_peers, reserve_descriptors, migrate_remaining_sessions, longest_client_timeout, receive_handover, can_receive_handover, stop_when_empty, is_ready; call sites follow. Nothing else.

--- a/src/admin/operations.cpp
+++ b/src/admin/operations.cpp
@@ -66,15 +66,15 @@
   if (start.mgmt.empty()) return;
   heed_bans();
   look_at_bans();
-  proxy_.keep_back(AdminServer::kCallers);
+  proxy_.reserve_descriptors(AdminServer::kCallers);
   try {
     calls_ = std::make_unique<AdminServer>(
         event_loop_, start.mgmt_on,
         std::vector<Route>{
             {"GET", "/ready",
              [this](const std::string&) {
-               return proxy_.ready() ? AdminResponse{200, R"({"ready":true})"}
-                                     : refusal(503, "not ready to serve");
+               return proxy_.is_ready() ? AdminResponse{200, R"({"ready":true})"}
+                                        : refusal(503, "not ready to serve");
              }},
             {"POST", "/backends/disable", [this](const std::string& body) { return ban(body, true); }},
             {"POST", "/backends/enable", [this](const std::string& body) { return ban(body, false); }}});
@@ -87,7 +87,7 @@
   const auto who = who_of(body);
   if (!who) return refusal(400, "the body is not JSON with a text `who`");
   if (bans_.look()) heed_bans();
-  if (!proxy_.knows(*who)) return refusal(404, "no such backend");
+  if (!proxy_.knows_backend(*who)) return refusal(404, "no such backend");
   // Danger: a full disk must not keep an operator from taking a backend out.
   bans_.change(*who, banned);
   heed_bans();
@@ -98,7 +98,7 @@
   if (bans_.fault() != std::exchange(last_fault_, bans_.fault()) && !last_fault_.empty())
     event_loop_.log().write(net::Topic::error, "disabled backends are known to this process alone: {}",
                             bans_.fault());
-  proxy_.ban(bans_.names());
+  proxy_.set_disabled_backends(bans_.names());
 }
 
 // While a relay is replaced there are two processes, and a call to one must hold for both.
@@ -112,11 +112,11 @@
 void Operations::leave() {
   if (std::exchange(handing_, true)) return;
   successor_ = succession_.successor();
-  if (!successor_) return proxy_.leave();
+  if (!successor_) return proxy_.begin_graceful_shutdown();
   proxy::HandoverMessage learned;
   learned.memory = proxy_.export_state();
   give(successor_, learned);
-  hand_over(event_loop_.now() + proxy_.longest_wait());
+  hand_over(event_loop_.now() + proxy_.longest_client_timeout());
 }
 
 // Danger: a successor that dies half-way takes with it what it has been given; the rest is moved, as without
@@ -128,10 +128,10 @@
     alive = alive && gave != Gave::never;
     return gave == Gave::yes;
   });
-  if (all_gone) return proxy_.end_when_empty();
+  if (all_gone) return proxy_.stop_when_empty();
   // Two replacements soon after each other: the one that has gone may have a successor of its own.
   if (!alive) successor_ = succession_.successor();
-  if (!successor_ || event_loop_.now() >= until) return proxy_.move_rest();
+  if (!successor_ || event_loop_.now() >= until) return proxy_.migrate_remaining_sessions();
   event_loop_.call_at(event_loop_.now() + kHandAgain, [this, until] { hand_over(until); });
 }
 
@@ -158,7 +158,7 @@
 void Operations::receive(Peer& from) {
   count_peers();
   for (int i = 0; i < kTakenAtOnce; ++i) {
-    if (!proxy_.can_take_over()) {
+    if (!proxy_.can_receive_handover()) {
       from.watch->want(false, false);
       return event_loop_.call_at(event_loop_.now() + kHandAgain, [this] {
         count_peers();
@@ -173,7 +173,7 @@
     }
     if (!handed) return;
     try {
-      proxy_.take_over(*handed);
+      proxy_.receive_handover(*handed);
     } catch (const std::runtime_error& failure) {
       event_loop_.log().write(net::Topic::error, "hot restart: a handover message is lost: {}",
                               failure.what());
@@ -188,7 +188,7 @@
   processes.erase(0);
   std::size_t held = 0;
   for (const int process : processes) held += descriptors_of(process);
-  proxy_.others_hold(held);
+  proxy_.set_descriptors_held_by_peers(held);
 }
 
 void Operations::look_at_peers() {
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -96,7 +96,7 @@
   if (on_ready_) on_ready_();
 }
 
-void ProxyServer::leave() {
+void ProxyServer::begin_graceful_shutdown() {
   if (std::exchange(leaving_, true)) return;
   told_to_end_ = event_loop_.now();
   event_loop_.log().write(net::Topic::lifecycle, "shutting down: {} sessions to migrate",
@@ -105,7 +105,7 @@
   // declined.
   event_loop_.call_at(event_loop_.now() + kStillComing, [this] {
     balancer_->begin_graceful_shutdown();
-    end_when_empty();
+    stop_when_empty();
   });
 }
 
@@ -127,21 +127,21 @@
   return clients_->empty();
 }
 
-void ProxyServer::move_rest() {
+void ProxyServer::migrate_remaining_sessions() {
   event_loop_.log().write(net::Topic::lifecycle, "{} sessions could not be handed over: migrating them",
                           clients_->tunnels());
   balancer_->begin_graceful_shutdown(0);
-  end_when_empty();
+  stop_when_empty();
 }
 
-Micros ProxyServer::longest_wait() const {
+Micros ProxyServer::longest_client_timeout() const {
   Micros longest = 0;
   for (const TrafficClass& traffic_class : balancer_->traffic_classes())
     longest = std::max(longest, traffic_class.client_timeout);
   return longest;
 }
 
-void ProxyServer::take_over(const HandoverMessage& handed) {
+void ProxyServer::receive_handover(const HandoverMessage& handed) {
   if (handed.memory) return balancer_->import_state(*handed.memory);
   net::SocketPtr client = net::socket_of(handed.client);
   if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
@@ -180,7 +180,7 @@
   event_loop_.call_at(event_loop_.now() + kEmptyFor / 10, [this, empty_since] {
     // Danger: the platform waits for no client that is slow, for no backend that hangs and for no mover.
     const Micros now = event_loop_.now(),
-                 last = told_to_end_ + std::min(longest_wait(), kLongestWait) + kLastCall;
+                 last = told_to_end_ + std::min(longest_client_timeout(), kLongestWait) + kLastCall;
     const bool busy = clients_->tunnels() > 0 || clients_->awaits_lines();
     if (now < last && busy) return look_whether_empty(now);
     if (now < last && now - empty_since < kEmptyFor) return look_whether_empty(empty_since);
@@ -194,15 +194,15 @@
 }
 
 // Danger: the clients of a relay that is replaced are served already; the spare descriptors are for new ones.
-bool ProxyServer::can_take_over() const {
+bool ProxyServer::can_receive_handover() const {
   return event_loop_.sockets() + others_hold_ + kept_back_ / 2 <= sockets_;
 }
 
-void ProxyServer::end_when_empty() { look_whether_empty(event_loop_.now()); }
+void ProxyServer::stop_when_empty() { look_whether_empty(event_loop_.now()); }
 
 bool ProxyServer::full() const { return event_loop_.sockets() + others_hold_ + kept_back_ > sockets_; }
 
-void ProxyServer::ban(const std::set<std::string>& uids) {
+void ProxyServer::set_disabled_backends(const std::set<std::string>& uids) {
   const auto before = std::exchange(banned_, uids);
   for (const auto& [uid, backend] : backends_) {
     if (before.contains(uid) != uids.contains(uid)) balancer_->set_disabled(*backend, uids.contains(uid));
@@ -367,7 +367,7 @@
   const auto target = std::static_pointer_cast<Endpoint>(backend.shared_from_this());
   // Danger: where clients hold the rest, probes take the last descriptors, and a look that finds none would
   // speak against its backend. None made is as one turned away.
-  if (!can_take_over())
+  if (!can_receive_handover())
     return event_loop_.soon([this, target] {
       balancer_->on_health_check_ended(*target, {AttemptResult::rejected, 0}, {});
     });
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -26,27 +26,29 @@
   ~ProxyServer() override;
   // AdminServer `then` once clients can be placed, and takes them in from then on.
   void on_ready(std::function<void()> then);
-  bool ready() const { return ready_ && !leaving_; }
+  bool is_ready() const { return ready_ && !leaving_; }
   // Once no more are sent here, moves every client, answers those that come all the same, and quits the loop.
-  void leave();
+  void begin_graceful_shutdown();
   // Instead: takes nobody in any more, for another process does, and gives that process what it holds as far
   // as that can go now. True once nothing is left.
   using Give = std::function<bool(const HandoverMessage&)>;
   StateSnapshot export_state();
   bool hand_over(const Give& give);
-  void move_rest();  // what could not be given
+  void migrate_remaining_sessions();  // what could not be given
   // What another process has given; the descriptors are closed with what comes of it.
-  void take_over(const HandoverMessage& handed);
-  void others_hold(std::size_t sockets) { others_hold_ = sockets; }  // of the same limit
-  bool can_take_over() const;                                        // there are descriptors for one more
-  void end_when_empty();
-  Micros longest_wait() const;
+  void receive_handover(const HandoverMessage& handed);
+  void set_descriptors_held_by_peers(std::size_t sockets) { others_hold_ = sockets; }  // of the same limit
+  bool can_receive_handover() const;  // there are descriptors for one more
+  void stop_when_empty();
+  Micros longest_client_timeout() const;
   // Whether operators may speak of that backend: the list has named it, or it is banned.
-  bool knows(const std::string& uid) const { return backends_.contains(uid) || banned_.contains(uid); }
+  bool knows_backend(const std::string& uid) const {
+    return backends_.contains(uid) || banned_.contains(uid);
+  }
   // Those, and no others, are left out from now on.
-  void ban(const std::set<std::string>& uids);
+  void set_disabled_backends(const std::set<std::string>& uids);
   // More descriptors than the usual are kept back: for operators.
-  void keep_back(std::size_t sockets) {
+  void reserve_descriptors(std::size_t sockets) {
     kept_back_ = std::min(kept_back_ + sockets, most_kept_back(sockets_));
   }
   // Reads the configuration again and takes what may change under way: where discovery is and how many
--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -233,7 +233,7 @@
     accept_watch();
     publish_endpoints(R"({"rev":5,"all":false,"targets":[]})");
     watches.push_back(std::exchange(watch, TestSocket()));
-    EXPECT_TRUE(run_until([&] { return made->proxy.ready(); }, 500));
+    EXPECT_TRUE(run_until([&] { return made->proxy.is_ready(); }, 500));
     run_for(20);
     return made;
   }
@@ -334,7 +334,7 @@
   house.second = house.process();
   HandedTunnel over("s-left");
   over.theirs.close();
-  house.second->proxy.take_over(over.handed);
+  house.second->proxy.receive_handover(over.handed);
   EXPECT_TRUE(house.run_until([&] { return over.client.received() == "MOVE\r\n"; }));
   EXPECT_FALSE(here.is_ended_by_peer()) << at;
 }
@@ -343,9 +343,9 @@
 TEST(Handover, ABanHoldsForABackendKnownFromATunnelFirst) {
   House house(1);
   house.backends.push_back(TestSocket::listening());
-  house.first->proxy.ban({"s-1"});
+  house.first->proxy.set_disabled_backends({"s-1"});
   HandedTunnel over("s-1");
-  house.first->proxy.take_over(over.handed);
+  house.first->proxy.receive_handover(over.handed);
   house.watch = std::move(house.watches.back());
   house.publish_endpoints(R"({"rev":6,"all":false,"targets":[)" + house.endpoint(1, "active") + "]}");
   house.run_for(50);
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -479,7 +479,7 @@
 
 // Runs the relay to its end, and gives how long that took from SIGTERM on.
 Micros told_to_end(LoopbackRelay& relay) {
-  relay.event_loop.on_terminate([&] { relay.proxy->leave(); });
+  relay.event_loop.on_terminate([&] { relay.proxy->begin_graceful_shutdown(); });
   std::raise(SIGTERM);
   const Micros from = relay.event_loop.now();
   relay.event_loop.run();
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -79,7 +79,7 @@
   there.send("BUSY\r\n");
   there.close();
   EXPECT_TRUE(relay.run_until([&] { return failed.is_ended_by_peer(); }));
-  relay.proxy->leave();
+  relay.proxy->begin_graceful_shutdown();
   relay.run_for(600);
   TestSocket late = relay.connect_client("OPEN 3 3 c=talk,d=1200\r\n");
   relay.run_until([&] { return late.is_ended_by_peer(); });
@@ -447,7 +447,7 @@
   LoopbackRelay relay(2);
   std::vector<std::pair<TestSocket, TestSocket>> open;
   for (int i = 0; i < 12; ++i) open.push_back(relay.establish_session(std::to_string(i)));
-  relay.event_loop.on_terminate([&] { relay.proxy->leave(); });
+  relay.event_loop.on_terminate([&] { relay.proxy->begin_graceful_shutdown(); });
   std::raise(SIGTERM);
   open.push_back(relay.establish_session("12"));  // one that still comes is served, and moved with the rest
   EXPECT_TRUE(relay.run_until([&] {
