--- a/tools/fleet_count.py
+++ b/tools/fleet_count.py
@@ -10,36 +10,71 @@
 import re
 import sys
 
+LOG_LINE = re.compile(r"(\d{9,}\.\d{3}) (lifecycle|connection|balancer|discovery|error) (.*)")
+ENDED = re.compile(r"(downstream|attempt|health_check|admin)=.*result=(\w+)(?: reason=(\w+))?")
+LONGEST_COLUMN = 24
 
-def event(topic, text):
-    """The column that a line counts in, or None."""
-    if topic == "connection":
-        ended = re.match(r"(downstream|attempt|health_check|admin)=.*result=(\w+)(?: reason=(\w+))?", text)
-        return f"{ended[1]}:{ended[3] or ended[2]}" if ended else None
-    if topic == "balancer":
-        return "balancer:" + re.sub(r"backend \d+ ?", "", text).split(":")[-1].strip()[:24]
-    if topic == "discovery":
-        return "discovery:" + (text.split(":")[-1].strip() if "backend" in text else text.split(":")[0])
-    return None
+
+def connection_event(text):
+    """The column of a connection that ended: its kind, and its reason or else its result; None for any other line."""
+    ended = ENDED.match(text)
+    if not ended:
+        return None
+    kind, result, reason = ended.groups()
+    return f"{kind}:{reason or result}"
+
+
+def balancer_event(text):
+    """The column of a line of the balancer's: its last part, without the backend's number."""
+    without_backend = re.sub(r"backend \d+ ?", "", text)
+    return "balancer:" + without_backend.split(":")[-1].strip()[:LONGEST_COLUMN]
+
+
+def discovery_event(text):
+    """The column of a line of discovery's: what is said of a backend, or the line's first part."""
+    if "backend" in text:
+        return "discovery:" + text.split(":")[-1].strip()
+    return "discovery:" + text.split(":")[0]
+
+
+EVENT_OF_TOPIC = {"connection": connection_event, "balancer": balancer_event, "discovery": discovery_event}
+
+
+def read_events(log):
+    """The log lines of a relay, as pairs of the time in seconds and the column, which may be None."""
+    for line in log.read_text(errors="replace").splitlines():
+        found = LOG_LINE.search(line)
+        if found:
+            time, topic, text = found.groups()
+            event_of = EVENT_OF_TOPIC.get(topic)
+            yield float(time), event_of(text) if event_of else None
+
+
+def count_events(folder):
+    """The second of the first line of all logs, and for each second how often each event was logged."""
+    first_time = None
+    counts = collections.defaultdict(collections.Counter)
+    for log in sorted(folder.iterdir()):
+        for time, event in read_events(log):
+            first_time = time if first_time is None else min(first_time, time)
+            if event:
+                counts[int(time)][event] += 1
+    return int(first_time or 0), counts
+
+
+def print_table(first_second, counts):
+    """A row a second that has an event, counted from the first line; the most frequent events come first."""
+    total = sum(counts.values(), collections.Counter())
+    events = [event for event, _ in total.most_common()]
+    print("second", *events, sep="\t")
+    for second in sorted(counts):
+        print(second - first_second, *(counts[second][event] for event in events), sep="\t")
 
 
 def main():
     if len(sys.argv) != 2 or not pathlib.Path(sys.argv[1]).is_dir():
         sys.exit("usage: fleet_count.py DIR")
-    counts, first = collections.defaultdict(collections.Counter), None
-    for path in sorted(pathlib.Path(sys.argv[1]).iterdir()):
-        for line in path.read_text(errors="replace").splitlines():
-            if not (found := re.search(r"(\d{9,}\.\d{3}) (lifecycle|connection|balancer|discovery|error) (.*)", line)):
-                continue
-            at, kind = float(found[1]), event(found[2], found[3])
-            first = at if first is None else min(first, at)
-            if kind:
-                counts[int(at)][kind] += 1
-    total = sum(counts.values(), collections.Counter())
-    kinds = [kind for kind, _ in total.most_common()]
-    print("second", *kinds, sep="\t")
-    for second in sorted(counts):
-        print(second - int(first), *(counts[second][kind] for kind in kinds), sep="\t")
+    print_table(*count_events(pathlib.Path(sys.argv[1])))
 
 
 if __name__ == "__main__":
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -11,53 +11,89 @@
 import tempfile
 import xml.etree.ElementTree as xml
 
-MOST = 3
-
-
-def read_list(path, names):
-    """The listed tests by name, or a word on what is wrong with the list."""
-    listed = {}
-    for line in path.read_text().splitlines() if path.exists() else []:
-        if not line.strip():
-            continue
-        parts = [part.strip() for part in line.split(",", 1)]
-        cause, _, issue = parts[1].rpartition(",") if len(parts) == 2 else ("", "", "")
-        if not (parts[0] and cause.strip() and issue.strip()):
-            return f"a line is not 'test, cause, issue': {line}"
-        if parts[0] not in names:
-            return f"no test has the name {parts[0]}"
-        listed[parts[0]] = line.strip()
-        if len(listed) > MOST:
-            return f"more than {MOST} known failures"
-    return listed
-
-
-def passed(case):
-    """Danger: a test whose program is missing is not run either, like one that says by itself that it is to be skipped."""
+KNOWN_FAILURES_ALLOWED = 3
+
+
+class ListError(Exception):
+    """What is wrong with the list of known failures."""
+
+
+def parse_line(line):
+    """The name of the test that a line lists; a cause and an issue have to follow it."""
+    name, _, rest = line.partition(",")
+    cause, _, issue = rest.rpartition(",")
+    if not (name.strip() and cause.strip() and issue.strip()):
+        raise ListError(f"a line is not 'test, cause, issue': {line}")
+    return name.strip()
+
+
+def read_known_failures(path, test_names):
+    """The listed lines by the name of their test; none if there is no list."""
+    known_failures = {}
+    lines = path.read_text().splitlines() if path.exists() else []
+    for line in filter(str.strip, lines):
+        name = parse_line(line)
+        if name not in test_names:
+            raise ListError(f"no test has the name {name}")
+        known_failures[name] = line.strip()
+        if len(known_failures) > KNOWN_FAILURES_ALLOWED:
+            raise ListError(f"more than {KNOWN_FAILURES_ALLOWED} known failures")
+    return known_failures
+
+
+def has_passed(case):
+    """Whether a test case of the report ran to a good end, or said by itself that it is to be skipped.
+
+    ctest also calls a test skipped whose program is missing; that one has failed.
+    """
     skipped = case.find("skipped")
-    return case.get("status") == "run" or (skipped is not None and skipped.get("message", "").startswith("SKIP_"))
+    said_so = skipped is not None and skipped.get("message", "").startswith("SKIP_")
+    return case.get("status") == "run" or said_so
 
 
-def main():
-    if len(sys.argv) not in (2, 3):
-        sys.exit("usage: run_tests.py BUILD [LIST]")
-    build, path = sys.argv[1], pathlib.Path(sys.argv[2] if len(sys.argv) == 3 else "KNOWN-RED.txt")
-    shown = subprocess.run(["ctest", "--test-dir", build, "--show-only=json-v1"], capture_output=True, text=True, check=True)
-    names = {test["name"] for test in json.loads(shown.stdout)["tests"]}
-    listed = read_list(path, names)
-    if isinstance(listed, str):
-        sys.exit(f"{path.name}: {listed}")
+def names_of_tests(build):
+    """The names of all tests that the build folder has."""
+    command = ["ctest", "--test-dir", build, "--show-only=json-v1"]
+    shown = subprocess.run(command, capture_output=True, text=True, check=True)
+    return {test["name"] for test in json.loads(shown.stdout)["tests"]}
+
+
+def run_all(build):
+    """Runs every test: ctest's exit code, and the names of those that passed."""
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder, "report.xml")
-        ended = subprocess.run(["ctest", "--test-dir", build, "--output-on-failure", "--output-junit", report], check=False)
-        sound = {case.get("name") for case in xml.parse(report).iter("testcase") if passed(case)}
-    failed = names - sound
-    for name, line in listed.items():
-        print(f"known failure, {'FAILED' if name in failed else 'PASSED: take it off the list'}: {line}")
-    fresh = sorted(failed - listed.keys())
-    for name in fresh:
+        command = ["ctest", "--test-dir", build, "--output-on-failure", "--output-junit", report]
+        exit_code = subprocess.run(command, check=False).returncode
+        cases = xml.parse(report).iter("testcase")
+        return exit_code, {case.get("name") for case in cases if has_passed(case)}
+
+
+def print_results(known_failures, failed):
+    """Prints how the listed tests ended, then every other failure."""
+    for name, line in known_failures.items():
+        result = "FAILED" if name in failed else "PASSED: take it off the list"
+        print(f"known failure, {result}: {line}")
+    for name in sorted(failed - known_failures.keys()):
         print(f"FAILED: {name}")
-    sys.exit(1 if fresh or not sound or (ended.returncode != 0 and not failed) else 0)
+
+
+def main():
+    if len(sys.argv) not in (2, 3):
+        sys.exit("usage: run_tests.py BUILD [LIST]")
+    build = sys.argv[1]
+    list_path = pathlib.Path(sys.argv[2] if len(sys.argv) == 3 else "KNOWN-RED.txt")
+    test_names = names_of_tests(build)
+    try:
+        known_failures = read_known_failures(list_path, test_names)
+    except ListError as error:
+        sys.exit(f"{list_path.name}: {error}")
+    exit_code, passed = run_all(build)
+    failed = test_names - passed
+    print_results(known_failures, failed)
+    # ctest may also fail without naming a test, and a folder in which nothing passes shows nothing.
+    failed_as_a_whole = exit_code != 0 and not failed
+    has_new_failure = bool(failed - known_failures.keys())
+    sys.exit(1 if has_new_failure or failed_as_a_whole or not passed else 0)
 
 
 if __name__ == "__main__":
