--- a/src/config/relay_config.cpp
+++ b/src/config/relay_config.cpp
@@ -73,7 +73,7 @@
   sockaddr_storage at{};
   socklen_t length = sizeof(at);
   getsockname(fd, reinterpret_cast<sockaddr*>(&at), &length);
-  const net::Address bound(g_socket_address_new_from_native(&at, length), net::Unref{});
+  const net::Address bound(g_socket_address_new_from_native(&at, length), net::GObjectUnref{});
   const auto place = [](const net::Address& address) {
     auto* inet = G_IS_INET_SOCKET_ADDRESS(address.get()) ? G_INET_SOCKET_ADDRESS(address.get()) : nullptr;
     return std::pair(inet ? g_inet_socket_address_get_address(inet) : nullptr,
