The configuration is read section by section, with typed errors, in cherryrail::config

Cause: two functions of some 60 lines read all settings; errors were bare texts; and the settings' types stood outside their folder's namespace, with fields in the house's own words.

Change: flat_settings (the two ways in), settings_reader (one checked value), site_settings (a function a section), relay_config, inherited_socket, descriptor_limit, config_error and milliseconds are modules of their own. ConfigError keeps source, key and value; its text is as before. The order of reading, and so the fault that is named of several, is as before.

--- a/src/admin/operations.cpp
+++ b/src/admin/operations.cpp
@@ -26,8 +26,8 @@
 }
 
 std::string path_of(const config::RelayConfig& start, const char* what) {
-  if (start.mgmt.empty() || start.kept_in.empty()) return "";
-  return start.kept_in + "/" + file_name(start.name, what);
+  if (start.admin.empty() || start.state_directory.empty()) return "";
+  return start.state_directory + "/" + file_name(start.name, what);
 }
 
 std::optional<std::string> who_of(const std::string& body) {
@@ -44,32 +44,32 @@
 struct Operations::Peer {
   net::FileDescriptor from;
   int process = 0;
-  std::unique_ptr<net::IoWatch> watch;
+  std::unique_ptr<net::Watch> watch;
 };
 
 Operations::Operations(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
                        const config::RelayConfig& start)
     : event_loop_(event_loop), proxy_(proxy), bans_(path_of(start, "bans")),
-      succession_(start.clients_fd >= 0 ? start.kept_in : "", file_name(start.name, "serves")) {
-  if (start.clients_fd >= 0) {
+      succession_(start.inherited_listener ? start.state_directory : "", file_name(start.name, "serves")) {
+  if (start.inherited_listener) {
     if (net::FileDescriptor before = succession_.successor())
       meet(std::move(before));  // so that each counts the other in
     proxy_.on_ready([this] {
       if (!succession_.announce())
         return event_loop_.log().write(net::Topic::error,
                                        "hot restart: cannot announce this process to its predecessor");
-      greeter_ = std::make_unique<net::IoWatch>(event_loop_, succession_.listening(),
-                                                [this](bool, bool) { greet(); });
-      greeter_->set_interest(true, false);
+      greeter_ =
+          std::make_unique<net::Watch>(event_loop_, succession_.listening(), [this](bool, bool) { greet(); });
+      greeter_->want(true, false);
     });
   }
-  if (start.mgmt.empty()) return;
+  if (start.admin.empty()) return;
   heed_bans();
   look_at_bans();
   proxy_.reserve_descriptors(AdminServer::kCallers);
   try {
     calls_ = std::make_unique<AdminServer>(
-        event_loop_, start.mgmt_on,
+        event_loop_, start.admin_address,
         std::vector<Route>{
             {"GET", "/ready",
              [this](const std::string&) {
@@ -79,7 +79,7 @@
             {"POST", "/backends/disable", [this](const std::string& body) { return ban(body, true); }},
             {"POST", "/backends/enable", [this](const std::string& body) { return ban(body, false); }}});
   } catch (const std::runtime_error& failure) {
-    throw ConfigError(std::string("mgmt: ") + failure.what());
+    throw config::ConfigError(config::ConfigSource::file, {"mgmt", start.admin}, failure.what());
   }
 }
 
@@ -146,11 +146,11 @@
   one->from = std::move(with);
   one->process = peer_of(one->from).value_or(0);
   peers_.push_back(one);
-  one->watch = std::make_unique<net::IoWatch>(event_loop_, one->from.get(),
-                                              [this, weak = std::weak_ptr(one)](bool, bool) {
-                                                if (const auto here = weak.lock()) receive(*here);
-                                              });
-  one->watch->set_interest(true, false);
+  one->watch = std::make_unique<net::Watch>(event_loop_, one->from.get(),
+                                            [this, weak = std::weak_ptr(one)](bool, bool) {
+                                              if (const auto here = weak.lock()) receive(*here);
+                                            });
+  one->watch->want(true, false);
   if (!std::exchange(looking_, true)) look_at_peers();
 }
 
@@ -159,10 +159,10 @@
   count_peers();
   for (int i = 0; i < kTakenAtOnce; ++i) {
     if (!proxy_.can_receive_handover()) {
-      from.watch->set_interest(false, false);
+      from.watch->want(false, false);
       return event_loop_.call_at(event_loop_.now() + kHandAgain, [this] {
         count_peers();
-        for (const auto& one : peers_) one->watch->set_interest(true, false);
+        for (const auto& one : peers_) one->watch->want(true, false);
       });
     }
     bool over = false;
--- /dev/null
+++ b/src/config/descriptor_limit.cpp
@@ -0,0 +1,17 @@
+#include "config/descriptor_limit.hpp"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace cherryrail::config {
+
+std::size_t raise_descriptor_limit(std::size_t wanted) {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return wanted;
+  limit.rlim_cur = std::min<rlim_t>(wanted, limit.rlim_max);
+  if (setrlimit(RLIMIT_NOFILE, &limit) != 0) getrlimit(RLIMIT_NOFILE, &limit);
+  return std::min<std::size_t>(wanted, limit.rlim_cur);
+}
+
+}  // namespace cherryrail::config
--- /dev/null
+++ b/src/config/inherited_socket.cpp
@@ -0,0 +1,78 @@
+#include "config/inherited_socket.hpp"
+
+#include <sys/socket.h>
+
+#include <cstdlib>
+#include <string>
+
+#include "config/config_error.hpp"
+
+namespace cherryrail::config {
+namespace {
+
+constexpr const char* kVariable = "EDGE_SOCKET_FD";
+constexpr guint64 kFirstFd = 3;  // below it are the standard streams
+constexpr guint64 kLastFd = 1 << 20;
+constexpr unsigned kDecimal = 10;
+
+[[noreturn]] void refuse(const std::string& text, const std::string& problem) {
+  throw ConfigError(ConfigSource::environment, {kVariable, text}, problem);
+}
+
+int parse_descriptor(const std::string& text) {
+  guint64 number = 0;
+  const gboolean is_descriptor =
+      g_ascii_string_to_unsigned(text.c_str(), kDecimal, kFirstFd, kLastFd, &number, nullptr);
+  if (is_descriptor == FALSE) refuse(text, is_not(text, "the number of a descriptor"));
+  return static_cast<int>(number);
+}
+
+std::optional<int> socket_option(int fd, int option) {
+  int value = 0;
+  socklen_t size = sizeof(value);
+  if (getsockopt(fd, SOL_SOCKET, option, &value, &size) != 0) return {};
+  return value;
+}
+
+bool is_listening_tcp_socket(int fd) {
+  return socket_option(fd, SO_TYPE) == SOCK_STREAM && socket_option(fd, SO_ACCEPTCONN).value_or(0) != 0;
+}
+
+GInetSocketAddress* inet_address(const net::Address& address) {
+  return G_IS_INET_SOCKET_ADDRESS(address.get()) ? G_INET_SOCKET_ADDRESS(address.get()) : nullptr;
+}
+
+net::Address bound_address(int fd) {
+  sockaddr_storage storage{};
+  socklen_t length = sizeof(storage);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &length);
+  return {g_socket_address_new_from_native(&storage, length), net::Unref{}};
+}
+
+bool listens_at(int fd, const net::Address& listen_address) {
+  const net::Address bound = bound_address(fd);
+  GInetSocketAddress* const actual = inet_address(bound);
+  GInetSocketAddress* const wanted = inet_address(listen_address);
+  if (!actual || !wanted) return false;
+  if (g_inet_socket_address_get_port(actual) != g_inet_socket_address_get_port(wanted)) return false;
+  GInetAddress* const actual_host = g_inet_socket_address_get_address(actual);
+  GInetAddress* const wanted_host = g_inet_socket_address_get_address(wanted);
+  return g_inet_address_equal(actual_host, wanted_host) != FALSE ||
+         g_inet_address_get_is_any(actual_host) != FALSE;
+}
+
+}  // namespace
+
+// A wrong descriptor, taken on trust, would be a file or another program's socket, and no client would come.
+std::optional<int> find_inherited_listener(const net::Address& listen_address) {
+  const char* const stated = std::getenv(kVariable);
+  const std::string text = stated ? stated : "";
+  if (text.empty()) return {};
+  const int fd = parse_descriptor(text);
+  if (!is_listening_tcp_socket(fd)) refuse(text, "descriptor " + text + " is not a listening TCP socket");
+  if (!listens_at(fd, listen_address))
+    refuse(text, "descriptor " + text + " does not listen where `listen` says");
+  return fd;
+}
+
+}  // namespace cherryrail::config
--- /dev/null
+++ b/src/config/milliseconds.hpp
@@ -0,0 +1,13 @@
+// Settings and what comes over the wires give times in milliseconds; the program counts microseconds.
+#pragma once
+
+#include <cmath>
+
+#include "balancer/time.hpp"
+
+namespace cherryrail::config {
+
+// Rounded to the nearest microsecond.
+inline Micros micros_from_milliseconds(double milliseconds) { return std::llround(milliseconds * 1000); }
+
+}  // namespace cherryrail::config
--- a/src/config/relay_config.hpp
+++ b/src/config/relay_config.hpp
@@ -1,7 +1,9 @@
-// Everything that a relay is told at its start, read, checked and given its defaults in this one place.
+// The relay's configuration file with the variables that complete it: parsed, checked and given its defaults.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "config/site_settings.hpp"
@@ -11,26 +13,27 @@
 namespace cherryrail::config {
 
 struct RelayConfig {
-  std::string name, listen, discovery;
-  net::Address listen_on;
-  int clients_fd = -1;  // the clients' listening socket, where the platform holds it
-  std::string mgmt;     // where operators call; empty where they do not
-  net::Address mgmt_on;
-  std::string kept_in;  // a folder that every process standing in for this relay shares; empty without one
+  std::string name;
+  std::string listen;  // where clients connect, as the file states it
+  net::Address listen_address;
+  std::optional<int> inherited_listener;  // the clients' listening socket, where the platform opens it
+  std::string discovery;                  // the address of the service that sends the endpoint list
+  std::string admin;                      // where operators call; empty without an operators' endpoint
+  net::Address admin_address;
+  std::string state_directory;  // shared by all processes that serve as this relay; empty without one
   std::uint64_t seed = 0;
-  std::size_t sockets = 0;     // descriptors that the process may hold
-  FlatSettings flat_settings;  // the settings as the file has them
+  std::size_t descriptor_limit = 0;  // how many descriptors the process may hold
+  FlatSettings flat_settings;        // the site's settings as the file has them
   SiteSettings settings;
-  bool pushed = false;           // the list comes from an agent of this relay's own
-  protocol::EndpointList known;  // the list of backends as this relay last had it
+  bool is_list_pushed = false;             // the endpoint list comes from an agent of this relay's own
+  protocol::EndpointList known_endpoints;  // the endpoint list as this relay last had it
 };
 
-// From the file that EDGE_CONFIG or `path` names; EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_MGMT stand
-// in for what the file leaves out. Throws ConfigError naming the faulty key.
+// Reads the file at `path`. EDGE_NAME, EDGE_LISTEN, EDGE_DISCOVERY and EDGE_MGMT stand in for what the file
+// leaves out; EDGE_SOCKET_FD names an inherited listener, TMPDIR the state directory. Throws ConfigError.
 RelayConfig read_relay_config(const std::string& path);
-RelayConfig parse_relay_config(const std::string& text);
 
-// Raises this process's limit on descriptors as far as is wanted and allowed; gives what it may hold then.
-std::size_t allow_descriptors(std::size_t wanted);
+// The same from the file's text.
+RelayConfig parse_relay_config(const std::string& text);
 
 }  // namespace cherryrail::config
--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -1,185 +1,177 @@
 #include "config/site_settings.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
+#include <array>
+#include <string_view>
 
-namespace cherryrail {
-namespace {
+#include "config/milliseconds.hpp"
+#include "config/settings_reader.hpp"
 
-// A setting without a value stands empty or as the word null.
-bool is_absent(std::string_view text) { return text.empty() || text == "null"; }
+namespace cherryrail::config {
+namespace {
 
-std::string_view item_of(std::string_view list, std::size_t index) {
-  while (index-- > 0) {
-    const std::size_t comma = list.find(',');
-    if (comma == std::string_view::npos) return "";
-    list.remove_prefix(comma + 1);
-  }
-  return list.substr(0, list.find(','));
+// No site comes near these; a larger value is a mistake.
+constexpr NumberRange kTrafficClassCount{0, 256};
+constexpr NumberRange kTenantCount{0, 1e6};
+constexpr NumberRange kTenantShare{0, 1e12};
+constexpr NumberRange kRelayCount{1, 65535};
+constexpr NumberRange kRelayIndex{0, 65535};
+constexpr NumberRange kZoneIndex{0, 255};
+constexpr NumberRange kAttemptCount{1, 255};
+constexpr NumberRange kMessageObjectiveMilliseconds{0, 1e9};
+
+constexpr NumberRange kPart{0, 1};
+constexpr NumberRange kTopNines{1e-3, 100};  // an exponent; 0 would weigh nothing
+
+// Where a message's objective is not stated: a third of the attempt's.
+constexpr double kAttemptMicrosPerMessageMillisecond = 3 * 1000;
+
+// Figures of a load report that can be the utilization, by their names in report.fields. If a report has
+// both, the later name holds.
+constexpr std::array<std::string_view, 2> kUtilizationFields = {"busy", "x0"};
+constexpr std::size_t kReportFigures = 4;  // as many as a report carries
+
+TrafficClass read_traffic_class(const SettingsReader& reader, std::size_t index) {
+  const std::string path = "profiles." + std::to_string(index) + ".";
+  TrafficClass traffic_class;
+  traffic_class.index = index;
+  const Micros attempt_objective = reader.duration(path + "setup_goal");
+  traffic_class.attempt_latency_objective = attempt_objective;
+  traffic_class.client_timeout = reader.duration(path + "client_timeout");
+  const double usual_message_objective =
+      static_cast<double>(attempt_objective) / kAttemptMicrosPerMessageMillisecond;
+  traffic_class.message_latency_objective = micros_from_milliseconds(reader.number_in_list(
+      "domain.message_aim", index, kMessageObjectiveMilliseconds, usual_message_objective));
+  traffic_class.window = reader.duration(path + "window");
+  traffic_class.priority_weight = reader.number(path + "payoff", 1);
+  traffic_class.idempotency =
+      reader.choice<Idempotency>(path + "semantics", {{"idempotent", Idempotency::idempotent},
+                                                      {"deduplicated", Idempotency::idempotency_key},
+                                                      {"at_most_once", Idempotency::non_idempotent}});
+  traffic_class.scope =
+      reader.choice<DeduplicationScope>(path + "key_scope", {{"all", DeduplicationScope::all},
+                                                             {"zone", DeduplicationScope::zone},
+                                                             {"cell", DeduplicationScope::cell}});
+  return traffic_class;
 }
 
-// Reads single values out of the settings, checked; what is wrong is said with its key.
-class Pairs {
- public:
-  explicit Pairs(const FlatSettings& pairs) : pairs_(pairs) {}
+std::vector<TrafficClass> read_traffic_classes(const SettingsReader& reader) {
+  constexpr std::string_view kKey = "profiles.count";
+  const unsigned count = reader.whole_number(kKey, 0, kTrafficClassCount);
+  if (count == 0) SettingsReader::refuse({kKey, reader.text(kKey)}, "a count of at least one");
+  std::vector<TrafficClass> traffic_classes;
+  for (std::size_t index = 0; index < count; ++index)
+    traffic_classes.push_back(read_traffic_class(reader, index));
+  return traffic_classes;
+}
 
-  std::string_view word(std::string_view key, std::string_view otherwise = "") const {
-    const auto found = pairs_.find(key);
-    return found == pairs_.end() || is_absent(found->second) ? otherwise : found->second;
-  }
+std::vector<double> read_tenant_shares(const SettingsReader& reader) {
+  const unsigned count = reader.whole_number("tenants.count", 0, kTenantCount);
+  std::vector<double> shares;
+  for (std::size_t index = 0; index < count; ++index)
+    shares.push_back(reader.number_in_list("domain.tenant_quota_connections", index, kTenantShare, 0));
+  return shares;
+}
 
-  double number(std::string_view key, double otherwise, double least = 0, double most = 1e15) const {
-    const auto found = pairs_.find(key);
-    if (found == pairs_.end() || is_absent(found->second)) return otherwise;
-    return number_in(key, found->second, least, most);
-  }
+void read_fleet(const SettingsReader& reader, BalancerConfig& config) {
+  config.relay_count = reader.whole_number("balancers", 1, kRelayCount);
+  config.me = reader.whole_number("me", 0, kRelayIndex);
+  config.zone = reader.whole_number("zone", 0, kZoneIndex);
+  config.cross_price = reader.number("prices.cross_zone", 0);
+}
 
-  // One of a list of numbers.
-  double number_at(std::string_view key, std::size_t index, double otherwise, double most) const {
-    const std::string_view item = item_of(word(key), index);
-    return is_absent(item) ? otherwise : number_in(key, item, 0, most);
-  }
-  static double number_in(std::string_view key, std::string_view text, double least, double most) {
-    double value = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc{} || end != text.data() + text.size() || !std::isfinite(value))
-      fail(key, text, "a number");
-    if (value < least || value > most) fail(key, text, "a number in its range");
-    return value;
-  }
+void read_permissions(const SettingsReader& reader, BalancerConfig& config) {
+  config.max_attempts = reader.whole_number("permissions.max_setups", 1, kAttemptCount);
+  config.list_on_request = reader.choice<bool>("discovery", {{"pushed", false}, {"on_request", true}});
+  config.may_probe = reader.flag("permissions.probing");
+  config.may_cancel_attempts = reader.flag("permissions.may_cancel");
+  config.may_advise = reader.flag("permissions.retry_after");
+  config.longest_advice = reader.duration("permissions.max_retry_after");
+}
 
-  unsigned whole(std::string_view key, unsigned otherwise, double least, double most) const {
-    return static_cast<unsigned>(number(key, otherwise, least, most));
-  }
+void read_invariants(const SettingsReader& reader, BalancerConfig& config) {
+  config.ask_within = reader.duration("invariants.ask_within");
+  config.step = reader.duration("step");
+  config.fall_window = reader.duration("invariants.fall");
+  config.warm_up = reader.duration("invariants.warm_up");
+  config.fall_multiple = reader.number("invariants.fall_multiple", 1);
+  config.cold_from = reader.number("invariants.cold_from", 1, kPart);
+}
 
-  Micros time(std::string_view key) const { return micros_of(number(key, 0, 0, 1e12)); }
+void read_retry_budget(const SettingsReader& reader, BalancerConfig& config) {
+  constexpr std::string_view kWindowKey = "invariants.resend_span";
+  config.budget_share = reader.number("invariants.extra_per_request", 0);
+  config.budget_free = reader.number("invariants.budget_free", 0);
+  config.budget_window = reader.duration(kWindowKey);
+  const bool is_budget_stated = config.budget_share > 0 || config.budget_free > 0;
+  if (is_budget_stated && config.budget_window <= 0)
+    SettingsReader::refuse({kWindowKey, reader.text(kWindowKey)}, "a time above 0, with a budget");
+}
 
-  bool flag(std::string_view key) const {
-    const std::string_view text = word(key, "false");
-    if (text == "true" || text == "1") return true;
-    if (text != "false" && text != "0") fail(key, text, "true or false");
-    return false;
-  }
+// No decision turns on how unserved seconds are weighed, but a value that cannot be meant is still refused.
+void check_objective_mix(const SettingsReader& reader) {
+  reader.number("objective_mix.nines_part", 0);
+  reader.number("objective_mix.top_nines", 1, kTopNines);
+}
 
-  template <class Value>
-  Value choice(std::string_view key, std::initializer_list<std::pair<std::string_view, Value>> words) const {
-    const std::string_view text = word(key, words.begin()->first);
-    for (const auto& [name, value] : words) {
-      if (text == name) return value;
+std::optional<std::size_t> find_utilization(const std::vector<std::string_view>& fields) {
+  std::optional<std::size_t> position;
+  for (const std::string_view name : kUtilizationFields) {
+    for (std::size_t index = 0; index < std::min(fields.size(), kReportFigures); ++index) {
+      if (fields[index] == name) position = index;
     }
-    fail(key, text, "a word known here");
-  }
-
-  [[noreturn]] static void fail(std::string_view key, std::string_view text, std::string_view wanted) {
-    throw ConfigError("setting " + std::string(key) + ": '" + std::string(text) + "' is not " +
-                      std::string(wanted));
   }
+  return position;
+}
 
- private:
-  const FlatSettings& pairs_;
-};
+std::vector<std::string> read_names(const SettingsReader& reader, const std::string& section,
+                                    std::size_t count) {
+  std::vector<std::string> names;
+  for (std::size_t index = 0; index < count; ++index)
+    names.emplace_back(reader.text(section + "." + std::to_string(index) + ".name"));
+  return names;
+}
 
-TrafficClass read_profile(const Pairs& pairs, std::size_t index) {
-  const std::string at = "profiles." + std::to_string(index) + ".";
-  TrafficClass traffic_class;
-  traffic_class.index = index;
-  traffic_class.attempt_latency_objective = pairs.time(at + "setup_goal");
-  traffic_class.client_timeout = pairs.time(at + "client_timeout");
-  traffic_class.message_latency_objective = micros_of(pairs.number_at(
-      "domain.message_aim", index, static_cast<double>(traffic_class.attempt_latency_objective) / 3000, 1e9));
-  traffic_class.window = pairs.time(at + "window");
-  traffic_class.priority_weight = pairs.number(at + "payoff", 1);
-  traffic_class.idempotency =
-      pairs.choice<Idempotency>(at + "semantics", {{"idempotent", Idempotency::idempotent},
-                                                   {"deduplicated", Idempotency::idempotency_key},
-                                                   {"at_most_once", Idempotency::non_idempotent}});
-  traffic_class.scope =
-      pairs.choice<DeduplicationScope>(at + "key_scope", {{"all", DeduplicationScope::all},
-                                                          {"zone", DeduplicationScope::zone},
-                                                          {"cell", DeduplicationScope::cell}});
-  return traffic_class;
+std::vector<std::string> read_zone_names(const SettingsReader& reader) {
+  const std::vector<std::string_view> names = reader.list("zones");
+  return {names.begin(), names.end()};
 }
 
-}  // namespace
+void read_domain(const SettingsReader& reader, SiteSettings& settings) {
+  settings.is_session_load_reported = reader.flag("domain.tells_load");
+  settings.is_message_latency_reported = reader.flag("domain.tells_delay");
+  settings.keys_name_groups = reader.flag("domain.groups");
+}
 
-Micros micros_of(double milliseconds) { return std::llround(milliseconds * 1000); }
-
-FlatSettings split_settings(std::string_view text) {
-  FlatSettings flat_settings;
-  while (!text.empty()) {
-    const std::size_t end = text.find('\n');
-    std::string_view line = text.substr(0, end);
-    text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
-    if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-    const std::size_t equals = line.find('=');
-    if (equals != std::string_view::npos)
-      flat_settings.insert_or_assign(std::string(line.substr(0, equals)),
-                                     std::string(line.substr(equals + 1)));
-  }
-  return flat_settings;
+void read_timeouts(const SettingsReader& reader, SiteSettings& settings) {
+  settings.drain_grace = reader.duration("invariants.stop_sending_within");
+  settings.connect_timeout = reader.duration("permissions.connect_timeout");
+  settings.idle_timeout = reader.duration("permissions.conn_idle");
 }
 
+}  // namespace
+
+// The sections' order decides which of several faults is named.
 SiteSettings read_site_settings(const FlatSettings& flat_settings) {
-  const Pairs pairs(flat_settings);
+  const SettingsReader reader(flat_settings);
   SiteSettings settings;
   BalancerConfig& config = settings.config;
-  const unsigned traffic_classes = pairs.whole("profiles.count", 0, 0, 256);
-  if (traffic_classes == 0)
-    Pairs::fail("profiles.count", pairs.word("profiles.count"), "a count of at least one");
-  for (std::size_t i = 0; i < traffic_classes; ++i) config.traffic_classes.push_back(read_profile(pairs, i));
-  const unsigned tenants = pairs.whole("tenants.count", 0, 0, 1e6);
-  for (std::size_t i = 0; i < tenants; ++i)
-    config.tenant_shares.push_back(pairs.number_at("domain.tenant_quota_connections", i, 0, 1e12));
-  config.relay_count = pairs.whole("balancers", 1, 1, 65535);
-  config.me = pairs.whole("me", 0, 0, 65535);
-  config.zone = pairs.whole("zone", 0, 0, 255);
-  config.cross_price = pairs.number("prices.cross_zone", 0);
-  config.max_attempts = pairs.whole("permissions.max_setups", 1, 1, 255);
-  config.list_on_request = pairs.choice<bool>("discovery", {{"pushed", false}, {"on_request", true}});
-  config.may_probe = pairs.flag("permissions.probing");
-  config.may_cancel_attempts = pairs.flag("permissions.may_cancel");
-  config.may_advise = pairs.flag("permissions.retry_after");
-  config.longest_advice = pairs.time("permissions.max_retry_after");
-  config.ask_within = pairs.time("invariants.ask_within");
-  config.step = pairs.time("step");
-  config.fall_window = pairs.time("invariants.fall");
-  config.warm_up = pairs.time("invariants.warm_up");
-  config.fall_multiple = pairs.number("invariants.fall_multiple", 1);
-  config.cold_from = pairs.number("invariants.cold_from", 1, 0, 1);
-  config.probe_price = pairs.number("prices.probe", 0);
-  config.budget_share = pairs.number("invariants.extra_per_request", 0);
-  config.budget_free = pairs.number("invariants.budget_free", 0);
-  config.budget_window = pairs.time("invariants.resend_span");
-  if (config.budget_window <= 0 && (config.budget_share > 0 || config.budget_free > 0))
-    Pairs::fail("invariants.resend_span", pairs.word("invariants.resend_span"),
-                "a time above 0, with a budget");
-  // Checked, but no decision turns on how unserved seconds are weighed.
-  pairs.number("objective_mix.nines_part", 0);
-  pairs.number("objective_mix.top_nines", 1, 1e-3, 100);
-  const std::string_view fields = pairs.word("report.fields");
-  for (const std::string_view wanted : {std::string_view("busy"), std::string_view("x0")}) {
-    for (std::size_t i = 0; i < 4; ++i) {
-      if (item_of(fields, i) == wanted) settings.utilisation_at = i;
-    }
-  }
-  settings.reports_on_probe = pairs.word("report.how") == "on_probe";
-  for (std::size_t i = 0; i < traffic_classes; ++i)
-    settings.profile_names.emplace_back(pairs.word("profiles." + std::to_string(i) + ".name"));
-  for (std::size_t i = 0; i < tenants; ++i)
-    settings.tenant_names.emplace_back(pairs.word("tenants." + std::to_string(i) + ".name"));
-  for (std::string_view zones = pairs.word("zones"); !zones.empty();) {
-    const std::string_view zone = item_of(zones, 0);
-    settings.zone_names.emplace_back(zone);
-    zones.remove_prefix(std::min(zones.size(), zone.size() + 1));
-  }
-  settings.tells_load = pairs.flag("domain.tells_load");
-  settings.tells_delay = pairs.flag("domain.tells_delay");
-  settings.grouped = pairs.flag("domain.groups");
-  settings.drain_grace = pairs.time("invariants.stop_sending_within");
-  settings.connect_within = pairs.time("permissions.connect_timeout");
-  settings.idle_after = pairs.time("permissions.conn_idle");
+  config.traffic_classes = read_traffic_classes(reader);
+  config.tenant_shares = read_tenant_shares(reader);
+  read_fleet(reader, config);
+  read_permissions(reader, config);
+  read_invariants(reader, config);
+  config.probe_price = reader.number("prices.probe", 0);
+  read_retry_budget(reader, config);
+  check_objective_mix(reader);
+  settings.utilization_index = find_utilization(reader.list("report.fields"));
+  settings.reports_on_health_check = reader.text("report.how") == "on_probe";
+  settings.traffic_class_names = read_names(reader, "profiles", config.traffic_classes.size());
+  settings.tenant_names = read_names(reader, "tenants", config.tenant_shares.size());
+  settings.zone_names = read_zone_names(reader);
+  read_domain(reader, settings);
+  read_timeouts(reader, settings);
   return settings;
 }
 
-}  // namespace cherryrail
+}  // namespace cherryrail::config
--- a/src/config/site_settings.hpp
+++ b/src/config/site_settings.hpp
@@ -1,42 +1,42 @@
-// A site's settings, read into the module's BalancerConfig and what a front needs beside them. Both fronts
-// use it: the settings come as "path=value" on one wire and as nested JSON on the other, with the same paths.
+// A site's settings, typed: the balancer's configuration and what the relay or the simulator's adapter needs
+// beside it. The settings' keys are mapped to the names of the code here and nowhere else.
 #pragma once
 
 #include <cstddef>
-#include <map>
 #include <optional>
-#include <stdexcept>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "balancer/balancer.hpp"
+#include "config/config_error.hpp"
+#include "config/flat_settings.hpp"
 
-namespace cherryrail {
-
-struct ConfigError : std::runtime_error {
-  using std::runtime_error::runtime_error;
-};
-
-using FlatSettings = std::map<std::string, std::string, std::less<>>;  // by path, such as profiles.0.payoff
+namespace cherryrail::config {
 
 struct SiteSettings {
   BalancerConfig config;
-  std::optional<std::size_t> utilisation_at;  // position in a load report
-  bool reports_on_probe = false;
-  bool tells_load = false, tells_delay = false;  // what a backend says of an open tunnel
-  bool grouped = false;                          // a tunnel names its group, not its client
-  std::vector<std::string> profile_names, tenant_names, zone_names;
-  Micros connect_within = 0, idle_after = 0;  // 0: not said
-  Micros drain_grace = 0;                     // so long setups may still go to what has been told to drain
-};
 
-Micros micros_of(double milliseconds);
+  // Of a load report: the position of the utilization among its figures, none if it has none.
+  std::optional<std::size_t> utilization_index;
+  bool reports_on_health_check = false;  // health checks ask for a load report
 
-// One "path=value" a line.
-FlatSettings split_settings(std::string_view text);
+  // What the figure is that backends report on an open session.
+  bool is_session_load_reported = false;
+  bool is_message_latency_reported = false;
+
+  bool keys_name_groups = false;  // a session's key names its group, not its client
+
+  std::vector<std::string> traffic_class_names;
+  std::vector<std::string> tenant_names;
+  std::vector<std::string> zone_names;
+
+  // 0 where the site does not state them.
+  Micros connect_timeout = 0;
+  Micros idle_timeout = 0;
+  Micros drain_grace = 0;  // how long attempts may still go to a backend after it has begun to drain
+};
 
-// Throws ConfigError naming the key and what is wrong with its value; keys that are not known are skipped.
+// Throws ConfigError; keys that are not known are skipped. Of several faults the first one read is named.
 SiteSettings read_site_settings(const FlatSettings& flat_settings);
 
-}  // namespace cherryrail
+}  // namespace cherryrail::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,12 +5,13 @@
 #include <exception>
 
 #include "admin/operations.hpp"
+#include "config/descriptor_limit.hpp"
 
 namespace {
 
 void serve(const std::string& path) {
   auto start = cherryrail::config::read_relay_config(path);
-  start.sockets = cherryrail::config::allow_descriptors(start.sockets);
+  start.descriptor_limit = cherryrail::config::raise_descriptor_limit(start.descriptor_limit);
   cherryrail::net::EventLoop event_loop;
   cherryrail::proxy::ProxyServer proxy(event_loop, start);
   cherryrail::admin::Operations operation(event_loop, proxy, start);
@@ -22,8 +23,8 @@
 void check(const std::string& path) {
   const auto start = cherryrail::config::read_relay_config(path);
   std::printf("%s: %zu profiles, %zu known backends, %zu sockets: the configuration can be used\n",
-              start.name.c_str(), start.settings.config.traffic_classes.size(), start.known.entries.size(),
-              start.sockets);
+              start.name.c_str(), start.settings.config.traffic_classes.size(),
+              start.known_endpoints.entries.size(), start.descriptor_limit);
 }
 
 }  // namespace
--- a/src/protocol/text_fields.cpp
+++ b/src/protocol/text_fields.cpp
@@ -60,8 +60,6 @@
   return is_hexadecimal ? key : fnv_hash(text);
 }
 
-Micros micros_from_milliseconds(double milliseconds) { return std::llround(milliseconds * 1000); }
-
 bool equals_ignoring_case(std::string_view left, std::string_view right) {
   return std::equal(left.begin(), left.end(), right.begin(), right.end(),
                     [](char one, char other) { return to_ascii_lower(one) == to_ascii_lower(other); });
--- a/src/protocol/text_fields.hpp
+++ b/src/protocol/text_fields.hpp
@@ -5,8 +5,6 @@
 #include <optional>
 #include <string_view>
 
-#include "balancer/time.hpp"
-
 namespace cherryrail::protocol {
 
 // Removes the text before the first `delimiter`, and the delimiter, from the front of `text` and returns it.
@@ -27,9 +25,6 @@
 // the same in every relay; 0 for an empty text.
 std::uint64_t parse_key(std::string_view text);
 
-// Settings and wires give times in milliseconds; rounded to the nearest microsecond.
-Micros micros_from_milliseconds(double milliseconds);
-
 // Compares two ASCII texts without regard to upper and lower case.
 bool equals_ignoring_case(std::string_view left, std::string_view right);
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "config/descriptor_limit.hpp"
+#include "config/milliseconds.hpp"
 #include "protocol/open_request.hpp"
 #include "protocol/text_fields.hpp"
 
@@ -25,7 +27,7 @@
 
 ProxySession& exchange_of(Session& session) { return static_cast<ProxySession&>(session); }
 
-Micros shortest_goal(const SiteSettings& settings) {
+Micros shortest_goal(const config::SiteSettings& settings) {
   Micros least = kSecond;
   for (const TrafficClass& traffic_class : settings.config.traffic_classes) {
     if (traffic_class.attempt_latency_objective > 0)
@@ -43,29 +45,31 @@
 
 ProxyServer::ProxyServer(net::EventLoop& event_loop, const config::RelayConfig& start)
     : event_loop_(event_loop), listen_(start.listen), flat_settings_(start.flat_settings),
-      settings_(start.settings), sockets_(start.sockets),
-      kept_back_(std::min(kSpareSockets, most_kept_back(start.sockets))), zones_(start.settings.zone_names),
-      inherited_(start.clients_fd >= 0),
+      settings_(start.settings), sockets_(start.descriptor_limit),
+      kept_back_(std::min(kSpareSockets, most_kept_back(start.descriptor_limit))),
+      zones_(start.settings.zone_names), inherited_(start.inherited_listener.has_value()),
       discovery_(
-          event_loop, start.discovery, start.known.version, start.pushed ? kSecond : kFirstLine,
+          event_loop, start.discovery, start.known_endpoints.version,
+          start.is_list_pushed ? kSecond : kFirstLine,
           [this](const protocol::EndpointList& list) {
             on_endpoint_list(list);
             if (!backends_.empty()) serve();
           },
           [this](Micros most) { balancer_->on_discovery_failed(most); }),
-      probes_(event_loop, start.settings.reports_on_probe ? "STATS" : "PING", start.settings.connect_within,
-              std::max(start.settings.connect_within, shortest_goal(start.settings) / 2),
-              start.settings.idle_after),
+      probes_(event_loop, start.settings.reports_on_health_check ? "STATS" : "PING",
+              start.settings.connect_timeout,
+              std::max(start.settings.connect_timeout, shortest_goal(start.settings) / 2),
+              start.settings.idle_timeout),
       servers_(
-          event_loop, start.settings.connect_within,
+          event_loop, start.settings.connect_timeout,
           [this](std::string_view text) { return read_report(text); },
           [this](ProxySession& session, double figure) { told(session, figure); }) {
   balancer_ = std::make_unique<Balancer>(*this, settings_.config, start.seed);
-  on_endpoint_list(start.known);
+  on_endpoint_list(start.known_endpoints);
   clients_ = std::make_unique<DownstreamListener>(
       event_loop,
-      start.clients_fd >= 0 ? net::adopt_socket(start.clients_fd)
-                            : net::create_listening_socket(start.listen_on),
+      start.inherited_listener ? net::socket_of(*start.inherited_listener)
+                               : net::listen_at(start.listen_address),
       [this](std::string_view line) { return std::make_shared<ProxySession>(event_loop_, *balancer_, line); },
       [this](const std::shared_ptr<ProxySession>& session) { take(session); }, [this] { return full(); });
   look_for_silence();
@@ -73,9 +77,10 @@
   // relay that never begins serves nobody.
   // Where its agent has the news already, they count as told from the first moment; but clients may come at
   // once, and whoever waits in the backlog gets no more time for it.
-  const Micros for_news = inherited_     ? kFirstList
-                          : start.pushed ? std::min(settings_.drain_grace, shortest_goal(settings_) / 2)
-                                         : 0;
+  const Micros for_news = inherited_ ? kFirstList
+                          : start.is_list_pushed
+                              ? std::min(settings_.drain_grace, shortest_goal(settings_) / 2)
+                              : 0;
   if (for_news > 0)
     event_loop_.call_at(event_loop_.now() + for_news, [this] { serve(); });
   else
@@ -88,7 +93,7 @@
 
 void ProxyServer::on_ready(std::function<void()> then) {
   on_ready_ = std::move(then);
-  if (ready_) event_loop_.post(on_ready_);
+  if (ready_) event_loop_.soon(on_ready_);
 }
 
 void ProxyServer::serve() {
@@ -145,9 +150,9 @@
 
 void ProxyServer::receive_handover(const HandoverMessage& handed) {
   if (handed.memory) return balancer_->import_state(*handed.memory);
-  net::SocketPtr client = net::adopt_socket(handed.client);
+  net::SocketPtr client = net::socket_of(handed.client);
   if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
-  net::SocketPtr server = net::adopt_socket(handed.server);
+  net::SocketPtr server = net::socket_of(handed.server);
   const auto session = std::make_shared<ProxySession>(event_loop_, *balancer_, handed.head);
   if (const char* fault = fault_of(*session))
     return event_loop_.log().write(net::Topic::error, "bad open request in a handover: {}", fault);
@@ -166,14 +171,16 @@
 void ProxyServer::reload(const std::string& path) {
   try {
     const config::RelayConfig fresh = config::read_relay_config(path);
-    if (fresh.listen != listen_) throw ConfigError("listen: cannot change while the relay runs");
-    sockets_ = config::allow_descriptors(fresh.sockets);
+    if (fresh.listen != listen_)
+      throw config::ConfigError(config::ConfigSource::file, {"listen", fresh.listen},
+                                "cannot change while the relay runs");
+    sockets_ = config::raise_descriptor_limit(fresh.descriptor_limit);
     balancer_->on_endpoints_updated();  // what failed at the old place says nothing of the new one
     discovery_.move_to(fresh.discovery);
     event_loop_.log().write(
         net::Topic::lifecycle, "configuration reloaded{}",
         fresh.flat_settings == flat_settings_ ? "" : "; its settings differ and apply from the next start");
-  } catch (const ConfigError& fault) {
+  } catch (const config::ConfigError& fault) {
     event_loop_.log().write(net::Topic::error, "configuration not reloaded: {}", fault.what());
   }
 }
@@ -197,12 +204,12 @@
 
 // Danger: the clients of a relay that is replaced are served already; the spare descriptors are for new ones.
 bool ProxyServer::can_receive_handover() const {
-  return event_loop_.watch_count() + others_hold_ + kept_back_ / 2 <= sockets_;
+  return event_loop_.sockets() + others_hold_ + kept_back_ / 2 <= sockets_;
 }
 
 void ProxyServer::stop_when_empty() { look_whether_empty(event_loop_.now()); }
 
-bool ProxyServer::full() const { return event_loop_.watch_count() + others_hold_ + kept_back_ > sockets_; }
+bool ProxyServer::full() const { return event_loop_.sockets() + others_hold_ + kept_back_ > sockets_; }
 
 void ProxyServer::set_disabled_backends(const std::set<std::string>& uids) {
   const auto before = std::exchange(banned_, uids);
@@ -257,15 +264,15 @@
   const auto named = [](const std::vector<std::string>& names, std::string_view name) {
     return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
   };
-  const std::size_t traffic_class = named(settings_.profile_names, session.head.value("c"));
+  const std::size_t traffic_class = named(settings_.traffic_class_names, session.head.value("c"));
   if (traffic_class >= balancer_->traffic_classes().size()) return "its class is not known";
   session.traffic_class = &balancer_->traffic_classes()[traffic_class];
   const auto wait = protocol::parse_number(session.head.value("d"));
   if (!wait || *wait <= 0 || *wait > 1e9) return "it does not tell how long the client waits";
-  session.deadline = event_loop_.now() + micros_of(*wait);
+  session.deadline = event_loop_.now() + config::micros_from_milliseconds(*wait);
   session.client_key = session.head.flow_key();
   const std::uint64_t key = protocol::parse_key(session.head.value("g"));
-  if (settings_.grouped)
+  if (settings_.keys_name_groups)
     session.group_key = key;
   else if (key)
     session.client_key = key;
@@ -335,10 +342,10 @@
 // taken for a load, it upsets every count of load and hides that the backend is strained.
 void ProxyServer::told(ProxySession& session, double figure) {
   if (!(figure >= 0 && figure < 1e12)) return;
-  if (settings_.tells_load)
+  if (settings_.is_session_load_reported)
     balancer_->on_load_reported(session, figure);
-  else if (settings_.tells_delay)
-    balancer_->on_message_latency_reported(session, micros_of(figure));
+  else if (settings_.is_message_latency_reported)
+    balancer_->on_message_latency_reported(session, config::micros_from_milliseconds(figure));
 }
 
 // A backend that goes silent breaks nothing, nor does a tunnel that stops short: its client's lines just
@@ -370,7 +377,7 @@
   // Danger: where clients hold the rest, probes take the last descriptors, and a look that finds none would
   // speak against its backend. None made is as one turned away.
   if (!can_receive_handover())
-    return event_loop_.post([this, target] {
+    return event_loop_.soon([this, target] {
       balancer_->on_health_check_ended(*target, {AttemptResult::rejected, 0}, {});
     });
   probes_.look(target->uid, target->address,
@@ -381,7 +388,7 @@
 
 // Asked for soon, not now: the module asks from within its own making.
 void ProxyServer::watch_endpoints() {
-  event_loop_.post([this] { discovery_.follow(); });
+  event_loop_.soon([this] { discovery_.follow(); });
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -89,8 +89,8 @@
 
   net::EventLoop& event_loop_;
   std::string listen_;
-  FlatSettings flat_settings_;
-  SiteSettings settings_;
+  config::FlatSettings flat_settings_;
+  config::SiteSettings settings_;
   std::size_t sockets_, kept_back_, others_hold_ = 0;
   std::map<std::string, std::shared_ptr<Endpoint>, std::less<>> backends_;  // by uid
   std::vector<std::string> zones_;
--- a/src/simulator/adapter.cpp
+++ b/src/simulator/adapter.cpp
@@ -7,6 +7,8 @@
 #include <utility>
 #include <vector>
 
+#include "config/milliseconds.hpp"
+
 namespace cherryrail::simulator {
 namespace {
 
@@ -34,7 +36,7 @@
   Micros time(const char* what) {
     const double value = take<double>(what);
     if (!(value > -1e15 && value < 1e15)) fail(std::string(what) + " is not a usable time");
-    return micros_of(value);
+    return config::micros_from_milliseconds(value);
   }
   [[noreturn]] void fail(const std::string& what) const {
     throw WireError("at byte " + std::to_string(at_) + " of the batch: " + what);
@@ -59,10 +61,10 @@
 
 double millis_of(Micros time) { return static_cast<double>(time) / 1000; }
 
-SiteSettings read_site(std::string_view text) {
+config::SiteSettings read_site(std::string_view text) {
   try {
-    return read_site_settings(split_settings(text));
-  } catch (const ConfigError& bad) {
+    return config::read_site_settings(config::parse_setting_lines(text));
+  } catch (const config::ConfigError& bad) {
     throw WireError(bad.what());
   }
 }
@@ -83,9 +85,9 @@
 
 class BalancerInstance final : public BalancerActions {
  public:
-  BalancerInstance(std::uint16_t number, std::string& out, Micros now, SiteSettings settings,
+  BalancerInstance(std::uint16_t number, std::string& out, Micros now, config::SiteSettings settings,
                    std::uint64_t seed)
-      : number_(number), out_(out), now_(now), utilisation_at_(settings.utilisation_at),
+      : number_(number), out_(out), now_(now), utilization_index_(settings.utilization_index),
         traffic_classes_(settings.config.traffic_classes.size()), balancer_(*this, settings.config, seed) {}
 
   void roster(Reader& in);
@@ -152,7 +154,7 @@
   std::uint16_t number_;
   std::string& out_;
   Micros now_;
-  std::optional<std::size_t> utilisation_at_;
+  std::optional<std::size_t> utilization_index_;
   std::size_t traffic_classes_;
   // Looked up by id only, never walked: their order means nothing.
   std::unordered_map<std::uint32_t, std::shared_ptr<SimulatorSession>> tunnels_;
@@ -177,7 +179,7 @@
   const auto count = in.take<std::uint8_t>("stats");
   for (std::size_t i = 0; i < count; ++i) {
     const float value = in.take<float>("stats");
-    if (utilisation_at_ == i && value >= 0 && value < 1e6F) report.reported_utilization = value;
+    if (utilization_index_ == i && value >= 0 && value < 1e6F) report.reported_utilization = value;
   }
   return report;
 }
@@ -323,7 +325,7 @@
   SimulatorSession* session = tunnel(id);
   if (!session || !(amount >= 0 && amount < 1e12)) return;
   if (what == 1) balancer_.on_load_reported(*session, amount);
-  if (what == 2) balancer_.on_message_latency_reported(*session, micros_of(amount));
+  if (what == 2) balancer_.on_message_latency_reported(*session, config::micros_from_milliseconds(amount));
 }
 
 void BalancerInstance::wakeup(Reader& in) {
@@ -370,7 +372,7 @@
         case 1070: {
           const auto seed = in.take<std::uint64_t>("salt");
           const auto length = in.take<std::uint32_t>("facts");
-          SiteSettings settings = read_site(in.run(length, "facts"));
+          config::SiteSettings settings = read_site(in.run(length, "facts"));
           instances_[number] =
               std::make_unique<BalancerInstance>(number, reply_, now, std::move(settings), seed);
           continue;
--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -30,9 +30,9 @@
 
   explicit Office(std::size_t count) : LoopbackRelay(count, 500, "", false) {
     desk = TestSocket::listening().port();
-    relay_config.mgmt = "127.0.0.1:" + std::to_string(desk);
-    relay_config.mgmt_on = net::parse_address(relay_config.mgmt);
-    relay_config.kept_in = folder.path;
+    relay_config.admin = "127.0.0.1:" + std::to_string(desk);
+    relay_config.admin_address = net::parse_address(relay_config.admin);
+    relay_config.state_directory = folder.path;
     proxy = std::make_unique<proxy::ProxyServer>(event_loop, relay_config);
     operation = std::make_unique<admin::Operations>(event_loop, *proxy, relay_config);
   }
@@ -113,12 +113,12 @@
 TEST(AdminServer, AnAddressInUseEndsTheStartNamingTheKey) {
   LoopbackRelay relay(1);
   TestSocket taken = TestSocket::listening();
-  relay.relay_config.mgmt = "127.0.0.1:" + std::to_string(taken.port());
-  relay.relay_config.mgmt_on = net::parse_address(relay.relay_config.mgmt);
+  relay.relay_config.admin = "127.0.0.1:" + std::to_string(taken.port());
+  relay.relay_config.admin_address = net::parse_address(relay.relay_config.admin);
   try {
     admin::Operations operation(relay.event_loop, *relay.proxy, relay.relay_config);
     FAIL() << "it started";
-  } catch (const ConfigError& bad) {
+  } catch (const config::ConfigError& bad) {
     EXPECT_TRUE(std::string(bad.what()).starts_with("mgmt: ")) << bad.what();
   }
 }
@@ -151,8 +151,8 @@
   EXPECT_EQ(office.call("disable", "s-1"), "HTTP/1.1 200");
   admin::Operations next(office.event_loop, *office.proxy, [&] {
     config::RelayConfig start = office.relay_config;
-    start.mgmt = "127.0.0.1:" + std::to_string(TestSocket::listening().port());
-    start.mgmt_on = net::parse_address(start.mgmt);
+    start.admin = "127.0.0.1:" + std::to_string(TestSocket::listening().port());
+    start.admin_address = net::parse_address(start.admin);
     return start;
   }());
   for (int i = 0; i < 6; ++i)
@@ -224,11 +224,11 @@
   explicit House(std::size_t count) : LoopbackRelay(count, 500, "", false) {
     port = listening.port();
     relay_config = config::parse_relay_config(config_text(500));
-    relay_config.kept_in = folder.path;
+    relay_config.state_directory = folder.path;
     first = process();
   }
   std::unique_ptr<Process> process() {
-    relay_config.clients_fd = dup(listening.fd());
+    relay_config.inherited_listener = dup(listening.fd());
     auto made = std::make_unique<Process>(event_loop, relay_config);
     accept_watch();
     publish_endpoints(R"({"rev":5,"all":false,"targets":[]})");
@@ -415,7 +415,7 @@
     std::string what;
     try {
       config::parse_relay_config(relay.config_text(500));
-    } catch (const ConfigError& bad) {
+    } catch (const config::ConfigError& bad) {
       what = bad.what();
     }
     unsetenv("EDGE_SOCKET_FD");
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -406,7 +406,7 @@
       config::parse_relay_config(
           LoopbackRelay(1, 500, "", false).config_text(500, std::string(",\"balancers\":") + count));
       ADD_FAILURE() << count;
-    } catch (const ConfigError& bad) {
+    } catch (const config::ConfigError& bad) {
       EXPECT_NE(std::string(bad.what()).find("balancers"), std::string::npos) << bad.what();
     }
   }
@@ -434,7 +434,7 @@
   std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
   for (const char byte : size + text + "\r\n") {
     relay.watch.send({&byte, 1});
-    relay.event_loop.run_once();
+    relay.event_loop.turn();
   }
   EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP r\r\nMOVE\r\n"; }));
 }
@@ -582,13 +582,13 @@
   EXPECT_EQ(config.traffic_classes[3].window, 3 * kSecond);
   EXPECT_EQ(config.tenant_shares, (std::vector<double>{10, 20}));
   EXPECT_EQ(config.budget_window, 4 * kSecond);
-  EXPECT_TRUE(start.pushed);
+  EXPECT_TRUE(start.is_list_pushed);
   EXPECT_EQ(config.ask_again, 50 * kMillisecond);
   EXPECT_FALSE(config.may_cancel_attempts || config.may_advise || config.may_probe);
   const auto bare = config::parse_relay_config(
       R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"discovery":"on_request",
       "profiles":[{"name":"reading"}]}})");
-  EXPECT_FALSE(bare.pushed);
+  EXPECT_FALSE(bare.is_list_pushed);
   EXPECT_EQ(bare.settings.config.ask_again, 0);
   EXPECT_EQ(bare.settings.config.max_attempts, 1u);
 }
--- a/tests/simulator/adapter_test.cpp
+++ b/tests/simulator/adapter_test.cpp
@@ -65,10 +65,10 @@
 }
 
 TEST(Adapter, SettingsWithoutAValueAreAbsent) {
-  const SiteSettings settings = read_site_settings(
-      split_settings("profiles.count=1\nprofiles.0.payoff=null\ntenants.count=2\n"
-                     "domain.tenant_quota_connections=7.0,null\nprofiles.0.setup_goal=300\n"
-                     "domain.message_aim=null\n"));
+  const config::SiteSettings settings = config::read_site_settings(
+      config::parse_setting_lines("profiles.count=1\nprofiles.0.payoff=null\ntenants.count=2\n"
+                                  "domain.tenant_quota_connections=7.0,null\nprofiles.0.setup_goal=300\n"
+                                  "domain.message_aim=null\n"));
   EXPECT_EQ(settings.config.traffic_classes[0].message_latency_objective,
             100'000);  // a third of the setup goal, where none is told
   EXPECT_EQ(settings.config.traffic_classes[0].priority_weight, 1);
@@ -76,7 +76,7 @@
 }
 
 TEST(Adapter, BudgetOfSetupsIsReadFromTheSettings) {
-  const SiteSettings settings = read_site_settings(split_settings(
+  const config::SiteSettings settings = config::read_site_settings(config::parse_setting_lines(
       "profiles.count=1\ninvariants.budget_free=1\ninvariants.extra_per_request=0.15\n"
       "invariants.resend_span=5000.0\nobjective_mix.nines_part=0.2\nobjective_mix.top_nines=2\n"));
   EXPECT_EQ(settings.config.budget_window, 5'000'000);
