The decision module becomes a facade and a module for each thing decided

Cause: 993 lines and 90 methods in one class; Backend and Tunnel were bags of every mechanism's fields. Change: src/balancer/ has a facade that walks a session from admission to final answer, and placement, slow start, capacity, load shedding, local zone, outlier detection, latency outliers, health check scheduling, retry policy, migration pool and endpoint list refresh, each with its own private state. Tests are renamed to the new fields only; their assertions stand.

--- a/src/admin/hot_restart.cpp
+++ b/src/admin/hot_restart.cpp
@@ -59,34 +59,34 @@
 
 nlohmann::json written(const StateSnapshot& memory) {
   auto backends = nlohmann::json::array();
-  for (const StateSnapshot::Of& of : memory.backends)
+  for (const BackendSnapshot& of : memory.backends)
     backends.push_back({of.name, of.started_at, of.reported_started_at, of.capacity_reduced_at,
-                        of.failure_log_odds, of.capacity_limit, of.full, of.is_ejected, of.is_unresponsive,
-                        of.is_capacity_inferred, of.cold_turn, of.cold_sent});
-  return {{"born", memory.born},
-          {"turns_from", memory.turns_from},
-          {"strained_until", memory.strained_until},
-          {"new_clients", memory.new_clients},
-          {"purse", memory.purse},
-          {"further", memory.further},
+                        of.failure_log_odds, of.capacity_limit, of.load_at_overload, of.is_ejected,
+                        of.is_unresponsive, of.is_capacity_inferred, of.admission_slot, of.admitted_in_slot});
+  return {{"born", memory.balancer_started_at},
+          {"turns_from", memory.admission_slots_from},
+          {"strained_until", memory.general_overload_until},
+          {"new_clients", memory.new_sessions},
+          {"purse", memory.health_check_tokens},
+          {"further", memory.recent_retries},
           {"backends", backends}};
 }
 
 StateSnapshot read_memory(const nlohmann::json& json) {
   StateSnapshot memory;
-  json.at("born").get_to(memory.born);
-  json.at("turns_from").get_to(memory.turns_from);
-  json.at("strained_until").get_to(memory.strained_until);
-  json.at("new_clients").get_to(memory.new_clients);
-  json.at("purse").get_to(memory.purse);
-  memory.further = json.value("further", 0.0);  // an earlier version does not tell it
+  json.at("born").get_to(memory.balancer_started_at);
+  json.at("turns_from").get_to(memory.admission_slots_from);
+  json.at("strained_until").get_to(memory.general_overload_until);
+  json.at("new_clients").get_to(memory.new_sessions);
+  json.at("purse").get_to(memory.health_check_tokens);
+  memory.recent_retries = json.value("further", 0.0);  // an earlier version does not tell it
   for (const auto& one : json.at("backends")) {
-    StateSnapshot::Of of;
+    BackendSnapshot of;
     auto next = [&one, at = std::size_t{0}](auto& value) mutable { one.at(at++).get_to(value); };
     next(of.name), next(of.started_at), next(of.reported_started_at), next(of.capacity_reduced_at),
         next(of.failure_log_odds), next(of.capacity_limit);
-    next(of.full), next(of.is_ejected), next(of.is_unresponsive), next(of.is_capacity_inferred),
-        next(of.cold_turn), next(of.cold_sent);
+    next(of.load_at_overload), next(of.is_ejected), next(of.is_unresponsive), next(of.is_capacity_inferred),
+        next(of.admission_slot), next(of.admitted_in_slot);
     memory.backends.push_back(of);
   }
   return memory;
--- /dev/null
+++ b/src/balancer/backend_status.cpp
@@ -0,0 +1,62 @@
+// The small state changes that several mechanisms share.
+#include <algorithm>
+
+#include "balancer/latency_status.hpp"
+#include "balancer/outlier_status.hpp"
+#include "balancer/slow_start_status.hpp"
+
+namespace cherryrail {
+namespace {
+
+constexpr Micros kShortestPenalty = 3 * kSecond;
+constexpr Micros kLongestPenalty = 24 * kSecond;
+
+}  // namespace
+
+void LatencyPenalty::impose(Micros latency, Micros now) {
+  if (!is_active(now)) {
+    const bool is_relapse = now - until_ < 4 * duration_;
+    duration_ = is_relapse ? std::min(2 * duration_, kLongestPenalty) : kShortestPenalty;
+  }
+  latency_ = latency;
+  until_ = now + duration_;
+}
+
+void SlowStartStatus::record_admission(std::int64_t slot) {
+  admitted_in_slot_ = admission_slot_ == slot ? admitted_in_slot_ + 1 : 1;
+  admission_slot_ = slot;
+}
+
+void LatencyStatus::record(Micros latency, bool is_similar, Micros now) {
+  similar_in_a_row_ = is_similar ? similar_in_a_row_ + 1 : 0;
+  reported_latency_ = latency;
+  reported_at_ = now;
+}
+
+void OutlierStatus::reset() {
+  failure_log_odds_ = 0;
+  is_ejected_ = false;
+}
+
+void OutlierStatus::eject(Micros now, Micros recovery_interval) {
+  is_ejected_ = true;
+  is_unresponsive_ = false;
+  consecutive_successes_ = 0;
+  recovery_interval_ = recovery_interval;
+  next_recovery_attempt_at_ = now + recovery_interval;
+}
+
+void OutlierStatus::record_response(Micros now) {
+  last_response_at_ = now;
+  consecutive_no_responses_ = 0;
+}
+
+void OutlierStatus::allow_recovery_attempt(Micros now) {
+  next_recovery_attempt_at_ = std::min(next_recovery_attempt_at_, now);
+}
+
+void OutlierStatus::record_attempt(Micros now) {
+  if (is_ejected_) next_recovery_attempt_at_ = now + recovery_interval_;
+}
+
+}  // namespace cherryrail
--- /dev/null
+++ b/src/balancer/capacity_limit.hpp
@@ -0,0 +1,32 @@
+// The load that this relay may put on one backend, as learned from overload.
+#pragma once
+
+#include "balancer/state_snapshot.hpp"
+#include "balancer/time.hpp"
+
+namespace cherryrail {
+
+class CapacityLimit {
+ public:
+  static constexpr double kUnlimited = 1e300;
+
+  bool is_limited() const { return limit_ < kUnlimited; }
+  // Whether the limit was taken over from other backends' overload, with no evidence from this one.
+  bool is_inferred() const { return is_inferred_; }
+  double load_at_overload() const { return load_at_overload_; }
+
+  void remove() { limit_ = kUnlimited; }
+  void save(BackendSnapshot& snapshot) const;
+  void restore(const BackendSnapshot& snapshot);
+
+ private:
+  friend class CapacityLimiter;
+
+  double limit_ = kUnlimited;    // when it was reduced; it recovers from there
+  double load_at_overload_ = 0;  // what the backend held when overload began
+  Micros reduced_at_ = 0;
+  Micros spare_capacity_reported_at_ = 0;  // its latest report of a utilization that is not high
+  bool is_inferred_ = false;
+};
+
+}  // namespace cherryrail
--- /dev/null
+++ b/src/balancer/health_check_scheduler.cpp
@@ -0,0 +1,46 @@
+#include "balancer/health_check_scheduler.hpp"
+
+#include <algorithm>
+
+namespace cherryrail {
+
+void HealthCheckScheduler::record_new_session() { tokens_.add(tokens_per_new_session_); }
+
+void HealthCheckScheduler::run() {
+  if (is_stopped_) return;
+  const Micros interval = parameters_.shortest_attempt_objective / 2;
+  tokens_.add(static_cast<double>(interval) / kSecond / parameters_.relay_count);
+  check_backends(true);
+  check_backends(false);
+  actions_.call_at(actions_.now() + interval, [this] { run(); });
+}
+
+void HealthCheckScheduler::check_backends(bool in_doubt) {
+  const double needed = in_doubt ? 1 : kMostTokens / 2;
+  const auto& backends = fleet_.backends();
+  const std::size_t from = round_from_;
+  for (std::size_t i = 0; i < backends.size() && tokens_.tokens() >= needed; ++i) {
+    Backend& backend = *backends[(from + i) % backends.size()];
+    if (backend.state != EndpointState::ready || backend.health_check.is_pending()) continue;
+    if (is_in_doubt(backend) != in_doubt || !is_due(backend, in_doubt)) continue;
+    tokens_.take_one();
+    backend.health_check.start(actions_.now());
+    actions_.check_health(backend);
+    if (!in_doubt) round_from_ = (from + i + 1) % backends.size();
+  }
+}
+
+bool HealthCheckScheduler::is_in_doubt(const Backend& backend) const {
+  const bool is_suspected = backend.outlier.failure_log_odds() > 0 && outliers_.has_recent_failures();
+  return is_suspected || capacity_.was_reduced_recently(backend);
+}
+
+bool HealthCheckScheduler::is_due(const Backend& backend, bool in_doubt) const {
+  const Micros checked_at = backend.health_check.started_at();
+  const Micros doubt_interval =
+      backend.outlier.is_ejected() ? kSecond : parameters_.shortest_attempt_objective;
+  const Micros routine_due = std::max(checked_at, backend.outlier.last_response_at()) + kRoutineInterval;
+  return actions_.now() >= (in_doubt ? checked_at + doubt_interval : routine_due);
+}
+
+}  // namespace cherryrail
--- a/src/balancer/state_snapshot.cpp
+++ b/src/balancer/state_snapshot.cpp
@@ -1,47 +1,94 @@
-// What a balancer has learned, handed to the one in the process that takes its place.
-#include <algorithm>
-#include <limits>
+#include "balancer/state_snapshot.hpp"
 
 #include "balancer/balancer.hpp"
 
 namespace cherryrail {
 
-// Danger: two processes with one relay's turn would send a cold backend twice what it was dealt.
 StateSnapshot Balancer::export_state() {
-  StateSnapshot memory{
-      born_, turns_from_, strained_until_, new_clients_, purse_, further_.sum(actions_.now()), {}};
-  for (const auto& backend : backends_)
-    memory.backends.push_back(
-        {backend->name, backend->started_at, backend->reported_started_at, backend->capacity_reduced_at,
-         backend->failure_log_odds, backend->capacity_limit, backend->full, backend->is_ejected,
-         backend->is_unresponsive, backend->is_capacity_inferred, backend->cold_turn, backend->cold_sent});
-  turns_from_ = std::numeric_limits<Micros>::max();
-  budget_free_ = budget_share_ = 0, may_probe_ = false;
-  return memory;
-}
-
-// Danger: a relay that forgets at each replacement is always young, and takes for warm what it knew was cold.
-void Balancer::import_state(const StateSnapshot& memory) {
-  born_ = std::min(born_, memory.born);
-  turns_from_ = std::min(turns_from_, memory.turns_from);
-  strained_until_ = std::max(strained_until_, memory.strained_until);
-  new_clients_ += memory.new_clients;
-  purse_ = std::clamp(memory.purse, 0.0, kPurse);
-  further_.add(actions_.now(), memory.further);
-  for (const StateSnapshot::Of& of : memory.backends) {
-    const auto known = std::find_if(backends_.begin(), backends_.end(),
-                                    [&of](const auto& backend) { return backend->name == of.name; });
-    if (known == backends_.end()) continue;
-    Backend& backend = **known;
-    backend.cold_turn = of.cold_turn, backend.cold_sent = of.cold_sent;
-    if (backend.reported_started_at != of.reported_started_at)
-      continue;  // restarted since: nothing of it holds
-    backend.started_at = std::max(backend.started_at, of.started_at);
-    backend.failure_log_odds = of.failure_log_odds, backend.capacity_limit = of.capacity_limit,
-    backend.full = of.full, backend.capacity_reduced_at = of.capacity_reduced_at;
-    backend.is_capacity_inferred = of.is_capacity_inferred;
-    if (of.is_ejected && !backend.is_ejected) eject(backend), backend.is_unresponsive = of.is_unresponsive;
+  StateSnapshot snapshot;
+  arrivals_.save(snapshot);
+  slow_start_.save(snapshot);
+  capacity_.save(snapshot);
+  health_checks_.save(snapshot);
+  attempts_.save(snapshot);
+  for (const auto& backend : fleet_.backends()) {
+    BackendSnapshot& saved = snapshot.backends.emplace_back();
+    saved.name = backend->name;
+    saved.reported_started_at = backend->reported_started_at;
+    backend->slow_start.save(saved);
+    backend->capacity.save(saved);
+    backend->outlier.save(saved);
   }
+  slow_start_.give_up_slots();
+  retry_policy_.give_up_budget();
+  health_checks_.stop();
+  return snapshot;
+}
+
+// A relay that forgot at each hot restart would always be young, and take for warm what it knew to be warming
+// up.
+void Balancer::import_state(const StateSnapshot& snapshot) {
+  arrivals_.restore(snapshot);
+  slow_start_.restore(snapshot);
+  capacity_.restore(snapshot);
+  health_checks_.restore(snapshot);
+  attempts_.restore(snapshot);
+  for (const BackendSnapshot& saved : snapshot.backends) {
+    const auto backend = fleet_.find(saved.name);
+    if (backend == nullptr) continue;
+    backend->slow_start.restore_admissions(saved);
+    if (backend->reported_started_at != saved.reported_started_at)
+      continue;  // restarted since: the rest is void
+    backend->slow_start.restore_start(saved);
+    backend->capacity.restore(saved);
+    outliers_.restore(*backend, saved);
+  }
+}
+
+void CapacityLimiter::restore(const StateSnapshot& snapshot) {
+  general_overload_until_ = std::max(general_overload_until_, snapshot.general_overload_until);
+}
+
+void SlowStart::restore(const StateSnapshot& snapshot) {
+  slots_from_ = std::min(slots_from_, snapshot.admission_slots_from);
+}
+
+void OutlierStatus::save(BackendSnapshot& snapshot) const {
+  snapshot.failure_log_odds = failure_log_odds_;
+  snapshot.is_ejected = is_ejected_;
+  snapshot.is_unresponsive = is_unresponsive_;
+}
+
+void CapacityLimit::save(BackendSnapshot& snapshot) const {
+  snapshot.capacity_reduced_at = reduced_at_;
+  snapshot.capacity_limit = limit_;
+  snapshot.load_at_overload = load_at_overload_;
+  snapshot.is_capacity_inferred = is_inferred_;
+}
+
+void CapacityLimit::restore(const BackendSnapshot& snapshot) {
+  reduced_at_ = snapshot.capacity_reduced_at;
+  limit_ = snapshot.capacity_limit;
+  load_at_overload_ = snapshot.load_at_overload;
+  is_inferred_ = snapshot.is_capacity_inferred;
+}
+
+void SlowStartStatus::save(BackendSnapshot& snapshot) const {
+  snapshot.started_at = started_at_;
+  snapshot.admission_slot = admission_slot_;
+  snapshot.admitted_in_slot = admitted_in_slot_;
+}
+
+void SlowStartStatus::restore_admissions(const BackendSnapshot& snapshot) {
+  admission_slot_ = snapshot.admission_slot;
+  admitted_in_slot_ = snapshot.admitted_in_slot;
+}
+
+void OutlierDetector::restore(Backend& backend, const BackendSnapshot& snapshot) {
+  backend.outlier.failure_log_odds_ = snapshot.failure_log_odds;
+  if (!snapshot.is_ejected || backend.outlier.is_ejected_) return;
+  eject(backend);
+  backend.outlier.is_unresponsive_ = snapshot.is_unresponsive;
 }
 
 }  // namespace cherryrail
--- /dev/null
+++ b/src/balancer/state_snapshot.hpp
@@ -0,0 +1,37 @@
+// What a balancer has learned, for the process that takes its place.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "balancer/time.hpp"
+
+namespace cherryrail {
+
+struct BackendSnapshot {
+  std::uint64_t name = 0;
+  Micros started_at = 0;
+  Micros reported_started_at = 0;
+  Micros capacity_reduced_at = 0;
+  double failure_log_odds = 0;
+  double capacity_limit = 0;
+  double load_at_overload = 0;
+  bool is_ejected = false;
+  bool is_unresponsive = false;
+  bool is_capacity_inferred = false;
+  std::int64_t admission_slot = -1;
+  unsigned admitted_in_slot = 0;
+};
+
+struct StateSnapshot {
+  Micros balancer_started_at = 0;
+  Micros admission_slots_from = 0;
+  Micros general_overload_until = 0;
+  std::size_t new_sessions = 0;
+  double health_check_tokens = 0;
+  double recent_retries = 0;  // within the retry budget's last window
+  std::vector<BackendSnapshot> backends;
+};
+
+}  // namespace cherryrail
--- a/src/config/relay_config.cpp
+++ b/src/config/relay_config.cpp
@@ -110,8 +110,8 @@
 // well within the grace that draining backends get; later, attempts would go to backends that have left.
 void ask_for_pushed_list(SiteSettings& settings) {
   const Micros grace = settings.drain_grace > 0 ? settings.drain_grace : kUsualDrainGrace;
-  settings.config.list_on_request = true;
-  settings.config.ask_again = std::clamp(grace / 2, kShortestAskAgain, kLongestAskAgain);
+  settings.config.must_request_endpoints = true;
+  settings.config.endpoint_retry_delay = std::clamp(grace / 2, kShortestAskAgain, kLongestAskAgain);
 }
 
 void set_usual_timeouts(SiteSettings& settings) {
@@ -154,7 +154,7 @@
   config.descriptor_limit = read_descriptor_limit(root);
   config.flat_settings = read_flat_settings(root);
   config.settings = read_site_settings(config.flat_settings);
-  config.is_list_pushed = !config.settings.config.list_on_request;
+  config.is_list_pushed = !config.settings.config.must_request_endpoints;
   if (config.is_list_pushed) ask_for_pushed_list(config.settings);
   set_usual_timeouts(config.settings);
   config.known_endpoints = read_known_endpoints(root);
--- a/src/config/site_settings.cpp
+++ b/src/config/site_settings.cpp
@@ -42,13 +42,13 @@
       static_cast<double>(attempt_objective) / kAttemptMicrosPerMessageMillisecond;
   traffic_class.message_latency_objective = micros_from_milliseconds(reader.number_in_list(
       "domain.message_aim", index, kMessageObjectiveMilliseconds, usual_message_objective));
-  traffic_class.window = reader.duration(path + "window");
+  traffic_class.deduplication_window = reader.duration(path + "window");
   traffic_class.priority_weight = reader.number(path + "payoff", 1);
   traffic_class.idempotency =
       reader.choice<Idempotency>(path + "semantics", {{"idempotent", Idempotency::idempotent},
                                                       {"deduplicated", Idempotency::idempotency_key},
                                                       {"at_most_once", Idempotency::non_idempotent}});
-  traffic_class.scope =
+  traffic_class.deduplication_scope =
       reader.choice<DeduplicationScope>(path + "key_scope", {{"all", DeduplicationScope::all},
                                                              {"zone", DeduplicationScope::zone},
                                                              {"cell", DeduplicationScope::cell}});
@@ -75,36 +75,36 @@
 
 void read_fleet(const SettingsReader& reader, BalancerConfig& config) {
   config.relay_count = reader.whole_number("balancers", 1, kRelayCount);
-  config.me = reader.whole_number("me", 0, kRelayIndex);
+  config.relay_index = reader.whole_number("me", 0, kRelayIndex);
   config.zone = reader.whole_number("zone", 0, kZoneIndex);
-  config.cross_price = reader.number("prices.cross_zone", 0);
+  config.cross_zone_price = reader.number("prices.cross_zone", 0);
 }
 
 void read_permissions(const SettingsReader& reader, BalancerConfig& config) {
   config.max_attempts = reader.whole_number("permissions.max_setups", 1, kAttemptCount);
-  config.list_on_request = reader.choice<bool>("discovery", {{"pushed", false}, {"on_request", true}});
-  config.may_probe = reader.flag("permissions.probing");
+  config.must_request_endpoints = reader.choice<bool>("discovery", {{"pushed", false}, {"on_request", true}});
+  config.may_check_health = reader.flag("permissions.probing");
   config.may_cancel_attempts = reader.flag("permissions.may_cancel");
-  config.may_advise = reader.flag("permissions.retry_after");
-  config.longest_advice = reader.duration("permissions.max_retry_after");
+  config.may_send_retry_after = reader.flag("permissions.retry_after");
+  config.max_retry_after = reader.duration("permissions.max_retry_after");
 }
 
 void read_invariants(const SettingsReader& reader, BalancerConfig& config) {
-  config.ask_within = reader.duration("invariants.ask_within");
-  config.step = reader.duration("step");
-  config.fall_window = reader.duration("invariants.fall");
-  config.warm_up = reader.duration("invariants.warm_up");
-  config.fall_multiple = reader.number("invariants.fall_multiple", 1);
-  config.cold_from = reader.number("invariants.cold_from", 1, kPart);
+  config.endpoint_request_interval = reader.duration("invariants.ask_within");
+  config.timer_resolution = reader.duration("step");
+  config.overload_window = reader.duration("invariants.fall");
+  config.slow_start_duration = reader.duration("invariants.warm_up");
+  config.overload_factor = reader.number("invariants.fall_multiple", 1);
+  config.slow_start_initial_factor = reader.number("invariants.cold_from", 1, kPart);
 }
 
 void read_retry_budget(const SettingsReader& reader, BalancerConfig& config) {
   constexpr std::string_view kWindowKey = "invariants.resend_span";
-  config.budget_share = reader.number("invariants.extra_per_request", 0);
-  config.budget_free = reader.number("invariants.budget_free", 0);
-  config.budget_window = reader.duration(kWindowKey);
-  const bool is_budget_stated = config.budget_share > 0 || config.budget_free > 0;
-  if (is_budget_stated && config.budget_window <= 0)
+  config.retry_budget_ratio = reader.number("invariants.extra_per_request", 0);
+  config.retry_budget_minimum = reader.number("invariants.budget_free", 0);
+  config.retry_budget_window = reader.duration(kWindowKey);
+  const bool is_budget_stated = config.retry_budget_ratio > 0 || config.retry_budget_minimum > 0;
+  if (is_budget_stated && config.retry_budget_window <= 0)
     SettingsReader::refuse({kWindowKey, reader.text(kWindowKey)}, "a time above 0, with a budget");
 }
 
@@ -161,7 +161,7 @@
   read_fleet(reader, config);
   read_permissions(reader, config);
   read_invariants(reader, config);
-  config.probe_price = reader.number("prices.probe", 0);
+  config.health_check_price = reader.number("prices.probe", 0);
   read_retry_budget(reader, config);
   check_objective_mix(reader);
   settings.utilization_index = find_utilization(reader.list("report.fields"));
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -19,7 +19,7 @@
 
 void ProxySession::client_ended(Ended how) {
   client_left_ = true;
-  if (open) {
+  if (is_established) {
     if (how == Ended::orderly) {
       if (server) server->finish();
       return;
@@ -79,7 +79,7 @@
                                 std::string_view last_line) {
   const auto keep = self();
   server = nullptr;
-  const bool finished = open || outcome.result == AttemptResult::succeeded;
+  const bool finished = is_established || outcome.result == AttemptResult::succeeded;
   if (client && finished) {
     const char* reason = outcome.result == AttemptResult::succeeded ? "served" : "backend_closed";
     how == Ended::orderly ? client->finish(last_line, reason) : client->drop(reason);
@@ -104,7 +104,7 @@
 }
 
 std::optional<HandoverMessage> ProxySession::to_hand() const {
-  if (!open || !between_lines_ || client_left_ || !client || !server) return {};
+  if (!is_established || !between_lines_ || client_left_ || !client || !server) return {};
   HandoverMessage handed;
   handed.client = client->flat_settings();
   handed.server = server->flat_settings();
@@ -131,8 +131,8 @@
 const char* ProxySession::why_declined() const {
   if (balancer_.is_shutting_down()) return "rejected reason=shutting_down";
   if (attempts > 0) return "rejected reason=attempts_failed";
-  if (cold > full) return "rejected reason=backends_warming_up";
-  return full > 0 ? "rejected reason=no_capacity" : "rejected reason=no_backend";
+  if (passed_over_warming_up > passed_over_at_capacity) return "rejected reason=backends_warming_up";
+  return passed_over_at_capacity > 0 ? "rejected reason=no_capacity" : "rejected reason=no_backend";
 }
 
 void ProxySession::decline(Micros retry_after) {
@@ -155,18 +155,18 @@
 }
 
 void ProxySession::move() {
-  if (!open || to_move_) return;
+  if (!is_established || to_move_) return;
   if (between_lines_ || !client) return part();
   to_move_ = true;
   event_loop_.call_at(event_loop_.now() + kLineEnds, [weak = weak_from_this()] {
-    if (const auto session = weak.lock(); session && session->open)
+    if (const auto session = weak.lock(); session && session->is_established)
       static_cast<ProxySession&>(*session).part();
   });
 }
 
 void ProxySession::last_call() {
   const auto keep = self();
-  if (open) return move();
+  if (is_established) return move();
   balancer_.give_up(*this);
   if (server) abandon();
 }
--- a/src/simulator/adapter.cpp
+++ b/src/simulator/adapter.cpp
@@ -225,7 +225,8 @@
   if (mode != 1) {  // a complete list: what it leaves out has been removed
     for (const auto& [id, backend] : backends_) {
       if (!named.contains(id))
-        balancer_.update_endpoint(backend, EndpointState::gone, backend->size, backend->started_at);
+        balancer_.update_endpoint(backend, EndpointState::gone, backend->size,
+                                  backend->slow_start.started_at());
     }
   }
   if (mode != 3) balancer_.on_endpoints_updated();
--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -395,12 +395,12 @@
   bool over = false;
   const auto got = admin::taken(from, over);
   ASSERT_TRUE(got && got->memory && got->memory->backends.size() == 1);
-  EXPECT_EQ(got->memory->new_clients, 8u);
-  const StateSnapshot::Of& of = got->memory->backends[0];
+  EXPECT_EQ(got->memory->new_sessions, 8u);
+  const BackendSnapshot& of = got->memory->backends[0];
   EXPECT_EQ(of.name, 0xffffffffffffffffULL);
   EXPECT_EQ(of.capacity_limit, 1e300);
-  EXPECT_EQ(of.cold_turn, -1);
-  EXPECT_EQ(of.cold_sent, 9u);
+  EXPECT_EQ(of.admission_slot, -1);
+  EXPECT_EQ(of.admitted_in_slot, 9u);
   EXPECT_TRUE(of.is_ejected && of.is_capacity_inferred && !of.is_unresponsive);
   // What cannot be understood costs nothing but itself.
   EXPECT_EQ(send(to.get(), "rubbish", 7, 0), 7);
--- a/tests/admin/handover_compatibility_test.cpp
+++ b/tests/admin/handover_compatibility_test.cpp
@@ -82,12 +82,12 @@
 }
 
 void expect_equal(const StateSnapshot& actual, const StateSnapshot& expected) {
-  EXPECT_EQ(actual.born, expected.born);
-  EXPECT_EQ(actual.turns_from, expected.turns_from);
-  EXPECT_EQ(actual.strained_until, expected.strained_until);
-  EXPECT_EQ(actual.new_clients, expected.new_clients);
-  EXPECT_EQ(actual.purse, expected.purse);
-  EXPECT_EQ(actual.further, expected.further);
+  EXPECT_EQ(actual.balancer_started_at, expected.balancer_started_at);
+  EXPECT_EQ(actual.admission_slots_from, expected.admission_slots_from);
+  EXPECT_EQ(actual.general_overload_until, expected.general_overload_until);
+  EXPECT_EQ(actual.new_sessions, expected.new_sessions);
+  EXPECT_EQ(actual.health_check_tokens, expected.health_check_tokens);
+  EXPECT_EQ(actual.recent_retries, expected.recent_retries);
   ASSERT_EQ(actual.backends.size(), expected.backends.size());
   for (std::size_t i = 0; i < actual.backends.size(); ++i) {
     const auto& found = actual.backends[i];
@@ -98,12 +98,12 @@
     EXPECT_EQ(found.capacity_reduced_at, wanted.capacity_reduced_at);
     EXPECT_EQ(found.failure_log_odds, wanted.failure_log_odds);
     EXPECT_EQ(found.capacity_limit, wanted.capacity_limit);
-    EXPECT_EQ(found.full, wanted.full);
+    EXPECT_EQ(found.load_at_overload, wanted.load_at_overload);
     EXPECT_EQ(found.is_ejected, wanted.is_ejected);
     EXPECT_EQ(found.is_unresponsive, wanted.is_unresponsive);
     EXPECT_EQ(found.is_capacity_inferred, wanted.is_capacity_inferred);
-    EXPECT_EQ(found.cold_turn, wanted.cold_turn);
-    EXPECT_EQ(found.cold_sent, wanted.cold_sent);
+    EXPECT_EQ(found.admission_slot, wanted.admission_slot);
+    EXPECT_EQ(found.admitted_in_slot, wanted.admitted_in_slot);
   }
 }
 
--- a/tests/balancer/balancer_test.cpp
+++ b/tests/balancer/balancer_test.cpp
@@ -124,12 +124,12 @@
 
 TEST(EndpointList, SubscribesAtTheStartAndAgainAfterFailure) {
   BalancerConfig config = default_config();
-  config.list_on_request = true;
+  config.must_request_endpoints = true;
   BalancerFixture fixture(1, config);
   ASSERT_EQ(fixture.actions.endpoint_watches.size(), 1u);
   for (int i = 0; i < 12; ++i) {
     fixture.balancer.on_discovery_failed();
-    fixture.actions.advance(config.ask_within / 4 + kMillisecond);
+    fixture.actions.advance(config.endpoint_request_interval / 4 + kMillisecond);
   }
   EXPECT_EQ(fixture.actions.endpoint_watches.size(), 13u);
 }
@@ -147,12 +147,12 @@
     }
   };
   serve(60, false);
-  EXPECT_TRUE(ill.is_ejected);
+  EXPECT_TRUE(ill.outlier.is_ejected());
   const std::size_t while_ill = fixture.attempts_to(ill);
   serve(100, false);  // five seconds: no more than a trickle
   EXPECT_LE(fixture.attempts_to(ill) - while_ill, 5u);
   serve(400, true);
-  EXPECT_FALSE(ill.is_ejected);
+  EXPECT_FALSE(ill.outlier.is_ejected());
 }
 
 // When all fail together the cause is shared: setting backends aside would drown the rest.
@@ -307,13 +307,13 @@
     fixture.actions.advance(20 * kMillisecond);
   }
   const auto aside = std::count_if(fixture.backends.begin(), fixture.backends.end(),
-                                   [](const auto& backend) { return backend->is_ejected; });
+                                   [](const auto& backend) { return backend->outlier.is_ejected(); });
   EXPECT_LE(aside, 3);
 }
 
 TEST(Health, SilentBackendIsEmptiedThoughTheListStillNamesIt) {
   BalancerConfig config = default_config();
-  config.may_probe = true;
+  config.may_check_health = true;
   BalancerFixture fixture(4, config);
   for (std::uint64_t key = 1; key <= 12; ++key) fixture.establish_session(key);
   Backend& silent = *fixture.sessions[0]->backend;
@@ -325,16 +325,16 @@
 
 TEST(Health, BackendThatWasSilentReturnsByGoodProbesAndKeepsItsRoom) {
   BalancerConfig config = default_config();
-  config.may_probe = true;
+  config.may_check_health = true;
   BalancerFixture fixture(4, config);
   for (std::uint64_t key = 1; key <= 12; ++key) fixture.establish_session(key);
   Backend& cut = *fixture.sessions[0]->backend;
   while (!cut.sessions.empty())
     fixture.end_attempt(*cut.sessions.back(), AttemptResult::reset, true);  // the link broke: all at once
   fixture.answer_health_checks(cut, AttemptResult::timed_out, 400);
-  EXPECT_TRUE(cut.is_ejected);
+  EXPECT_TRUE(cut.outlier.is_ejected());
   fixture.answer_health_checks(cut, AttemptResult::succeeded, 200);
-  EXPECT_FALSE(cut.is_ejected);
+  EXPECT_FALSE(cut.outlier.is_ejected());
   const std::size_t before = fixture.attempts_to(cut);
   for (std::uint64_t key = 1; key <= 40; ++key) fixture.establish_session(key);
   EXPECT_GT(fixture.attempts_to(cut), before);      // what it lost at once taught nothing about its room,
@@ -414,7 +414,7 @@
 // A report of calm gives back what was held, and from there room only grows; also where warm-up is short.
 TEST(Room, CalmReportsNeverCloseABackend) {
   BalancerConfig config = default_config();
-  config.warm_up = kSecond;
+  config.slow_start_duration = kSecond;
   BalancerFixture fixture(1, config);
   Backend& backend = *fixture.backends[0];
   for (std::uint64_t key = 1; key <= 10; ++key) fixture.establish_session(key);
@@ -460,7 +460,7 @@
   BalancerFixture fixture(4, health_check_config(2));
   for (std::uint64_t key = 1; key <= 20; ++key) fixture.establish_session(key);
   fixture.answer_health_checks(*fixture.backends[0], AttemptResult::connect_failed, 200);
-  ASSERT_TRUE(fixture.backends[0]->is_ejected);
+  ASSERT_TRUE(fixture.backends[0]->outlier.is_ejected());
   fixture.balancer.on_message_latency_reported(*fixture.backends[1]->sessions[0], kSecond);
   const auto looks = [&](std::size_t i) {
     return std::count(fixture.actions.health_checks.begin(), fixture.actions.health_checks.end(),
@@ -504,7 +504,7 @@
 TEST(Landing, HomeTakesTwiceTheMeanOnlyWhileItTellsCalm) {
   const auto at_home = [](double told) {
     BalancerConfig config = default_config();
-    config.cross_price = 0.02;
+    config.cross_zone_price = 0.02;
     BalancerFixture fixture(0, config);
     for (unsigned i = 0; i < 6; ++i) fixture.add_backend(0, i % 2);
     for (const auto& backend : fixture.backends)
@@ -685,7 +685,7 @@
     for (const auto& backend : fixture.backends) {
       if (!backend->sessions.empty())
         fixture.balancer.on_message_latency_reported(*backend->sessions[0], 200 * kMillisecond);
-      if (backend->is_health_check_pending)
+      if (backend->health_check.is_pending())
         fixture.balancer.on_health_check_ended(*backend, {AttemptResult::succeeded, kMillisecond}, {});
     }
     fixture.actions.advance(100 * kMillisecond);
@@ -696,7 +696,7 @@
 // A zone with one backend of ten is not drowned by its own clients.
 TEST(Scale, HomeTakesNoMoreThanItsPartOfTheFleetBears) {
   BalancerConfig config = default_config();
-  config.cross_price = 0.02;
+  config.cross_zone_price = 0.02;
   BalancerFixture fixture(0, config);
   for (unsigned i = 0; i < 20; ++i) fixture.add_backend(0, i < 2 ? 0 : 1);
   for (std::uint64_t key = 1; key <= 100; ++key)
@@ -719,7 +719,7 @@
     if (session.backend) fixture.balancer.on_established(session, 20 * kMillisecond);
     if (session.backend) fixture.end_attempt(session, AttemptResult::succeeded, true);
     fixture.actions.advance(50 * kMillisecond);
-    ASSERT_FALSE(crowded.is_ejected);
+    ASSERT_FALSE(crowded.outlier.is_ejected());
   }
   EXPECT_GE(came, 40u);
   EXPECT_TRUE(fixture.actions.rejections.empty());
@@ -729,7 +729,7 @@
 // declined.
 TEST(Scale, ARelayWithOneBackendLeftInItsZoneSendsMostAbroad) {
   BalancerConfig config = default_config();
-  config.cross_price = 0.02;
+  config.cross_zone_price = 0.02;
   BalancerFixture fixture(0, config);
   for (unsigned i = 0; i < 10; ++i) fixture.add_backend(0, i % 2);
   for (std::uint64_t key = 1; key <= 40; ++key)
@@ -745,7 +745,7 @@
 // The clients of a relay that went away come all at once: they do not belong at home, and would drown it.
 TEST(Scale, InAStormHomeTakesNoMoreThanTheRest) {
   BalancerConfig config = default_config();
-  config.cross_price = 0.02;
+  config.cross_zone_price = 0.02;
   BalancerFixture fixture(0, config);
   for (unsigned i = 0; i < 6; ++i) fixture.add_backend(0, i % 3);
   for (std::uint64_t key = 1; key <= 90; ++key) {
@@ -789,16 +789,16 @@
   fixture.balancer.set_disabled(out, true);
   fixture.actions.advance(3 * kSecond);
   fixture.balancer.set_disabled(out, false);
-  EXPECT_EQ(out.started_at, fixture.actions.current_time);
+  EXPECT_EQ(out.slow_start.started_at(), fixture.actions.current_time);
   fixture.balancer.update_endpoint(fixture.backends[0], EndpointState::ready, 1,
                                    fixture.actions.current_time - kSecond);
-  EXPECT_EQ(out.started_at, fixture.actions.current_time - kSecond);
+  EXPECT_EQ(out.slow_start.started_at(), fixture.actions.current_time - kSecond);
   fixture.balancer.set_disabled(out, true);
   fixture.actions.advance(3 * kSecond);
   fixture.balancer.update_endpoint(fixture.backends[0], EndpointState::ready, 1,
                                    fixture.actions.current_time - kSecond);  // told while it is out
   fixture.balancer.set_disabled(out, false);
-  EXPECT_EQ(out.started_at, fixture.actions.current_time - kSecond);
+  EXPECT_EQ(out.slow_start.started_at(), fixture.actions.current_time - kSecond);
 }
 
 // Two processes with one relay's turns would send a cold backend twice what it may get.
@@ -817,27 +817,28 @@
 // Replaced again and again, a relay that forgets is always young: what it alone knows would be lost.
 TEST(DisabledBackends, ASuccessorRemembersWhatWasLearned) {
   BalancerFixture fixture(3), next(3);
-  for (int i = 0; i < 200 && !fixture.backends[0]->is_ejected; ++i) {
+  for (int i = 0; i < 200 && !fixture.backends[0]->outlier.is_ejected(); ++i) {
     Session& session = fixture.request_session(static_cast<std::uint64_t>(i) + 1);
     if (session.backend.get() == fixture.backends[0].get())
       fixture.end_attempt(session, AttemptResult::error);
     else if (session.backend)
       fixture.balancer.on_established(session, 20 * kMillisecond);
   }
-  ASSERT_TRUE(fixture.backends[0]->is_ejected);
+  ASSERT_TRUE(fixture.backends[0]->outlier.is_ejected());
   fixture.balancer.set_disabled(*fixture.backends[1], true);
   fixture.actions.advance(kSecond);
   fixture.balancer.set_disabled(*fixture.backends[1],
                                 false);  // cold from now on, as far as this relay can know
   next.actions.current_time = fixture.actions.current_time;
   next.balancer.import_state(fixture.balancer.export_state());
-  EXPECT_TRUE(next.backends[0]->is_ejected);
-  EXPECT_EQ(next.backends[1]->started_at, fixture.backends[1]->started_at);
+  EXPECT_TRUE(next.backends[0]->outlier.is_ejected());
+  EXPECT_EQ(next.backends[1]->slow_start.started_at(), fixture.backends[1]->slow_start.started_at());
   BalancerFixture later(3);
   later.balancer.update_endpoint(later.backends[0], EndpointState::ready, 1,
                                  later.actions.current_time - kSecond);
   later.balancer.import_state(fixture.balancer.export_state());
-  EXPECT_FALSE(later.backends[0]->is_ejected);  // the list tells of a start that the other did not know of
+  EXPECT_FALSE(
+      later.backends[0]->outlier.is_ejected());  // the list tells of a start that the other did not know of
 }
 
 // Discovery is one service for all: asked by dozens within a second, it serves no call before that has waited
@@ -848,12 +849,12 @@
     std::map<Micros, int> seconds;
     for (unsigned i = 0; i < relay_count; ++i) {
       BalancerConfig config = default_config();
-      config.list_on_request = true;
+      config.must_request_endpoints = true;
       config.relay_count = relay_count;
       RecordingActions actions;
       Balancer balancer(actions, config, 100 + i);
       balancer.on_discovery_failed();
-      actions.advance(config.ask_within);
+      actions.advance(config.endpoint_request_interval);
       EXPECT_EQ(actions.endpoint_watches.size(), 2u);  // at the start, and in time after the failure
       if (actions.endpoint_watches.size() == 2)
         ++seconds[(actions.endpoint_watches[1] - actions.endpoint_watches[0]) / kSecond];
--- a/tests/balancer/fleet_sum_test.cpp
+++ b/tests/balancer/fleet_sum_test.cpp
@@ -17,22 +17,23 @@
   unsigned relay_count = 100, told_relays = 0;  // really, and as the settings say; 0: the same
   std::size_t tunnels = 1500, old = 40, fresh = 40;
   std::size_t largest_group = 37;
-  Micros warm_up = 9 * kSecond, window = 3 * kSecond;
-  double cold_from = 0.33;
+  Micros slow_start_duration = 9 * kSecond, window = 3 * kSecond;
+  double slow_start_initial_factor = 0.33;
   bool uneven = false;
   unsigned seed = 1;
 };
 
 // A fleet in which a warm backend is full at 1.6 times the tunnels it has on average, and half of the
 // backends are replaced: all tunnels of those come again at once, somewhere.
-class Fleet {
+class FleetScenario {
  public:
-  explicit Fleet(const Order& order) : order_(order), chance_(order.seed) {
+  explicit FleetScenario(const Order& order) : order_(order), chance_(order.seed) {
     BalancerConfig config = default_config();
     config.relay_count = order.told_relays > 0 ? order.told_relays : order.relay_count;
-    config.warm_up = order.warm_up, config.fall_window = order.window, config.cold_from = order.cold_from;
+    config.slow_start_duration = order.slow_start_duration, config.overload_window = order.window,
+    config.slow_start_initial_factor = order.slow_start_initial_factor;
     for (unsigned i = 0; i < order.relay_count; ++i) {
-      config.me = i % config.relay_count;
+      config.relay_index = i % config.relay_count;
       stories_.push_back(std::make_unique<BalancerFixture>(order.old, config));
     }
     // Sizes as 1, 1/2, 1/3 ... of the largest.
@@ -82,9 +83,11 @@
     for (const auto& [name, times] : sent_) {
       for (std::size_t i = 0, j = 0; i < times.size(); ++i) {
         while (times[i] - times[j] > order_.window) ++j;
-        const double age = static_cast<double>(times[j] - began_) / static_cast<double>(order_.warm_up);
-        const double share = std::min(1.0, order_.cold_from + (1 - order_.cold_from) * age);
-        const double rate = full * share / static_cast<double>(order_.warm_up);
+        const double age =
+            static_cast<double>(times[j] - began_) / static_cast<double>(order_.slow_start_duration);
+        const double share =
+            std::min(1.0, order_.slow_start_initial_factor + (1 - order_.slow_start_initial_factor) * age);
+        const double rate = full * share / static_cast<double>(order_.slow_start_duration);
         const double n = 3 * rate * static_cast<double>(order_.window);
         most = std::max(most, static_cast<double>(i - j + 1) / (n + 2 * std::sqrt(n) + 2));
       }
@@ -103,10 +106,10 @@
     session.is_reconnecting = again;
     fixture.balancer.admit(fixture.sessions.back());
     if (!session.backend) return false;
-    if (again && session.backend->started_at > 0) {
+    if (again && session.backend->slow_start.started_at() > 0) {
       ++cold_;
       sent_[session.backend->name].push_back(fixture.actions.current_time);
-      began_ = session.backend->started_at;
+      began_ = session.backend->slow_start.started_at();
     }
     fixture.balancer.on_established(session, 20 * kMillisecond);
     return true;
@@ -126,7 +129,7 @@
 TEST(Sum, ClientsOfAReleaseLandOnTheColdBackendsByTheirPart) {
   for (unsigned seed = 1; seed <= 3; ++seed) {
     for (const unsigned relay_count : {30u, 100u, 350u}) {
-      Fleet fleet({.relay_count = relay_count, .seed = seed});
+      FleetScenario fleet({.relay_count = relay_count, .seed = seed});
       fleet.run();
       EXPECT_GT(fleet.to_cold(), 0.25) << relay_count << " relays, seed " << seed;
     }
@@ -140,7 +143,7 @@
   double worst = 0;
   const auto play = [&worst, seed = seed](Order order, const char* what) {
     order.seed = seed;
-    Fleet fleet(order);
+    FleetScenario fleet(order);
     fleet.run();
     worst = std::max(worst, fleet.nearest());
     EXPECT_LE(fleet.nearest(), 1) << what;
@@ -151,7 +154,8 @@
   play({.relay_count = relay_count, .told_relays = 2 * relay_count}, "told double");
   play({.relay_count = relay_count, .fresh = 3}, "few fresh");
   play({.relay_count = relay_count, .fresh = 1, .uneven = true}, "one fresh");
-  play({.relay_count = relay_count, .warm_up = 24 * kSecond, .cold_from = 0.13}, "slow to warm");
+  play({.relay_count = relay_count, .slow_start_duration = 24 * kSecond, .slow_start_initial_factor = 0.13},
+       "slow to warm");
   std::printf("nearest to the rule: %.0f%%\n", 100 * worst);
 }
 
@@ -178,7 +182,7 @@
   EXPECT_LT(relay.event_loop.now() - began, kSecond);
 
   BalancerConfig config = default_config();
-  config.relay_count = kMany, config.cross_price = 0.02;
+  config.relay_count = kMany, config.cross_zone_price = 0.02;
   BalancerFixture fixture(0, config);
   for (unsigned i = 0; i < kMany; ++i) fixture.add_backend(0, i);
   for (std::uint64_t key = 1; key <= 300; ++key) ASSERT_TRUE(fixture.establish_session(key * 7919).backend);
--- a/tests/balancer/guarantees_test.cpp
+++ b/tests/balancer/guarantees_test.cpp
@@ -59,7 +59,7 @@
 
 TEST(Rules, ReferencedIsSentAgainOnlyInsideItsGroupAndWindow) {
   BalancerConfig config = default_config(Idempotency::idempotency_key);
-  config.traffic_classes[0].scope = DeduplicationScope::zone;
+  config.traffic_classes[0].deduplication_scope = DeduplicationScope::zone;
   BalancerFixture fixture(6, config);
   Session& session = fixture.request_session(1);
   const unsigned zone = session.backend->zone;
@@ -71,7 +71,7 @@
   EXPECT_EQ(fixture.actions.failed_sessions.size(),
             1u);  // the zone's three are tried; a decline would be a lie
 
-  config.traffic_classes[0].window = 100 * kMillisecond;
+  config.traffic_classes[0].deduplication_window = 100 * kMillisecond;
   BalancerFixture late(6, config);
   Session& slow = late.request_session(1);
   late.actions.advance(150 * kMillisecond);
@@ -93,9 +93,9 @@
   config.traffic_classes.push_back(config.traffic_classes[0]);
   config.traffic_classes[1].index = 1;
   config.traffic_classes[1].priority_weight = 3;
-  config.budget_window = 5 * kSecond;
-  config.budget_free = free;
-  config.budget_share = share;
+  config.retry_budget_window = 5 * kSecond;
+  config.retry_budget_minimum = free;
+  config.retry_budget_ratio = share;
   return config;
 }
 
@@ -170,7 +170,7 @@
   BalancerConfig config = default_config();
   config.relay_count = 4;
   std::vector<std::unique_ptr<BalancerFixture>> relay_count;
-  for (config.me = 0; config.me < config.relay_count; ++config.me) {
+  for (config.relay_index = 0; config.relay_index < config.relay_count; ++config.relay_index) {
     relay_count.push_back(std::make_unique<BalancerFixture>(0, config));
     relay_count.back()->add_backend(relay_count.back()->actions.current_time);
     for (int i = 0; i < 3; ++i)
@@ -214,17 +214,17 @@
   BalancerConfig config = default_config();
   config.relay_count = 100;
   std::size_t to_cold = 0, all = 0, declined = 0;
-  for (config.me = 0; config.me < config.relay_count; ++config.me) {
+  for (config.relay_index = 0; config.relay_index < config.relay_count; ++config.relay_index) {
     BalancerFixture fixture(10, config);
     for (std::uint64_t other = 0; other < 12; ++other)
-      fixture.establish_session(100 * (config.me + 10) + other);
+      fixture.establish_session(100 * (config.relay_index + 10) + other);
     fixture.actions.advance(60 * kSecond);
     std::vector<Backend*> cold;
     for (std::size_t i = 0; i < 5; ++i) fixture.set_endpoint_state(i, EndpointState::gone);
     for (std::size_t i = 0; i < 5; ++i)
       cold.push_back(&fixture.add_backend(fixture.actions.current_time - 6 * kSecond));
     for (std::uint64_t client = 0; client < 3; ++client) {
-      Session& session = fixture.make_session(1 + 3 * config.me + client);
+      Session& session = fixture.make_session(1 + 3 * config.relay_index + client);
       session.is_reconnecting = true;
       fixture.balancer.admit(fixture.sessions.back());
       ++all;
@@ -247,9 +247,9 @@
     BalancerConfig config = default_config();
     config.relay_count = 200;
     std::size_t count = 0;
-    for (config.me = 0; config.me < config.relay_count; ++config.me) {
+    for (config.relay_index = 0; config.relay_index < config.relay_count; ++config.relay_index) {
       BalancerFixture fixture(9, config);
-      fixture.establish_session(1000 + config.me);
+      fixture.establish_session(1000 + config.relay_index);
       fixture.actions.advance(60 * kSecond);
       Backend& cold = fixture.add_backend(fixture.actions.current_time - 4 * kSecond);
       for (const auto& backend : fixture.backends)
@@ -273,10 +273,10 @@
   const auto lands = [&config](std::uint64_t group, bool returning) {
     BalancerFixture fixture(9, config);
     for (std::uint64_t other = 0; other < 2; ++other)
-      fixture.establish_session(100 * (config.me + 10) + other);
+      fixture.establish_session(100 * (config.relay_index + 10) + other);
     fixture.actions.advance(60 * kSecond);
     const Backend& cold = fixture.add_backend(fixture.actions.current_time);
-    Session& session = fixture.make_session(1000 * (config.me + 1));
+    Session& session = fixture.make_session(1000 * (config.relay_index + 1));
     session.group_key = group;
     session.is_reconnecting = returning;
     fixture.balancer.admit(fixture.sessions.back());
@@ -285,7 +285,7 @@
   std::uint64_t group = 1;
   while (lands(group, false) == 0) ++group;  // by itself, a new client is let in
   std::size_t sent = 0, singly = 0;
-  for (config.me = 0; config.me < config.relay_count; ++config.me)
+  for (config.relay_index = 0; config.relay_index < config.relay_count; ++config.relay_index)
     sent += lands(group, true), singly += lands(group, false);
   EXPECT_GT(singly, 2 * sent);  // new clients come singly
   EXPECT_GE(sent, 1u);
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -159,7 +159,7 @@
 
 TEST(Endings, ARepeatIsAskedForAgainBeforeItLeavesWhetherItIsStillKnown) {
   BalancerConfig config = default_config(Idempotency::idempotency_key);
-  config.traffic_classes[0].window = 500 * kMillisecond;
+  config.traffic_classes[0].deduplication_window = 500 * kMillisecond;
   BalancerFixture fixture(3, config);
   Session& session = fixture.request_session(1);
   fixture.end_attempt(session, AttemptResult::timed_out);
@@ -271,7 +271,7 @@
   for (unsigned relay_count : {1u, 5u, 300u}) {
     for (unsigned i = 0; i < 40; ++i) {
       BalancerConfig config = default_config();
-      config.list_on_request = true;
+      config.must_request_endpoints = true;
       config.relay_count = relay_count;
       RecordingActions actions;
       Balancer balancer(actions, config, 100 + i);
@@ -290,9 +290,9 @@
       std::map<Micros, unsigned> tenths;
       for (unsigned i = 0; i < relay_count; ++i) {
         BalancerConfig config = default_config();
-        config.list_on_request = true;
+        config.must_request_endpoints = true;
         config.relay_count = relay_count;
-        config.ask_within = 20 * kSecond;
+        config.endpoint_request_interval = 20 * kSecond;
         RecordingActions actions;
         Balancer balancer(actions, config, 100 + i);
         for (unsigned k = 0; k < failures; ++k) {
@@ -350,9 +350,9 @@
 // What an agent of the relay's own has counts as told, however long it could not be reached.
 TEST(Endings, AnAgentOfItsOwnIsAskedAgainWithinTheGraceHoweverOftenThatFailed) {
   BalancerConfig config = default_config();
-  config.list_on_request = true;
+  config.must_request_endpoints = true;
   config.relay_count = 300;
-  config.ask_again = 50 * kMillisecond;
+  config.endpoint_retry_delay = 50 * kMillisecond;
   RecordingActions actions;
   Balancer balancer(actions, config, 7);
   for (std::size_t i = 0; i < 30; ++i) {
@@ -577,19 +577,19 @@
       {"name":"notice","client_timeout":1000,"setup_goal":300,"semantics":"deduplicated","key_scope":"zone","window":3000}]}})");
   const BalancerConfig& config = start.settings.config;
   ASSERT_EQ(config.traffic_classes.size(), 4u);
-  EXPECT_EQ(config.traffic_classes[1].scope, DeduplicationScope::cell);
+  EXPECT_EQ(config.traffic_classes[1].deduplication_scope, DeduplicationScope::cell);
   EXPECT_EQ(config.traffic_classes[2].idempotency, Idempotency::non_idempotent);
-  EXPECT_EQ(config.traffic_classes[3].window, 3 * kSecond);
+  EXPECT_EQ(config.traffic_classes[3].deduplication_window, 3 * kSecond);
   EXPECT_EQ(config.tenant_shares, (std::vector<double>{10, 20}));
-  EXPECT_EQ(config.budget_window, 4 * kSecond);
+  EXPECT_EQ(config.retry_budget_window, 4 * kSecond);
   EXPECT_TRUE(start.is_list_pushed);
-  EXPECT_EQ(config.ask_again, 50 * kMillisecond);
-  EXPECT_FALSE(config.may_cancel_attempts || config.may_advise || config.may_probe);
+  EXPECT_EQ(config.endpoint_retry_delay, 50 * kMillisecond);
+  EXPECT_FALSE(config.may_cancel_attempts || config.may_send_retry_after || config.may_check_health);
   const auto bare = config::parse_relay_config(
       R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"discovery":"on_request",
       "profiles":[{"name":"reading"}]}})");
   EXPECT_FALSE(bare.is_list_pushed);
-  EXPECT_EQ(bare.settings.config.ask_again, 0);
+  EXPECT_EQ(bare.settings.config.endpoint_retry_delay, 0);
   EXPECT_EQ(bare.settings.config.max_attempts, 1u);
 }
 
--- a/tests/simulator/adapter_test.cpp
+++ b/tests/simulator/adapter_test.cpp
@@ -79,9 +79,9 @@
   const config::SiteSettings settings = config::read_site_settings(config::parse_setting_lines(
       "profiles.count=1\ninvariants.budget_free=1\ninvariants.extra_per_request=0.15\n"
       "invariants.resend_span=5000.0\nobjective_mix.nines_part=0.2\nobjective_mix.top_nines=2\n"));
-  EXPECT_EQ(settings.config.budget_window, 5'000'000);
-  EXPECT_EQ(settings.config.budget_free, 1);
-  EXPECT_EQ(settings.config.budget_share, 0.15);
+  EXPECT_EQ(settings.config.retry_budget_window, 5'000'000);
+  EXPECT_EQ(settings.config.retry_budget_minimum, 1);
+  EXPECT_EQ(settings.config.retry_budget_ratio, 0.15);
 }
 
 void expect_refused(const std::string& frame, const std::string& word) {
--- a/tests/support/balancer_fixture.cpp
+++ b/tests/support/balancer_fixture.cpp
@@ -10,35 +10,35 @@
   traffic_class.attempt_latency_objective = 400 * kMillisecond;
   traffic_class.client_timeout = 2 * kSecond;
   traffic_class.message_latency_objective = 150 * kMillisecond;
-  traffic_class.window = 5 * kSecond;
+  traffic_class.deduplication_window = 5 * kSecond;
   traffic_class.idempotency = idempotency;
 
   BalancerConfig config;
   config.traffic_classes = {traffic_class};
   config.max_attempts = 4;
   config.may_cancel_attempts = true;
-  config.may_advise = true;
-  config.longest_advice = kSecond;
-  config.ask_within = 10 * kSecond;
-  config.step = kMillisecond;
-  config.fall_window = 2 * kSecond;
-  config.warm_up = 20 * kSecond;
-  config.fall_multiple = 3;
-  config.cold_from = 0.2;
+  config.may_send_retry_after = true;
+  config.max_retry_after = kSecond;
+  config.endpoint_request_interval = 10 * kSecond;
+  config.timer_resolution = kMillisecond;
+  config.overload_window = 2 * kSecond;
+  config.slow_start_duration = 20 * kSecond;
+  config.overload_factor = 3;
+  config.slow_start_initial_factor = 0.2;
   return config;
 }
 
 BalancerConfig health_check_config(unsigned relay_count) {
   BalancerConfig config = default_config();
-  config.may_probe = true;
-  config.probe_price = 0.002;
+  config.may_check_health = true;
+  config.health_check_price = 0.002;
   config.relay_count = relay_count;
   return config;
 }
 
 BalancerConfig zone_aware_config() {
   BalancerConfig config = default_config();
-  config.cross_price = 0.02;
+  config.cross_zone_price = 0.02;
   return config;
 }
 
@@ -57,7 +57,7 @@
 }
 
 void BalancerFixture::set_endpoint_state(std::size_t index, EndpointState state) {
-  balancer.update_endpoint(backends[index], state, 1, backends[index]->started_at);
+  balancer.update_endpoint(backends[index], state, 1, backends[index]->slow_start.started_at());
 }
 
 Session& BalancerFixture::make_session(std::uint64_t client_key) {
