--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -62,7 +62,7 @@
   return path_known ? refusal(405, "that path takes another method") : refusal(404, "no such path");
 }
 
-class AdminServer::AdminConnection final : public net::ConnectionOwner {
+class AdminServer::AdminConnection final : public net::ConnectionHandler {
  public:
   explicit AdminConnection(AdminServer& calls)
       : calls_(calls), began_(calls.event_loop_.now()), heard_at_(began_) {}
@@ -71,8 +71,8 @@
   }
 
   void start(net::SocketPtr socket) {
-    connection_ = net::Connection::accepted(calls_.event_loop_, std::move(socket), *this);
-    connection_->look();
+    connection_ = net::Connection::adopt(calls_.event_loop_, std::move(socket), *this);
+    connection_->read_now();
   }
   Micros heard_at() const { return heard_at_; }
   bool answered() const { return answered_; }
@@ -85,7 +85,7 @@
     if (!answered_) answer(refusal(408, "the call did not come whole"));
   }
 
-  void received(std::string_view bytes) override {
+  void on_received(std::string_view bytes) override {
     heard_at_ = calls_.event_loop_.now();
     switch (call_.feed(bytes)) {
       case protocol::HttpRequest::State::more:
@@ -96,8 +96,8 @@
         return answer(look_up(calls_.table_, call_));
     }
   }
-  void ended() override { answer(refusal(400, "the call ended before it was whole")); }
-  void broken() override { leave("client_left"); }
+  void on_end_of_stream() override { answer(refusal(400, "the call ended before it was whole")); }
+  void on_connection_lost() override { leave("client_left"); }
 
  private:
   void answer(const AdminResponse& reply) {
@@ -106,7 +106,7 @@
                              "\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: " +
                              std::to_string(reply.text.size() + 1) + "\r\n\r\n";
     connection_->send({head, reply.text, "\n"});
-    connection_->close_gently();
+    connection_->close_gracefully();
     leave(status.c_str());
   }
   void leave(const char* reason) {
@@ -126,9 +126,9 @@
 
 AdminServer::AdminServer(net::EventLoop& event_loop, const net::Address& listen_on, std::vector<Route> table)
     : event_loop_(event_loop), table_(std::move(table)),
-      listener_(event_loop, net::listen_at(listen_on),
+      listener_(event_loop, net::create_listening_socket(listen_on),
                 [this](net::SocketPtr socket) { take_in(std::move(socket)); }) {
-  listener_.take_in(true);
+  listener_.set_accepting(true);
 }
 
 AdminServer::~AdminServer() = default;
--- a/src/admin/operations.cpp
+++ b/src/admin/operations.cpp
@@ -44,7 +44,7 @@
 struct Operations::Peer {
   net::FileDescriptor from;
   int process = 0;
-  std::unique_ptr<net::Watch> watch;
+  std::unique_ptr<net::IoWatch> watch;
 };
 
 Operations::Operations(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
@@ -58,9 +58,9 @@
       if (!succession_.announce())
         return event_loop_.log().write(net::Topic::error,
                                        "hot restart: cannot announce this process to its predecessor");
-      greeter_ =
-          std::make_unique<net::Watch>(event_loop_, succession_.listening(), [this](bool, bool) { greet(); });
-      greeter_->want(true, false);
+      greeter_ = std::make_unique<net::IoWatch>(event_loop_, succession_.listening(),
+                                                [this](bool, bool) { greet(); });
+      greeter_->set_interest(true, false);
     });
   }
   if (start.admin.empty()) return;
@@ -146,11 +146,11 @@
   one->from = std::move(with);
   one->process = peer_of(one->from).value_or(0);
   peers_.push_back(one);
-  one->watch = std::make_unique<net::Watch>(event_loop_, one->from.get(),
-                                            [this, weak = std::weak_ptr(one)](bool, bool) {
-                                              if (const auto here = weak.lock()) receive(*here);
-                                            });
-  one->watch->want(true, false);
+  one->watch = std::make_unique<net::IoWatch>(event_loop_, one->from.get(),
+                                              [this, weak = std::weak_ptr(one)](bool, bool) {
+                                                if (const auto here = weak.lock()) receive(*here);
+                                              });
+  one->watch->set_interest(true, false);
   if (!std::exchange(looking_, true)) look_at_peers();
 }
 
@@ -159,10 +159,10 @@
   count_peers();
   for (int i = 0; i < kTakenAtOnce; ++i) {
     if (!proxy_.can_receive_handover()) {
-      from.watch->want(false, false);
+      from.watch->set_interest(false, false);
       return event_loop_.call_at(event_loop_.now() + kHandAgain, [this] {
         count_peers();
-        for (const auto& one : peers_) one->watch->want(true, false);
+        for (const auto& one : peers_) one->watch->set_interest(true, false);
       });
     }
     bool over = false;
--- a/src/admin/operations.hpp
+++ b/src/admin/operations.hpp
@@ -40,7 +40,7 @@
   std::unique_ptr<AdminServer> calls_;
   net::FileDescriptor successor_;
   bool handing_ = false;
-  std::unique_ptr<net::Watch> greeter_;
+  std::unique_ptr<net::IoWatch> greeter_;
   std::list<std::shared_ptr<Peer>> peers_;  // connections with the processes before and after this one
   bool looking_ = false;
 };
--- a/src/config/inherited_socket.cpp
+++ b/src/config/inherited_socket.cpp
@@ -46,7 +46,7 @@
   sockaddr_storage storage{};
   socklen_t length = sizeof(storage);
   getsockname(fd, reinterpret_cast<sockaddr*>(&storage), &length);
-  return {g_socket_address_new_from_native(&storage, length), net::Unref{}};
+  return {g_socket_address_new_from_native(&storage, length), net::GObjectUnref{}};
 }
 
 bool listens_at(int fd, const net::Address& listen_address) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -45,10 +45,10 @@
   guint64 port = 0;
   if (!g_ascii_string_to_unsigned(text.c_str() + colon + 1, 10, 1, 65535, &port, nullptr)) return nullptr;
   GSocketAddress* address = g_inet_socket_address_new_from_string(host.c_str(), static_cast<guint>(port));
-  return address ? Address(address, Unref{}) : nullptr;
+  return address ? Address(address, GObjectUnref{}) : nullptr;
 }
 
-SocketPtr socket_of(int fd) {
+SocketPtr adopt_socket(int fd) {
   Error error;
   SocketPtr socket(g_socket_new_from_fd(fd, error.out()));
   if (socket) return socket;
@@ -56,43 +56,39 @@
   throw std::runtime_error(std::string("cannot take a socket over: ") + error.error->message);
 }
 
-std::shared_ptr<Connection> Connection::accepted(EventLoop& event_loop, SocketPtr socket,
-                                                 ConnectionOwner& owner) {
+std::shared_ptr<Connection> Connection::adopt(EventLoop& event_loop, SocketPtr socket,
+                                              ConnectionHandler& owner) {
   return std::make_shared<Connection>(event_loop, std::move(socket), owner, false);
 }
 
-std::shared_ptr<Connection> Connection::open(EventLoop& event_loop, const Address& to, ConnectionOwner& owner,
-                                             bool* no_descriptor) {
-  if (!to) return nullptr;
+ConnectAttempt Connection::connect(EventLoop& event_loop, const Address& to, ConnectionHandler& owner) {
+  if (!to) return {};
   Error error;
   SocketPtr socket(g_socket_new(g_socket_address_get_family(to.get()), G_SOCKET_TYPE_STREAM,
                                 G_SOCKET_PROTOCOL_TCP, error.out()));
-  if (!socket) {
-    if (no_descriptor) *no_descriptor = true;
-    return nullptr;
-  }
+  if (!socket) return {nullptr, true};
   g_socket_set_blocking(socket.get(), FALSE);
   const bool up = g_socket_connect(socket.get(), to.get(), nullptr, error.out());
-  if (!up && !error.later()) return nullptr;
-  return std::make_shared<Connection>(event_loop, std::move(socket), owner, true);
+  if (!up && !error.later()) return {};
+  return {std::make_shared<Connection>(event_loop, std::move(socket), owner, true), false};
 }
 
-Connection::Connection(EventLoop& event_loop, SocketPtr socket, ConnectionOwner& owner, bool connecting)
+Connection::Connection(EventLoop& event_loop, SocketPtr socket, ConnectionHandler& owner, bool connecting)
     : event_loop_(event_loop), socket_(std::move(socket)), owner_(&owner), connecting_(connecting) {
   g_socket_set_blocking(socket_.get(), FALSE);
   g_socket_set_option(socket_.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  watch_ = std::make_unique<Watch>(event_loop_, g_socket_get_fd(socket_.get()),
-                                   [this](bool readable, bool writable) { ready(readable, writable); });
+  watch_ = std::make_unique<IoWatch>(event_loop_, g_socket_get_fd(socket_.get()),
+                                     [this](bool readable, bool writable) { ready(readable, writable); });
   update();
 }
 
 Connection::~Connection() { close(); }
 
 void Connection::update() {
-  if (watch_) watch_->want(!connecting_ && reading_ && !peer_ended_, connecting_ || !unsent_.empty());
+  if (watch_) watch_->set_interest(!connecting_ && reading_ && !peer_ended_, connecting_ || !unsent_.empty());
 }
 
-void Connection::read_on(bool wanted) {
+void Connection::set_reading(bool wanted) {
   reading_ = wanted;
   update();
 }
@@ -103,20 +99,20 @@
     if (!g_socket_check_connect_result(socket_.get(), nullptr)) return fail();
     connecting_ = false;
     update();
-    if (owner_) owner_->connected();
+    if (owner_) owner_->on_connected();
     return;
   }
   if (writable) flush();
   if (readable && is_open()) receive();
 }
 
-bool Connection::flat_settings() const {
+bool Connection::is_transferable() const {
   return socket_ && !connecting_ && unsent_.empty() && !ending_ && !peer_ended_ && !leaving_;
 }
 
 int Connection::descriptor() const { return socket_ ? g_socket_get_fd(socket_.get()) : -1; }
 
-void Connection::look() {
+void Connection::read_now() {
   const auto keep = shared_from_this();
   if (is_open() && !connecting_ && reading_ && !peer_ended_) receive();
 }
@@ -128,12 +124,12 @@
   const gssize got = g_socket_receive(socket_.get(), bytes.data(), bytes.size(), nullptr, error.out());
   if (got < 0) return error.later() ? void() : fail();
   if (got > 0) {
-    if (owner_) owner_->received({bytes.data(), static_cast<std::size_t>(got)});
+    if (owner_) owner_->on_received({bytes.data(), static_cast<std::size_t>(got)});
     return;
   }
   peer_ended_ = true;
   update();
-  if (owner_) owner_->ended();
+  if (owner_) owner_->on_end_of_stream();
 }
 
 // Danger: megabytes may still come from a peer that has its answer, and to copy them would cost the time that
@@ -162,7 +158,7 @@
                               G_SOCKET_MSG_NONE, nullptr, error.out());
     if (sent < 0 && !error.later()) {
       // Told soon, not now: the caller is in the middle of its own step.
-      event_loop_.soon([weak = weak_from_this()] {
+      event_loop_.post([weak = weak_from_this()] {
         if (const auto self = weak.lock()) self->fail();
       });
       return;
@@ -187,7 +183,7 @@
   if (ending_) shut_down();
   if (leaving_ && peer_ended_) return close();
   update();
-  if (owner_) owner_->all_sent();
+  if (owner_) owner_->on_all_sent();
 }
 
 void Connection::end_sending() {
@@ -201,25 +197,25 @@
 
 // Danger: closing a socket on which unread bytes lie sends a reset, and that may overtake the last line. So
 // the sending ends first, and what the peer still says is read and dropped until it ends too.
-void Connection::close_gently() {
+void Connection::close_gracefully() {
   if (!is_open()) return;
   owner_ = nullptr;
   if (peer_ended_ && unsent_.empty()) return close();
   end_sending();
   leaving_ = true;
-  read_on(true);
+  set_reading(true);
   drained_at_ = event_loop_.now();
   stay_until_quiet(event_loop_.now() + kLingerMost);
 }
 
-void Connection::close_at_once() {
+void Connection::close_discarding_input() {
   if (!is_open()) return;
   owner_ = nullptr;
   drain();
   close();
 }
 
-void tell_and_close(SocketPtr socket, std::string_view line) {
+void send_and_close(SocketPtr socket, std::string_view line) {
   g_socket_set_blocking(socket.get(), FALSE);
   g_socket_send(socket.get(), line.data(), line.size(), nullptr, nullptr);
   drop_unread(socket.get());
@@ -250,9 +246,9 @@
 }
 
 void Connection::fail() {
-  ConnectionOwner* owner = owner_;
+  ConnectionHandler* owner = owner_;
   close();
-  if (owner) owner->broken();
+  if (owner) owner->on_connection_lost();
 }
 
 }  // namespace cherryrail::net
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -13,56 +13,61 @@
 
 namespace cherryrail::net {
 
-struct Unref {
+struct GObjectUnref {
   void operator()(gpointer object) const { g_object_unref(object); }
 };
-using SocketPtr = std::unique_ptr<GSocket, Unref>;
+using SocketPtr = std::unique_ptr<GSocket, GObjectUnref>;
 using Address = std::shared_ptr<GSocketAddress>;
 
 // Takes over a socket that exists already; `fd` is closed with it. Throws std::runtime_error.
-SocketPtr socket_of(int fd);
+SocketPtr adopt_socket(int fd);
 
 // "10.0.0.4:7070" or "[::1]:7070"; empty where it is neither.
 Address parse_address(const std::string& text);
 
 // A line to somebody who is not taken in.
-void tell_and_close(SocketPtr socket, std::string_view line);
+void send_and_close(SocketPtr socket, std::string_view line);
 
 // What the owner of a connection is told. The connection may be closed from within any of these.
-class ConnectionOwner {
+class ConnectionHandler {
  public:
-  virtual void connected() {}
-  virtual void received(std::string_view bytes) = 0;
-  virtual void ended() = 0;   // the peer sends no more
-  virtual void broken() = 0;  // reset, refused or unreachable
-  virtual void all_sent() {}  // what had to wait has gone out
+  virtual void on_connected() {}
+  virtual void on_received(std::string_view bytes) = 0;
+  virtual void on_end_of_stream() = 0;    // the peer sends no more
+  virtual void on_connection_lost() = 0;  // reset, refused or unreachable
+  virtual void on_all_sent() {}           // what had to wait has gone out
 
  protected:
-  ~ConnectionOwner() = default;
+  ~ConnectionHandler() = default;
+};
+
+class Connection;
+
+// What came of starting to connect.
+struct ConnectAttempt {
+  std::shared_ptr<Connection> connection;  // null if not even the attempt could be made
+  bool is_out_of_descriptors = false;      // that was this process's own lack of a descriptor
 };
 
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-  static std::shared_ptr<Connection> accepted(EventLoop& event_loop, SocketPtr socket,
-                                              ConnectionOwner& owner);
-  // Null if not even the attempt can be made; `no_descriptor` tells whether that is this process's own lack.
-  static std::shared_ptr<Connection> open(EventLoop& event_loop, const Address& to, ConnectionOwner& owner,
-                                          bool* no_descriptor = nullptr);
-  Connection(EventLoop& event_loop, SocketPtr socket, ConnectionOwner& owner, bool connecting);
+  static std::shared_ptr<Connection> adopt(EventLoop& event_loop, SocketPtr socket, ConnectionHandler& owner);
+  static ConnectAttempt connect(EventLoop& event_loop, const Address& to, ConnectionHandler& owner);
+  Connection(EventLoop& event_loop, SocketPtr socket, ConnectionHandler& owner, bool connecting);
   ~Connection();
 
   void send(std::initializer_list<std::string_view> pieces);
-  void end_sending();    // once all that waits has gone out
-  void close_gently();   // what waits goes out, then the end; a peer that does not end gets a reset
-  void close_at_once();  // after the last line: what lies unread would make a reset of it
-  void look();           // reads at once what has come
+  void end_sending();             // once all that waits has gone out
+  void close_gracefully();        // what waits goes out, then the end; a peer that does not end gets a reset
+  void close_discarding_input();  // after the last line: what lies unread would make a reset of it
+  void read_now();                // reads at once what has come
   void close();
   void reset();
-  void read_on(bool wanted);
+  void set_reading(bool wanted);
   bool is_open() const { return socket_ != nullptr; }
-  std::size_t waiting() const { return unsent_.size(); }
+  std::size_t unsent_bytes() const { return unsent_.size(); }
   // Whether the socket alone is the whole of it: both ends still send, and nothing lies here.
-  bool flat_settings() const;
+  bool is_transferable() const;
   int descriptor() const;
 
  private:
@@ -77,8 +82,8 @@
 
   EventLoop& event_loop_;
   SocketPtr socket_;
-  std::unique_ptr<Watch> watch_;
-  ConnectionOwner* owner_;
+  std::unique_ptr<IoWatch> watch_;
+  ConnectionHandler* owner_;
   std::string unsent_;
   Micros drained_at_ = 0;
   bool connecting_, reading_ = true, ending_ = false, shut_ = false, leaving_ = false, peer_ended_ = false;
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -27,13 +27,13 @@
   EventLoop* event_loop;
 };
 
-Watch::Watch(EventLoop& event_loop, int fd, Ready ready)
+IoWatch::IoWatch(EventLoop& event_loop, int fd, Ready ready)
     : event_loop_(event_loop), fd_(fd), ready_(std::move(ready)) {
   ++event_loop_.sockets_;
 }
 
-Watch::~Watch() {
-  want(false, false);
+IoWatch::~IoWatch() {
+  set_interest(false, false);
   --event_loop_.sockets_;
   // Danger: what has just been closed may stand further on in the batch under way.
   for (std::size_t i = event_loop_.batch_at_; i < event_loop_.batch_size_; ++i) {
@@ -41,7 +41,7 @@
   }
 }
 
-void Watch::want(bool read, bool write) {
+void IoWatch::set_interest(bool read, bool write) {
   const std::uint32_t wanted = (read ? std::uint32_t{EPOLLIN} : 0U) | (write ? std::uint32_t{EPOLLOUT} : 0U);
   if (wanted == wanted_) return;
   epoll_event event{};
@@ -96,7 +96,7 @@
   if (earliest) set_alarm();
 }
 
-void EventLoop::soon(std::function<void()> then) {
+void EventLoop::post(std::function<void()> then) {
   soon_.push_back(std::move(then));
   if (soon_.size() == 1) g_source_set_ready_time(alarm_source_, 0);
 }
@@ -118,14 +118,14 @@
   signal_fd_ = signalfd(signal_fd_, &signals_, SFD_CLOEXEC | SFD_NONBLOCK);
   if (signal_fd_ < 0) throw std::runtime_error(std::string("signalfd: ") + std::strerror(errno));
   if (signal_watch_) return;
-  signal_watch_ = std::make_unique<Watch>(*this, signal_fd_, [this](bool, bool) {
+  signal_watch_ = std::make_unique<IoWatch>(*this, signal_fd_, [this](bool, bool) {
     signalfd_siginfo come{};
     while (read(signal_fd_, &come, sizeof(come)) == sizeof(come)) {
       const auto told = told_[static_cast<int>(come.ssi_signo)];  // it may be replaced meanwhile
       guarded(told);
     }
   });
-  signal_watch_->want(true, false);
+  signal_watch_->set_interest(true, false);
 }
 
 void EventLoop::on_terminate(std::function<void()> then) {
@@ -136,7 +136,7 @@
 void EventLoop::on_reload(std::function<void()> then) { on_signal(SIGHUP, std::move(then)); }
 
 void EventLoop::run() { g_main_loop_run(main_); }
-void EventLoop::turn() { g_main_context_iteration(nullptr, FALSE); }
+void EventLoop::run_once() { g_main_context_iteration(nullptr, FALSE); }
 void EventLoop::quit() { g_main_loop_quit(main_); }
 
 // Danger: an exception must not cross GLib's C frames, and one failed step must not end the process.
@@ -164,13 +164,13 @@
   batch_size_ = count > 0 ? static_cast<std::size_t>(count) : 0;
   for (batch_at_ = 0; batch_at_ < batch_size_;) {
     const epoll_event event = batch_[batch_at_++];
-    auto* watch = static_cast<Watch*>(event.data.ptr);
+    auto* watch = static_cast<IoWatch*>(event.data.ptr);
     if (!watch) continue;
     // A hang-up or an error is found out by reading or writing, whichever is wanted.
     const bool broken = (event.events & (EPOLLHUP | EPOLLERR)) != 0;
     const bool read = (event.events & EPOLLIN) || (broken && (watch->wanted_ & EPOLLIN));
     const bool write = (event.events & EPOLLOUT) || (broken && (watch->wanted_ & EPOLLOUT));
-    const Watch::Ready ready = watch->ready_;  // the watch may go while it is told
+    const IoWatch::Ready ready = watch->ready_;  // the watch may go while it is told
     guarded([&] { ready(read, write); });
   }
   batch_size_ = 0;
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -21,14 +21,14 @@
 class EventLoop;
 
 // Tells its owner when a socket can be read or written. Level-triggered.
-class Watch {
+class IoWatch {
  public:
   using Ready = std::function<void(bool readable, bool writable)>;
-  Watch(EventLoop& event_loop, int fd, Ready ready);
-  ~Watch();
-  Watch(const Watch&) = delete;
-  Watch& operator=(const Watch&) = delete;
-  void want(bool read, bool write);
+  IoWatch(EventLoop& event_loop, int fd, Ready ready);
+  ~IoWatch();
+  IoWatch(const IoWatch&) = delete;
+  IoWatch& operator=(const IoWatch&) = delete;
+  void set_interest(bool read, bool write);
 
  private:
   friend class EventLoop;
@@ -47,17 +47,17 @@
 
   Micros now() const;  // Unix time that never jumps: the steady clock from the start on
   void call_at(Micros when, std::function<void()> then);
-  void soon(std::function<void()> then);          // after what is under way, in the order asked
+  void post(std::function<void()> then);          // after what is under way, in the order asked
   void on_terminate(std::function<void()> then);  // at SIGTERM or SIGINT
   void on_reload(std::function<void()> then);     // at SIGHUP
   void run();
-  void turn();  // once round, without waiting
+  void run_once();  // once round, without waiting
   void quit();
   Log& log() { return log_; }
-  std::size_t sockets() const { return sockets_; }  // how many are watched
+  std::size_t watch_count() const { return sockets_; }  // how many are watched
 
  private:
-  friend class Watch;
+  friend class IoWatch;
   struct Source;
   static gboolean dispatch_sockets(GSource* source, GSourceFunc, gpointer);
   static gboolean dispatch_alarms(GSource* source, GSourceFunc, gpointer);
@@ -81,7 +81,7 @@
   std::size_t batch_size_ = 0, batch_at_ = 0, sockets_ = 0;
   sigset_t signals_{};
   int signal_fd_ = -1;
-  std::unique_ptr<Watch> signal_watch_;
+  std::unique_ptr<IoWatch> signal_watch_;
   std::map<int, std::function<void()>> told_;  // of a signal, what to do
 };
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-SocketPtr listen_at(const Address& address) {
+SocketPtr create_listening_socket(const Address& address) {
   GError* error = nullptr;
   SocketPtr socket(g_socket_new(g_socket_address_get_family(address.get()), G_SOCKET_TYPE_STREAM,
                                 G_SOCKET_PROTOCOL_TCP, &error));
@@ -29,13 +29,13 @@
 Listener::Listener(EventLoop& event_loop, SocketPtr socket, Taken taken)
     : event_loop_(event_loop), socket_(std::move(socket)), taken_(std::move(taken)) {
   g_socket_set_blocking(socket_.get(), FALSE);
-  watch_ =
-      std::make_unique<Watch>(event_loop_, g_socket_get_fd(socket_.get()), [this](bool, bool) { accept(); });
+  watch_ = std::make_unique<IoWatch>(event_loop_, g_socket_get_fd(socket_.get()),
+                                     [this](bool, bool) { accept(); });
 }
 
-void Listener::take_in(bool wanted) {
+void Listener::set_accepting(bool wanted) {
   wanted_ = wanted;
-  if (watch_) watch_->want(wanted, false);
+  if (watch_) watch_->set_interest(wanted, false);
 }
 
 void Listener::close() {
@@ -54,9 +54,9 @@
       if (!no_more) {
         // Danger: with no descriptor left the listener stays ready, and the loop would spin on it.
         event_loop_.log().write(Topic::error, "cannot accept a connection: {}", error->message);
-        watch_->want(false, false);
+        watch_->set_interest(false, false);
         event_loop_.call_at(event_loop_.now() + kAcceptPause, [this, alive = std::weak_ptr<bool>(alive_)] {
-          if (!alive.expired()) take_in(wanted_);
+          if (!alive.expired()) set_accepting(wanted_);
         });
       }
       g_clear_error(&error);
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -9,13 +9,13 @@
 namespace cherryrail::net {
 
 // Throws std::runtime_error.
-SocketPtr listen_at(const Address& address);
+SocketPtr create_listening_socket(const Address& address);
 
 class Listener {
  public:
   using Taken = std::function<void(SocketPtr)>;
   Listener(EventLoop& event_loop, SocketPtr socket, Taken taken);
-  void take_in(bool wanted);
+  void set_accepting(bool wanted);
   void close();  // gives on whoever has connected by now, and takes nobody after that
 
  private:
@@ -25,7 +25,7 @@
   SocketPtr socket_;
   Taken taken_;
   bool wanted_ = false;
-  std::unique_ptr<Watch> watch_;
+  std::unique_ptr<IoWatch> watch_;
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -20,7 +20,7 @@
 }  // namespace
 
 // One watch at one address.
-class Discovery::DiscoveryWatch final : public net::ConnectionOwner,
+class Discovery::DiscoveryWatch final : public net::ConnectionHandler,
                                         public std::enable_shared_from_this<DiscoveryWatch> {
  public:
   DiscoveryWatch(Discovery& discovery, std::int64_t after) : discovery_(discovery), after_(after) {}
@@ -30,20 +30,21 @@
 
   void start() {
     heard_at_ = called_at_ = discovery_.event_loop_.now();
-    connection_ = net::Connection::open(discovery_.event_loop_, net::parse_address(where_), *this);
+    connection_ =
+        net::Connection::connect(discovery_.event_loop_, net::parse_address(where_), *this).connection;
     if (connection_) return look_at_clock();
-    discovery_.event_loop_.soon([weak = weak_from_this()] {
+    discovery_.event_loop_.post([weak = weak_from_this()] {
       if (const auto self = weak.lock()) self->over("cannot connect");
     });
   }
   bool any_line() const { return any_line_; }
 
-  void connected() override {
+  void on_connected() override {
     connected_ = true;
     connection_->send({"GET /discovery/hosts?watch=1&after=", std::to_string(after_),
                        " HTTP/1.1\r\nHost: ", where_, "\r\nAccept: application/json\r\n\r\n"});
   }
-  void received(std::string_view bytes) override {
+  void on_received(std::string_view bytes) override {
     const auto keep = shared_from_this();
     heard_at_ = discovery_.event_loop_.now();
     const auto state = answer_.feed(bytes, [this](std::string_view part) { take_body(part); });
@@ -53,8 +54,8 @@
       return over("status " + std::to_string(answer_.status()));
     if (state == protocol::HttpResponse::State::complete) over("it ended the watch");
   }
-  void ended() override { over("it ended the watch"); }
-  void broken() override { over("no connection"); }
+  void on_end_of_stream() override { over("it ended the watch"); }
+  void on_connection_lost() override { over("no connection"); }
 
   void over(const std::string& why, Micros most = std::numeric_limits<Micros>::max()) {
     const auto keep = shared_from_this();
--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -17,13 +17,13 @@
 
 }  // namespace
 
-class DownstreamListener::Client final : public net::ConnectionOwner, public DownstreamConnection {
+class DownstreamListener::Client final : public net::ConnectionHandler, public DownstreamConnection {
  public:
   Client(DownstreamListener& side, std::uint64_t number) : side_(side), number_(number) {}
 
   void start(net::SocketPtr socket) {
     began_ = quiet_since_ = wrote_at_ = side_.event_loop_.now();
-    connection_ = net::Connection::accepted(side_.event_loop_, std::move(socket), *this);
+    connection_ = net::Connection::adopt(side_.event_loop_, std::move(socket), *this);
   }
   void stand(net::SocketPtr socket, const std::shared_ptr<ProxySession>& session) {
     session_ = session;
@@ -44,7 +44,7 @@
   const ProxySession* session() const { return session_.get(); }
   void gone() { session_ ? session_->gone() : handed(); }
   int flat_settings() const override {
-    return !over_ && connection_->flat_settings() ? connection_->descriptor() : -1;
+    return !over_ && connection_->is_transferable() ? connection_->descriptor() : -1;
   }
   void handed() override {
     connection_->close();
@@ -60,11 +60,11 @@
     session_ ? session_->last_call() : turn_out("shutting_down");
   }
   bool has_begun() const { return !lines_.partial_line().empty(); }
-  void look() override { connection_->look(); }
+  void look() override { connection_->read_now(); }
 
   // Danger: a connection that has not asked for a tunnel yet may be anybody's. What can be no first line is
   // turned away at its first wrong byte; a client that does not wait for its answer is not served.
-  void received(std::string_view bytes) override {
+  void on_received(std::string_view bytes) override {
     if (session_) return up_ ? session_->client_passes(bytes) : session_->client_spoke_early();
     int pings = 0;
     const std::string_view rest = lines_.feed(bytes, [this, &pings](std::string_view line) {
@@ -90,24 +90,24 @@
   void said_nothing() { finish(lines_.partial_line().empty() ? "" : "ERR", "request_timeout"); }
   void turn_out(const char* reason) {
     connection_->send({"BUSY\r\n"});
-    connection_->close_at_once();
+    connection_->close_discarding_input();
     leave(reason);
   }
-  void ended() override { client_ended(Ended::orderly); }
-  void broken() override { client_ended(Ended::broken); }
-  void all_sent() override {
+  void on_end_of_stream() override { client_ended(Ended::orderly); }
+  void on_connection_lost() override { client_ended(Ended::broken); }
+  void on_all_sent() override {
     if (session_ && session_->server) session_->server->read_on(true);
   }
 
   void pass(std::string_view bytes, std::string_view more) override {
     connection_->send({bytes, more});
-    if (connection_->waiting() > kMuchWaiting && session_->server) session_->server->read_on(false);
+    if (connection_->unsent_bytes() > kMuchWaiting && session_->server) session_->server->read_on(false);
     up_ = true;
   }
   void finish(std::string_view last_line, const char* reason) override {
     if (over_) return;
     if (!last_line.empty()) connection_->send({last_line, "\r\n"});
-    connection_->close_gently();
+    connection_->close_gracefully();
     side_.on_their_way_.push_back(connection_);
     leave(reason);
   }
@@ -115,7 +115,7 @@
     connection_->reset();
     leave(reason);
   }
-  void read_on(bool wanted) override { connection_->read_on(wanted); }
+  void read_on(bool wanted) override { connection_->set_reading(wanted); }
 
  private:
   static bool may_begin(std::string_view begun) {
@@ -138,7 +138,7 @@
                            number_, id, reason, (event_loop.now() - began_) / 1000);
     if (session_) session_->client = nullptr;
     side_.quiet_.erase(number_);
-    event_loop.soon([&side = side_, number = number_] { side.clients_.erase(number); });
+    event_loop.post([&side = side_, number = number_] { side.clients_.erase(number); });
   }
 
   DownstreamListener& side_;
@@ -177,7 +177,7 @@
 // Danger: who has written its line to this machine counts as taken, though nobody may have read it yet or
 // even accepted its connection; what the process holds when it ends is cut off with no answer.
 void DownstreamListener::last_call(bool closing) {
-  closing ? listener_.close() : listener_.take_in(false);
+  closing ? listener_.close() : listener_.set_accepting(false);
   for (const auto& client : everybody()) client->last_call();
 }
 
@@ -190,7 +190,7 @@
   }
   make_room();
   if (full_()) {  // every one serves somebody: told at once, and nothing kept
-    net::tell_and_close(std::move(socket), "BUSY\r\n");
+    net::send_and_close(std::move(socket), "BUSY\r\n");
     return event_loop_.log().write(net::Topic::error, "client rejected: descriptors run short");
   }
   come(std::move(socket), "", 0);
@@ -208,7 +208,7 @@
   client->start(std::move(socket));
   client->has_waited(waited);
   look_whether_quiet(client, client->quiet_since() + kFirstLine);
-  if (!begun.empty()) client->received(begun);
+  if (!begun.empty()) client->on_received(begun);
   client->look();  // most have said by now what they want
 }
 
@@ -232,8 +232,8 @@
     std::erase_if(on_their_way_, [this](const auto& one) {
       const auto leaving = one.lock();
       // Danger: one whose last line is not out yet would never read it.
-      if (leaving && leaving->is_open() && (leaving->waiting() > 0 || !full_())) return false;
-      if (leaving) leaving->close_at_once();
+      if (leaving && leaving->is_open() && (leaving->unsent_bytes() > 0 || !full_())) return false;
+      if (leaving) leaving->close_discarding_input();
       return true;
     });
   if (std::exchange(making_room_, true)) return;  // a line found on the way asks for room itself
--- a/src/proxy/downstream.hpp
+++ b/src/proxy/downstream.hpp
@@ -32,7 +32,7 @@
   // The process is about to end: whoever has come by now is answered, what is open is told to move. With
   // `closing` nobody can connect from then on, else whoever does is the next process's.
   void last_call(bool closing);
-  void take_in(bool wanted) { listener_.take_in(wanted); }
+  void take_in(bool wanted) { listener_.set_accepting(wanted); }
   // Between two processes. `give` tells whether another process has what it was told of; where it says no,
   // the rest waits. Then both of what came from there: a client that has asked for nothing, or one with a
   // tunnel.
--- a/src/proxy/health_checker.cpp
+++ b/src/proxy/health_checker.cpp
@@ -7,7 +7,7 @@
 
 namespace cherryrail::proxy {
 
-class HealthChecker::HealthCheck final : public net::ConnectionOwner,
+class HealthChecker::HealthCheck final : public net::ConnectionHandler,
                                          public std::enable_shared_from_this<HealthCheck> {
  public:
   HealthCheck(HealthChecker& probes, std::string uid, net::Address to)
@@ -25,7 +25,7 @@
     if (connection_) {
       ask();
     } else {
-      connection_ = net::Connection::open(probes_.event_loop_, to_, *this);
+      connection_ = net::Connection::connect(probes_.event_loop_, to_, *this).connection;
       up_ = false;
       if (!connection_) return over(AttemptResult::connect_failed, {});
       give_up_after(probes_.connect_limit_, true);
@@ -33,11 +33,11 @@
     give_up_after(probes_.limit_, false);
   }
 
-  void connected() override {
+  void on_connected() override {
     up_ = true;
     ask();
   }
-  void received(std::string_view bytes) override {
+  void on_received(std::string_view bytes) override {
     lines_.feed(bytes, [this](std::string_view line) {
       const protocol::BackendReply answer = protocol::parse_backend_reply(line);
       if (answer.kind == protocol::ReplyKind::pong)
@@ -49,8 +49,8 @@
     });
     if (lines_.is_overlong()) fail(AttemptResult::error);
   }
-  void ended() override { fail(AttemptResult::reset); }
-  void broken() override { fail(up_ ? AttemptResult::reset : AttemptResult::connect_failed); }
+  void on_end_of_stream() override { fail(AttemptResult::reset); }
+  void on_connection_lost() override { fail(up_ ? AttemptResult::reset : AttemptResult::connect_failed); }
 
  private:
   void ask() { connection_->send({probes_.word_, "\r\n"}); }
@@ -77,7 +77,7 @@
   void over(AttemptResult result, std::string_view report) {
     const Micros now = probes_.event_loop_.now();
     if (tell_)
-      probes_.event_loop_.soon([tell = std::exchange(tell_, nullptr),
+      probes_.event_loop_.post([tell = std::exchange(tell_, nullptr),
                                 outcome = AttemptOutcome{result, now - began_},
                                 report = std::string(report)] { tell(outcome, report); });
     // A connection that is not used costs the backend room.
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -68,8 +68,8 @@
   on_endpoint_list(start.known_endpoints);
   clients_ = std::make_unique<DownstreamListener>(
       event_loop,
-      start.inherited_listener ? net::socket_of(*start.inherited_listener)
-                               : net::listen_at(start.listen_address),
+      start.inherited_listener ? net::adopt_socket(*start.inherited_listener)
+                               : net::create_listening_socket(start.listen_address),
       [this](std::string_view line) { return std::make_shared<ProxySession>(event_loop_, *balancer_, line); },
       [this](const std::shared_ptr<ProxySession>& session) { take(session); }, [this] { return full(); });
   look_for_silence();
@@ -93,7 +93,7 @@
 
 void ProxyServer::on_ready(std::function<void()> then) {
   on_ready_ = std::move(then);
-  if (ready_) event_loop_.soon(on_ready_);
+  if (ready_) event_loop_.post(on_ready_);
 }
 
 void ProxyServer::serve() {
@@ -150,9 +150,9 @@
 
 void ProxyServer::receive_handover(const HandoverMessage& handed) {
   if (handed.memory) return balancer_->import_state(*handed.memory);
-  net::SocketPtr client = net::socket_of(handed.client);
+  net::SocketPtr client = net::adopt_socket(handed.client);
   if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
-  net::SocketPtr server = net::socket_of(handed.server);
+  net::SocketPtr server = net::adopt_socket(handed.server);
   const auto session = std::make_shared<ProxySession>(event_loop_, *balancer_, handed.head);
   if (const char* fault = fault_of(*session))
     return event_loop_.log().write(net::Topic::error, "bad open request in a handover: {}", fault);
@@ -204,12 +204,12 @@
 
 // Danger: the clients of a relay that is replaced are served already; the spare descriptors are for new ones.
 bool ProxyServer::can_receive_handover() const {
-  return event_loop_.sockets() + others_hold_ + kept_back_ / 2 <= sockets_;
+  return event_loop_.watch_count() + others_hold_ + kept_back_ / 2 <= sockets_;
 }
 
 void ProxyServer::stop_when_empty() { look_whether_empty(event_loop_.now()); }
 
-bool ProxyServer::full() const { return event_loop_.sockets() + others_hold_ + kept_back_ > sockets_; }
+bool ProxyServer::full() const { return event_loop_.watch_count() + others_hold_ + kept_back_ > sockets_; }
 
 void ProxyServer::set_disabled_backends(const std::set<std::string>& uids) {
   const auto before = std::exchange(banned_, uids);
@@ -377,7 +377,7 @@
   // Danger: where clients hold the rest, probes take the last descriptors, and a look that finds none would
   // speak against its backend. None made is as one turned away.
   if (!can_receive_handover())
-    return event_loop_.soon([this, target] {
+    return event_loop_.post([this, target] {
       balancer_->on_health_check_ended(*target, {AttemptResult::rejected, 0}, {});
     });
   probes_.look(target->uid, target->address,
@@ -388,7 +388,7 @@
 
 // Asked for soon, not now: the module asks from within its own making.
 void ProxyServer::watch_endpoints() {
-  event_loop_.soon([this] { discovery_.follow(); });
+  event_loop_.post([this] { discovery_.follow(); });
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -89,7 +89,7 @@
 
 // Danger: this is often called from within the module's own step; so the module hears of it soon, not now.
 void ProxySession::setup_over(const AttemptOutcome& outcome, bool finished, const LoadReport& report) {
-  event_loop_.soon([self = self(), outcome, finished, report] {
+  event_loop_.post([self = self(), outcome, finished, report] {
     if (std::exchange(self->stood_at, nullptr) && !self->is_answered && !finished) {
       // It could not be opened again where it stood. Whether that setup ran matters for the next one.
       if (self->traffic_class->idempotency == Idempotency::idempotent ||
--- a/src/proxy/upstream.cpp
+++ b/src/proxy/upstream.cpp
@@ -37,7 +37,7 @@
 
 }  // namespace
 
-class UpstreamConnector::Server final : public net::ConnectionOwner, public UpstreamConnection {
+class UpstreamConnector::Server final : public net::ConnectionHandler, public UpstreamConnection {
  public:
   Server(UpstreamConnector& side, std::uint64_t number, std::shared_ptr<ProxySession> session, Micros limit)
       : side_(side), number_(number), session_(std::move(session)), began_(side.event_loop_.now()),
@@ -49,7 +49,9 @@
     session_->server = this;
     if (until_ <= began_) return over_soon(weak, AttemptResult::timed_out);
     // Danger: a relay out of descriptors would take healthy backends for dead. What was never sent is moot.
-    connection_ = net::Connection::open(side_.event_loop_, to, *this, &no_descriptor_);
+    net::ConnectAttempt attempt = net::Connection::connect(side_.event_loop_, to, *this);
+    connection_ = std::move(attempt.connection);
+    no_descriptor_ = attempt.is_out_of_descriptors;
     if (!connection_)
       return over_soon(weak, no_descriptor_ ? AttemptResult::not_sent : AttemptResult::connect_failed);
     side_.event_loop_.call_at(std::min(until_, began_ + side_.connect_limit_), [weak] {
@@ -65,22 +67,22 @@
   void stand(net::SocketPtr socket) {
     session_->server = this;
     step_ = Step::up;
-    connection_ = net::Connection::accepted(side_.event_loop_, std::move(socket), *this);
+    connection_ = net::Connection::adopt(side_.event_loop_, std::move(socket), *this);
   }
 
-  void connected() override {
+  void on_connected() override {
     if (!session_->may_still_send()) return over(Ended::orderly, AttemptResult::not_sent);
     const protocol::OpenRequest::LinePieces head =
         session_->head.with_client_timeout(until_ - side_.event_loop_.now());
     step_ = Step::sending;
     connection_->send({head.before, head.client_timeout(), head.after, "\r\n"});
-    if (connection_->waiting() == 0) step_ = Step::waiting;
+    if (connection_->unsent_bytes() == 0) step_ = Step::waiting;
   }
-  void all_sent() override {
+  void on_all_sent() override {
     if (step_ == Step::sending) step_ = Step::waiting;
     if (session_->client) session_->client->read_on(true);
   }
-  void received(std::string_view bytes) override {
+  void on_received(std::string_view bytes) override {
     std::string_view rest = bytes;
     if (step_ != Step::up) {
       rest = lines_.feed(bytes, [this](std::string_view line) {
@@ -103,16 +105,16 @@
       });
     }
   }
-  void ended() override {
+  void on_end_of_stream() override {
     over(Ended::orderly, step_ == Step::up ? how_it_ended() : unanswered(AttemptResult::reset));
   }
-  void broken() override {
+  void on_connection_lost() override {
     over(Ended::broken, step_ == Step::up ? how_it_ended() : unanswered(AttemptResult::reset));
   }
 
   void pass(std::string_view bytes) override {
     connection_->send({bytes});
-    if (connection_->waiting() > kMuchWaiting && session_->client) session_->client->read_on(false);
+    if (connection_->unsent_bytes() > kMuchWaiting && session_->client) session_->client->read_on(false);
   }
   void finish() override {
     connection_->end_sending();
@@ -133,14 +135,14 @@
   int flat_settings() const override {
     // After its last words it is about to end.
     const bool over = last_ == protocol::ReplyKind::bye || last_ == protocol::ReplyKind::move;
-    return step_ == Step::up && !over && connection_->flat_settings() ? connection_->descriptor() : -1;
+    return step_ == Step::up && !over && connection_->is_transferable() ? connection_->descriptor() : -1;
   }
   void handed() override {
     connection_->close();
     leave("handed_over");
   }
   void read_on(bool wanted) override {
-    if (connection_) connection_->read_on(wanted);
+    if (connection_) connection_->set_reading(wanted);
   }
 
  private:
@@ -179,7 +181,7 @@
   }
   static void over_soon(const std::weak_ptr<Server>& weak, AttemptResult result) {
     const auto self = weak.lock();
-    self->side_.event_loop_.soon([weak, result] {
+    self->side_.event_loop_.post([weak, result] {
       if (const auto late = weak.lock()) late->over(Ended::broken, result);
     });
   }
@@ -207,7 +209,7 @@
         session_->backend ? session_->backend->name : 0, reason, (side_.event_loop_.now() - began_) / 1000);
   }
   void forget() {
-    side_.event_loop_.soon([&side = side_, number = number_] { side.servers_.erase(number); });
+    side_.event_loop_.post([&side = side_, number = number_] { side.servers_.erase(number); });
   }
 
   UpstreamConnector& side_;
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -434,7 +434,7 @@
   std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
   for (const char byte : size + text + "\r\n") {
     relay.watch.send({&byte, 1});
-    relay.event_loop.turn();
+    relay.event_loop.run_once();
   }
   EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP r\r\nMOVE\r\n"; }));
 }
--- a/tests/proxy/proxy_test.cpp
+++ b/tests/proxy/proxy_test.cpp
@@ -102,10 +102,10 @@
     std::vector<TestSocket> idle;
     for (std::size_t i = 0; i < limit + 20; ++i) {
       idle.push_back(relay.connect_client(i % 3 == 0 ? "" : i % 3 == 1 ? "OPEN 77" : "PING\r\n"));
-      if (i % 50 == 0) relay.event_loop.turn();
+      if (i % 50 == 0) relay.event_loop.run_once();
     }
     relay.run_for(100);
-    EXPECT_LE(relay.event_loop.sockets() + 6, limit);  // and the loop's own
+    EXPECT_LE(relay.event_loop.watch_count() + 6, limit);  // and the loop's own
     relay.discovery = TestSocket::listening(place);
     // At its return it drains the one that was known, and names another.
     relay.backends.push_back(TestSocket::listening());
@@ -118,7 +118,7 @@
     EXPECT_EQ(relay.backend_index(there), 1u);
     there.send("UP r\r\n");
     EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP r\r\n"; })) << limit;
-    EXPECT_LE(relay.event_loop.sockets() + 6, limit);
+    EXPECT_LE(relay.event_loop.watch_count() + 6, limit);
   }
 }
 
--- a/tests/support/loopback_relay.cpp
+++ b/tests/support/loopback_relay.cpp
@@ -67,7 +67,7 @@
   const Micros deadline = event_loop.now() + milliseconds * Micros{1000};
   while (event_loop.now() < deadline) {
     if (condition()) return true;
-    event_loop.turn();
+    event_loop.run_once();
     poll(nullptr, 0, 1);
   }
   return condition();
