--- /dev/null
+++ b/src/admin/admin_api.hpp
@@ -0,0 +1,15 @@
+// What operators and the platform can ask of a running relay over HTTP.
+#pragma once
+
+#include <vector>
+
+#include "admin/disabled_backends_sync.hpp"
+#include "admin/route_table.hpp"
+#include "proxy/proxy_server.hpp"
+
+namespace cherryrail::admin {
+
+// GET /ready, POST /backends/disable and POST /backends/enable. Both arguments have to outlive the routes.
+std::vector<Route> admin_api_routes(proxy::ProxyServer& proxy, DisabledBackendsSync& disabled_backends);
+
+}  // namespace cherryrail::admin
--- /dev/null
+++ b/src/admin/admin_connection.hpp
@@ -0,0 +1,53 @@
+// One connection of an operator: one HTTP/1.1 request, one response.
+#pragma once
+
+#include <memory>
+#include <string_view>
+
+#include "admin/route_table.hpp"
+#include "net/connection.hpp"
+#include "net/event_loop.hpp"
+#include "protocol/http_request.hpp"
+
+namespace cherryrail::admin {
+
+// Made by the admin server for each connection. Each ends with one line in the log.
+class AdminConnection final : public net::ConnectionHandler {
+ public:
+  AdminConnection(net::EventLoop& event_loop, const RouteTable& routes);
+  ~AdminConnection();
+  AdminConnection(const AdminConnection&) = delete;
+  AdminConnection& operator=(const AdminConnection&) = delete;
+  AdminConnection(AdminConnection&&) = delete;
+  AdminConnection& operator=(AdminConnection&&) = delete;
+
+  // Called once, before anything else; reads at once what has come.
+  void start(net::SocketPtr socket);
+  // Answers a request that is not complete yet with 408.
+  void on_request_timeout();
+  // Closes the connection in favour of another.
+  void evict();
+
+  [[nodiscard]] Micros last_received_at() const { return last_received_at_; }
+  // The response is on its way, or nobody waits for one any more.
+  [[nodiscard]] bool is_finished() const { return is_finished_; }
+  [[nodiscard]] bool is_closed() const { return !connection_->is_open(); }
+
+  void on_received(std::string_view bytes) override;
+  void on_end_of_stream() override;
+  void on_connection_lost() override;
+
+ private:
+  void respond(const AdminResponse& response);
+  void finish(std::string_view result);
+
+  net::EventLoop& event_loop_;
+  const RouteTable& routes_;
+  Micros started_at_;
+  Micros last_received_at_;
+  std::shared_ptr<net::Connection> connection_;
+  protocol::HttpRequest request_;
+  bool is_finished_ = false;
+};
+
+}  // namespace cherryrail::admin
--- a/src/admin/admin_server.hpp
+++ b/src/admin/admin_server.hpp
@@ -1,47 +1,37 @@
-// Where operators call: listens at an address of its own and answers one HTTP/1.1 call to a connection.
+// Where operators call: listens at an address of its own and answers one HTTP/1.1 request to a connection.
 #pragma once
 
-#include <functional>
+#include <cstddef>
 #include <list>
 #include <memory>
-#include <string>
 #include <vector>
 
+#include "admin/admin_connection.hpp"
+#include "admin/route_table.hpp"
 #include "net/listener.hpp"
-#include "protocol/http_request.hpp"
 
 namespace cherryrail::admin {
 
-struct AdminResponse {
-  int status = 200;
-  std::string text;  // JSON
-};
-
-AdminResponse refusal(int status, const std::string& why);
-
-// One call that is known: a further one is one more row.
-struct Route {
-  std::string method, path;
-  std::function<AdminResponse(const std::string& body)> handler;
-};
-
-// What the table says to a whole call: 404 for an unknown path, 405 for a known one with another method.
-AdminResponse look_up(const std::vector<Route>& table, const protocol::HttpRequest& call);
-
 class AdminServer {
  public:
-  static constexpr std::size_t kCallers = 12;  // at once; their descriptors are kept back
+  // At once; their descriptors are kept back from clients.
+  static constexpr std::size_t kMaxConnections = 12;
 
-  AdminServer(net::EventLoop& event_loop, const net::Address& listen_on, std::vector<Route> table);
+  // Throws std::runtime_error if it cannot listen there.
+  AdminServer(net::EventLoop& event_loop, const net::Address& address, std::vector<Route> routes);
   ~AdminServer();
+  AdminServer(const AdminServer&) = delete;
+  AdminServer& operator=(const AdminServer&) = delete;
+  AdminServer(AdminServer&&) = delete;
+  AdminServer& operator=(AdminServer&&) = delete;
 
  private:
-  class AdminConnection;
-  void take_in(net::SocketPtr socket);
+  void accept(net::SocketPtr socket);
+  void make_room();
 
   net::EventLoop& event_loop_;
-  const std::vector<Route> table_;
-  std::list<std::shared_ptr<AdminConnection>> callers_;
+  const RouteTable routes_;
+  std::list<std::shared_ptr<AdminConnection>> connections_;
   net::Listener listener_;
 };
 
--- /dev/null
+++ b/src/admin/admin_services.cpp
@@ -0,0 +1,36 @@
+#include "admin/admin_services.hpp"
+
+#include <stdexcept>
+#include <string>
+
+#include "admin/admin_api.hpp"
+#include "admin/state_files.hpp"
+#include "config/config_error.hpp"
+
+namespace cherryrail::admin {
+namespace {
+
+// Empty if operators cannot call, or if there is no folder to keep the file in.
+std::string disabled_backends_path(const config::RelayConfig& relay_config) {
+  if (relay_config.admin.empty() || relay_config.state_directory.empty()) return "";
+  return relay_config.state_directory + "/" + state_file_name(relay_config.name, kDisabledBackendsSuffix);
+}
+
+}  // namespace
+
+AdminServices::AdminServices(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
+                             const config::RelayConfig& relay_config)
+    : disabled_backends_(event_loop, proxy, disabled_backends_path(relay_config)),
+      hot_restart_(event_loop, proxy, relay_config) {
+  if (relay_config.admin.empty()) return;
+  disabled_backends_.start();
+  proxy.reserve_descriptors(AdminServer::kMaxConnections);
+  try {
+    admin_server_ = std::make_unique<AdminServer>(event_loop, relay_config.admin_address,
+                                                  admin_api_routes(proxy, disabled_backends_));
+  } catch (const std::runtime_error& error) {
+    throw config::ConfigError(config::ConfigSource::file, {"mgmt", relay_config.admin}, error.what());
+  }
+}
+
+}  // namespace cherryrail::admin
--- a/src/admin/disabled_backends.cpp
+++ b/src/admin/disabled_backends.cpp
@@ -6,10 +6,11 @@
 #include <unistd.h>
 
 #include <cerrno>
+#include <cstddef>
 #include <cstdio>
-#include <cstring>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <utility>
 
 #include "net/file_descriptor.hpp"
@@ -17,71 +18,107 @@
 namespace cherryrail::admin {
 namespace {
 
-constexpr std::size_t kLargest = std::size_t{1} << 20;
+// Some ten thousand names; what is longer was not written by a relay.
+constexpr std::size_t kLargestFile = std::size_t{1} << 20;
+constexpr mode_t kOwnerOnly = 0600;
+// The file's one key, in the word of the build that first wrote it. Builds before and after share the file.
+constexpr const char* kNamesKey = "bans";
+
+std::error_code last_system_error() { return {errno, std::generic_category()}; }
+
+std::string read_text(std::ifstream& file) {
+  std::string text(kLargestFile, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  return text;
+}
+
+std::error_code write_file(const std::string& path, std::string_view text) {
+  net::FileDescriptor file(open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, kOwnerOnly));
+  if (!file) return last_system_error();
+  const ssize_t written = write(file.get(), text.data(), text.size());
+  if (written < 0) return last_system_error();
+  if (static_cast<std::size_t>(written) != text.size()) return make_error_code(std::errc::no_space_on_device);
+  if (close(file.release()) != 0) return last_system_error();
+  return {};
+}
 
 }  // namespace
 
-DisabledBackends::DisabledBackends(std::string path) : path_(std::move(path)) { look(); }
+std::string StorageError::message() const {
+  switch (operation) {
+    case Operation::read:
+      return path + " cannot be read";
+    case Operation::parse:
+      return path + " is damaged: " + detail;
+    case Operation::write:
+      return path + " cannot be written: " + code.message();
+  }
+  return path;
+}
+
+DisabledBackends::DisabledBackends(std::string path) : path_(std::move(path)) { reload_if_changed(); }
 
-DisabledBackends::Seen DisabledBackends::seen() const {
-  struct stat now {};
-  if (path_.empty() || stat(path_.c_str(), &now) != 0) return {};
-  return {static_cast<long long>(now.st_ino), now.st_mtim.tv_sec, now.st_mtim.tv_nsec, now.st_size};
+DisabledBackends::FileVersion DisabledBackends::current_version() const {
+  struct stat file {};
+  if (path_.empty() || stat(path_.c_str(), &file) != 0) return {};
+  return {file.st_ino, file.st_mtim.tv_sec, file.st_mtim.tv_nsec, file.st_size};
 }
 
-bool DisabledBackends::look() {
-  const Seen now = seen();
-  if (now == seen_) return false;
-  seen_ = now;
-  return read();
+bool DisabledBackends::reload_if_changed() {
+  const FileVersion version = current_version();
+  if (version == loaded_version_) return false;
+  loaded_version_ = version;
+  return load();
 }
 
-// Danger: a file that is damaged must neither end the process nor call a banned backend back: what is known
-// holds on.
-bool DisabledBackends::read() {
-  fault_.clear();
+// A file that is damaged must neither end the process nor enable a backend again: the names stay as they
+// were.
+bool DisabledBackends::load() {
+  error_.reset();
   std::ifstream file(path_);
   if (!file) {
-    if (seen_.size >= 0) fault_ = path_ + " cannot be read";
+    const std::error_code code = last_system_error();
+    const bool is_expected_to_exist = loaded_version_.size >= 0;
+    if (is_expected_to_exist) error_ = StorageError{StorageError::Operation::read, path_, code, ""};
     return false;
   }
-  std::string text(kLargest, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
   try {
-    auto read = nlohmann::json::parse(text).at("bans").get<std::set<std::string>>();
-    names_.swap(read);
+    names_ = nlohmann::json::parse(read_text(file)).at(kNamesKey).get<std::set<std::string>>();
     return true;
   } catch (const nlohmann::json::exception& error) {
-    fault_ = path_ + " is damaged: " + error.what();
+    error_ = StorageError{StorageError::Operation::parse, path_, {}, error.what()};
     return false;
   }
 }
 
-bool DisabledBackends::change(const std::string& name, bool banned) {
-  // Held while the file is read, changed and replaced: two processes may be called at once.
-  const net::FileDescriptor lock(
-      path_.empty() ? -1 : open((path_ + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0600));
+bool DisabledBackends::set_disabled(const std::string& name, bool is_disabled) {
+  // Held while the file is read, changed and replaced: operators may call two processes at once.
+  net::FileDescriptor lock;
+  if (!path_.empty())
+    lock = net::FileDescriptor(open((path_ + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, kOwnerOnly));
   if (lock) flock(lock.get(), LOCK_EX);
-  look();  // what the other process was told a moment ago must not be lost
-  const bool changes = banned ? names_.insert(name).second : names_.erase(name) > 0;
-  if (path_.empty() || (!changes && fault_.empty())) return true;
-  if (!write()) {
-    fault_ = path_ + " cannot be written: " + std::strerror(errno);
+  // Otherwise what another process stored a moment ago would be overwritten.
+  reload_if_changed();
+  const bool is_changed = is_disabled ? names_.insert(name).second : names_.erase(name) > 0;
+  if (path_.empty()) return true;
+  if (!is_changed && !error_) return true;
+  if (const std::error_code code = store()) {
+    error_ = StorageError{StorageError::Operation::write, path_, code, ""};
     return false;
   }
-  fault_.clear();
-  seen_ = seen();
+  error_.reset();
+  loaded_version_ = current_version();
   return true;
 }
 
-// Whole, then renamed: a process that dies half-way leaves the old file.
-bool DisabledBackends::write() const {
-  const std::string text = nlohmann::json{{"bans", names_}}.dump() + "\n", fresh = path_ + ".new";
-  const int fd = open(fresh.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
-  if (fd < 0) return false;
-  const bool written = ::write(fd, text.data(), text.size()) == static_cast<ssize_t>(text.size());
-  return (close(fd) == 0) && written && std::rename(fresh.c_str(), path_.c_str()) == 0;
+// The file is written under another name, then renamed: a process that dies half-way leaves the old file.
+std::error_code DisabledBackends::store() const {
+  const std::string new_path = path_ + ".new";
+  const std::string text = nlohmann::json{{kNamesKey, names_}}.dump() + "\n";
+  if (const std::error_code code = write_file(new_path, text)) return code;
+  if (std::rename(new_path.c_str(), path_.c_str()) != 0) return last_system_error();
+  return {};
 }
 
 }  // namespace cherryrail::admin
--- /dev/null
+++ b/src/admin/disabled_backends_sync.cpp
@@ -0,0 +1,48 @@
+#include "admin/disabled_backends_sync.hpp"
+
+#include <utility>
+
+namespace cherryrail::admin {
+namespace {
+
+// How late a call to the other process holds here. To look at a file that has not changed costs one system
+// call.
+constexpr Micros kPollInterval = 100'000;
+
+}  // namespace
+
+DisabledBackendsSync::DisabledBackendsSync(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
+                                           std::string path)
+    : event_loop_(event_loop), proxy_(proxy), disabled_backends_(std::move(path)) {}
+
+void DisabledBackendsSync::start() {
+  apply();
+  poll_file();
+}
+
+DisabledBackendsSync::ChangeResult DisabledBackendsSync::set_disabled(const std::string& uid,
+                                                                      bool is_disabled) {
+  if (disabled_backends_.reload_if_changed()) apply();
+  if (!proxy_.knows_backend(uid)) return ChangeResult::unknown_backend;
+  // The result is not asked for: a full disk must not keep an operator from disabling a backend.
+  disabled_backends_.set_disabled(uid, is_disabled);
+  apply();
+  return ChangeResult::applied;
+}
+
+void DisabledBackendsSync::apply() {
+  const auto& error = disabled_backends_.error();
+  const bool is_news = error != std::exchange(logged_error_, error);
+  if (error && is_news)
+    event_loop_.log().write(net::Topic::error, "disabled backends are known to this process alone: {}",
+                            error->message());
+  proxy_.set_disabled_backends(disabled_backends_.names());
+}
+
+void DisabledBackendsSync::poll_file() {
+  const bool is_reloaded = disabled_backends_.reload_if_changed();
+  if (is_reloaded || disabled_backends_.error()) apply();
+  event_loop_.call_at(event_loop_.now() + kPollInterval, [this] { poll_file(); });
+}
+
+}  // namespace cherryrail::admin
--- /dev/null
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -0,0 +1,161 @@
+#include "admin/hot_restart_coordinator.hpp"
+
+#include <algorithm>
+#include <filesystem>
+#include <iterator>
+#include <set>
+#include <stdexcept>
+#include <string>
+#include <system_error>
+#include <utility>
+
+#include "admin/state_files.hpp"
+
+namespace cherryrail::admin {
+namespace {
+
+// What cannot be handed over or received now may be so once a line is complete or a descriptor is free; short
+// beside the time that clients wait for an answer.
+constexpr Micros kRetryInterval = 20'000;
+// So that a predecessor with thousands of sessions does not keep the loop from clients.
+constexpr int kMessagesAtOnce = 64;
+// How late this process may know of descriptors that the other has opened.
+constexpr Micros kPeerCountInterval = 100'000;
+
+std::string folder_of(const config::RelayConfig& relay_config) {
+  return relay_config.inherited_listener ? relay_config.state_directory : std::string();
+}
+
+}  // namespace
+
+std::size_t count_open_descriptors(int process) {
+  std::error_code error;
+  const std::filesystem::directory_iterator descriptors("/proc/" + std::to_string(process) + "/fd", error);
+  return static_cast<std::size_t>(std::distance(begin(descriptors), end(descriptors)));
+}
+
+// A connection with the process before this one, or the one after; it ends with that process.
+struct HotRestartCoordinator::Peer {
+  HandoverChannel channel;
+  int process = 0;  // 0 if it is this process
+  std::unique_ptr<net::IoWatch> watch;
+};
+
+HotRestartCoordinator::HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
+                                             const config::RelayConfig& relay_config)
+    : event_loop_(event_loop), proxy_(proxy),
+      socket_(folder_of(relay_config), state_file_name(relay_config.name, kServingProcessSuffix)) {
+  if (!relay_config.inherited_listener) return;
+  // Connected from the start, so that each process counts the other's descriptors.
+  if (auto predecessor = socket_.connect_to_successor()) add_peer(std::move(*predecessor));
+  proxy_.on_ready([this] { announce(); });
+}
+
+HotRestartCoordinator::~HotRestartCoordinator() = default;
+
+void HotRestartCoordinator::announce() {
+  if (!socket_.announce()) {
+    event_loop_.log().write(net::Topic::error,
+                            "hot restart: cannot announce this process to its predecessor");
+    return;
+  }
+  announcement_watch_ = std::make_unique<net::IoWatch>(event_loop_, socket_.descriptor(),
+                                                       [this](bool, bool) { accept_predecessor(); });
+  announcement_watch_->set_interest(true, false);
+}
+
+void HotRestartCoordinator::accept_predecessor() {
+  if (auto channel = socket_.accept()) add_peer(std::move(*channel));
+}
+
+void HotRestartCoordinator::add_peer(HandoverChannel channel) {
+  const int process = channel.peer_process().value_or(0);
+  const auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr});
+  peers_.push_back(peer);
+  // An event for a peer that was removed a moment before must not touch it.
+  const auto on_readable = [this, weak_peer = std::weak_ptr(peer)](bool, bool) {
+    if (const auto here = weak_peer.lock()) receive_from(*here);
+  };
+  peer->watch = std::make_unique<net::IoWatch>(event_loop_, peer->channel.descriptor(), on_readable);
+  peer->watch->set_interest(true, false);
+  if (!std::exchange(is_watching_peers_, true)) watch_peer_descriptors();
+}
+
+void HotRestartCoordinator::receive_from(Peer& peer) {
+  count_peer_descriptors();
+  for (int count = 0; count < kMessagesAtOnce; ++count) {
+    // A message that is read while no descriptors are left to hold what it brings would lose a session.
+    if (!proxy_.can_receive_handover()) return pause_receiving(peer);
+    ReceiveResult result = peer.channel.receive();
+    if (result.is_peer_gone) return remove_peer(peer);
+    if (!result.handover) return;
+    take_in(std::move(*result.handover));
+  }
+}
+
+void HotRestartCoordinator::pause_receiving(const Peer& peer) {
+  peer.watch->set_interest(false, false);
+  event_loop_.call_at(event_loop_.now() + kRetryInterval, [this] { resume_receiving(); });
+}
+
+void HotRestartCoordinator::resume_receiving() {
+  count_peer_descriptors();
+  for (const auto& peer : peers_) peer->watch->set_interest(true, false);
+}
+
+void HotRestartCoordinator::take_in(proxy::IncomingHandover handover) {
+  try {
+    proxy_.receive_handover(std::move(handover));
+  } catch (const std::runtime_error& error) {
+    event_loop_.log().write(net::Topic::error, "hot restart: a handover message is lost: {}", error.what());
+  }
+}
+
+void HotRestartCoordinator::remove_peer(const Peer& peer) {
+  peers_.remove_if([&peer](const auto& other) { return other.get() == &peer; });
+  count_peer_descriptors();
+}
+
+void HotRestartCoordinator::count_peer_descriptors() {
+  std::set<int> processes;
+  for (const auto& peer : peers_) processes.insert(peer->process);
+  processes.erase(0);
+  std::size_t descriptors = 0;
+  for (const int process : processes) descriptors += count_open_descriptors(process);
+  proxy_.set_descriptors_held_by_peers(descriptors);
+}
+
+void HotRestartCoordinator::watch_peer_descriptors() {
+  count_peer_descriptors();
+  is_watching_peers_ = !peers_.empty();
+  if (!is_watching_peers_) return;
+  event_loop_.call_at(event_loop_.now() + kPeerCountInterval, [this] { watch_peer_descriptors(); });
+}
+
+void HotRestartCoordinator::shut_down() {
+  if (std::exchange(is_shutting_down_, true)) return;
+  successor_ = socket_.connect_to_successor();
+  if (!successor_) return proxy_.begin_graceful_shutdown();
+  // Not sent if the successor is gone already; then the sessions find that out as well.
+  static_cast<void>(successor_->send({proxy_.export_state()}));
+  hand_over_until(event_loop_.now() + proxy_.longest_client_timeout());
+}
+
+// Sessions that cannot be handed over are migrated, as without a successor: those whose line stays incomplete
+// until `deadline`, and all that are left when the successor dies.
+void HotRestartCoordinator::hand_over_until(Micros deadline) {
+  bool is_successor_gone = false;
+  const auto send = [this, &is_successor_gone](const proxy::OutgoingHandover& handover) {
+    const SendResult result = successor_->send(handover);
+    if (result == SendResult::peer_gone) is_successor_gone = true;
+    return result == SendResult::sent;
+  };
+  const bool is_everything_handed_over = proxy_.hand_over(send);
+  if (is_everything_handed_over) return proxy_.stop_when_empty();
+  // With two restarts soon after each other, a successor that is gone may have a successor of its own.
+  if (is_successor_gone) successor_ = socket_.connect_to_successor();
+  if (!successor_ || event_loop_.now() >= deadline) return proxy_.migrate_remaining_sessions();
+  event_loop_.call_at(event_loop_.now() + kRetryInterval, [this, deadline] { hand_over_until(deadline); });
+}
+
+}  // namespace cherryrail::admin
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,7 +4,7 @@
 #include <cstdlib>
 #include <exception>
 
-#include "admin/operations.hpp"
+#include "admin/admin_services.hpp"
 #include "config/descriptor_limit.hpp"
 
 namespace {
@@ -14,8 +14,8 @@
   start.descriptor_limit = cherryrail::config::raise_descriptor_limit(start.descriptor_limit);
   cherryrail::net::EventLoop event_loop;
   cherryrail::proxy::ProxyServer proxy(event_loop, start);
-  cherryrail::admin::Operations operation(event_loop, proxy, start);
-  event_loop.on_terminate([&operation] { operation.leave(); });
+  cherryrail::admin::AdminServices admin_services(event_loop, proxy, start);
+  event_loop.on_terminate([&admin_services] { admin_services.shut_down(); });
   event_loop.on_reload([&proxy, &path] { proxy.reload(path); });
   event_loop.run();
 }
--- a/src/net/file_descriptor.hpp
+++ b/src/net/file_descriptor.hpp
@@ -1,4 +1,4 @@
-// A descriptor that is closed with its owner.
+// Ownership of a file descriptor.
 #pragma once
 
 #include <unistd.h>
@@ -7,10 +7,16 @@
 
 namespace cherryrail::net {
 
+// Closes its descriptor when it ends. Empty, a descriptor below 0, if it was moved from or given a failed
+// call's result.
 class FileDescriptor {
  public:
-  explicit FileDescriptor(int fd = -1) : fd_(fd) {}
-  FileDescriptor(FileDescriptor&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  FileDescriptor() = default;
+  explicit FileDescriptor(int fd) : fd_(fd) {}
+  FileDescriptor(const FileDescriptor&) = delete;
+  FileDescriptor& operator=(const FileDescriptor&) = delete;
+  FileDescriptor(FileDescriptor&& other) noexcept : fd_(other.release()) {}
+  // The former descriptor is closed with `other`.
   FileDescriptor& operator=(FileDescriptor&& other) noexcept {
     std::swap(fd_, other.fd_);
     return *this;
@@ -18,11 +24,15 @@
   ~FileDescriptor() {
     if (fd_ >= 0) close(fd_);
   }
-  int get() const { return fd_; }
+
+  // Still owned by this object; below 0 if there is none.
+  [[nodiscard]] int get() const { return fd_; }
+  // From now on the caller's to close.
+  [[nodiscard]] int release() { return std::exchange(fd_, -1); }
   explicit operator bool() const { return fd_ >= 0; }
 
  private:
-  int fd_;
+  int fd_ = -1;
 };
 
 }  // namespace cherryrail::net
--- a/src/protocol/http_request.cpp
+++ b/src/protocol/http_request.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <system_error>
 #include <utility>
 
 #include "protocol/text_fields.hpp"
@@ -11,90 +12,122 @@
 namespace cherryrail::protocol {
 namespace {
 
-constexpr std::size_t kLongestHead = 8192, kLongestBody = 16384;
+// Far above what operators' calls need, and little to hold for each connection that sends nonsense.
+constexpr std::size_t kLongestHead = 8192;
+constexpr std::size_t kLongestBody = 16384;
 
-std::string_view trimmed(std::string_view text) {
-  while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
-  while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
-  return text;
+constexpr std::string_view kTokenPunctuation = "!#$%&'*+-.^_`|~";  // RFC 9110, 5.6.2
+constexpr std::size_t kVersionSize = std::string_view("HTTP/1.1").size();
+
+std::string_view trim(std::string_view text) {
+  constexpr std::string_view kBlanks = " \t";
+  const std::size_t first = text.find_first_not_of(kBlanks);
+  if (first == std::string_view::npos) return text.substr(text.size());
+  return text.substr(first, text.find_last_not_of(kBlanks) - first + 1);
+}
+
+bool is_token_character(char character) {
+  return g_ascii_isalnum(character) || kTokenPunctuation.find(character) != std::string_view::npos;
 }
 
 bool is_token(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), [](char c) {
-    return g_ascii_isalnum(c) || std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
-  });
+  return !text.empty() && std::all_of(text.begin(), text.end(), is_token_character);
+}
+
+bool is_target(std::string_view text) {
+  return text.starts_with('/') && text.find(' ') == std::string_view::npos;
 }
 
 }  // namespace
 
-// What follows a whole call on the same connection is left: one call to a connection.
 HttpRequest::State HttpRequest::feed(std::string_view bytes) {
-  while (!bytes.empty() && state_ == State::more) {
-    if (in_body_) {
-      const std::string_view part = bytes.substr(0, length_ - body_.size());
-      body_ += part;
-      if (body_.size() == length_) state_ = State::whole;
-      return state_;
-    }
-    const std::size_t end = bytes.find('\n');
-    const std::string_view part = bytes.substr(0, end);
-    head_ += part.size() + 1;
-    if (head_ > kLongestHead) return bad(431);
-    line_ += part;
-    if (end == std::string_view::npos) return state_;
-    bytes.remove_prefix(end + 1);
-    std::string line = std::exchange(line_, {});
-    if (!line.empty() && line.back() == '\r') line.pop_back();
-    take_line(line);
+  while (!bytes.empty() && state_ == State::incomplete) {
+    if (step_ == Step::body)
+      read_body(bytes);
+    else
+      read_line(bytes);
   }
   return state_;
 }
 
-HttpRequest::State HttpRequest::bad(int status) {
-  fault_ = status;
-  return state_ = State::bad;
+void HttpRequest::reject(HttpStatus status) {
+  error_status_ = status;
+  state_ = State::malformed;
+}
+
+void HttpRequest::read_body(std::string_view& bytes) {
+  const std::string_view part = bytes.substr(0, content_length_ - body_.size());
+  bytes.remove_prefix(part.size());
+  body_ += part;
+  if (body_.size() == content_length_) state_ = State::complete;
 }
 
-HttpRequest::State HttpRequest::take_line(std::string_view line) {
-  if (method_.empty()) {
-    if (line.empty()) return state_;  // an empty line before the call is passed over
-    const std::size_t first = line.find(' '), last = line.rfind(' ');
-    if (first == std::string_view::npos || first == last) return bad(400);
-    const std::string_view version = line.substr(last + 1), target = line.substr(first + 1, last - first - 1);
-    if (!is_token(line.substr(0, first)) || !target.starts_with('/') ||
-        target.find(' ') != std::string_view::npos)
-      return bad(400);
-    if (!version.starts_with("HTTP/1.") || version.size() != 8)
-      return bad(version.starts_with("HTTP/") ? 505 : 400);
-    method_ = line.substr(0, first);
-    path_ = target.substr(0, target.find('?'));
-    return state_;
+void HttpRequest::read_line(std::string_view& bytes) {
+  const std::size_t end = bytes.find('\n');
+  const bool is_line_complete = end != std::string_view::npos;
+  const std::string_view part = bytes.substr(0, end);
+  bytes.remove_prefix(is_line_complete ? end + 1 : bytes.size());
+  head_size_ += part.size() + 1;
+  if (head_size_ > kLongestHead) return reject(HttpStatus::header_fields_too_large);
+  partial_line_ += part;
+  if (!is_line_complete) return;
+  std::string line = std::exchange(partial_line_, {});
+  if (line.ends_with('\r')) line.pop_back();
+  take_line(line);
+}
+
+void HttpRequest::take_line(std::string_view line) {
+  if (step_ == Step::header_line) {
+    if (line.empty()) return end_head();
+    return take_header(line);
   }
-  if (!line.empty()) return take_header(line);
-  in_body_ = true;
-  if (!length_told_ && method_ == "POST") return bad(411);
-  if (length_ > kLongestBody) return bad(413);
-  if (length_ == 0) state_ = State::whole;
-  return state_;
+  // RFC 9112, 2.2: an empty line before the request is passed over.
+  if (!line.empty()) take_request_line(line);
+}
+
+void HttpRequest::take_request_line(std::string_view line) {
+  const std::size_t method_end = line.find(' ');
+  const std::size_t target_end = line.rfind(' ');
+  if (method_end == std::string_view::npos || method_end == target_end)
+    return reject(HttpStatus::bad_request);
+  const std::string_view method = line.substr(0, method_end);
+  const std::string_view target = line.substr(method_end + 1, target_end - method_end - 1);
+  const std::string_view version = line.substr(target_end + 1);
+  if (!is_token(method) || !is_target(target)) return reject(HttpStatus::bad_request);
+  if (!version.starts_with("HTTP/")) return reject(HttpStatus::bad_request);
+  if (!version.starts_with("HTTP/1.") || version.size() != kVersionSize)
+    return reject(HttpStatus::version_not_supported);
+  method_ = method;
+  path_ = target.substr(0, target.find('?'));
+  step_ = Step::header_line;
 }
 
-HttpRequest::State HttpRequest::take_header(std::string_view line) {
+void HttpRequest::take_header(std::string_view line) {
   const std::size_t colon = line.find(':');
-  if (colon == std::string_view::npos || !is_token(line.substr(0, colon))) return bad(400);
-  const std::string_view name = line.substr(0, colon), value = trimmed(line.substr(colon + 1));
-  if (equals_ignoring_case(name, "Transfer-Encoding")) return bad(501);
-  return equals_ignoring_case(name, "Content-Length") ? take_length(value) : state_;
+  if (colon == std::string_view::npos) return reject(HttpStatus::bad_request);
+  const std::string_view name = line.substr(0, colon);
+  if (!is_token(name)) return reject(HttpStatus::bad_request);
+  if (equals_ignoring_case(name, "Transfer-Encoding")) return reject(HttpStatus::not_implemented);
+  if (equals_ignoring_case(name, "Content-Length")) take_content_length(trim(line.substr(colon + 1)));
 }
 
-// Danger: two lengths that differ, or one that wraps round, would have the rest taken for another call.
-HttpRequest::State HttpRequest::take_length(std::string_view value) {
+// Two lengths that differ, or one that wraps round, would have the rest taken for another request.
+void HttpRequest::take_content_length(std::string_view value) {
   std::size_t length = 0;
-  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), length);
-  if (error == std::errc::result_out_of_range) return bad(413);
-  if (error != std::errc{} || end != value.data() + value.size() || value.front() == '-') return bad(400);
-  if (std::exchange(length_told_, true) && length != length_) return bad(400);
-  length_ = length;
-  return state_;
+  const char* const value_end = value.data() + value.size();
+  const auto [end, error] = std::from_chars(value.data(), value_end, length);
+  if (error == std::errc::result_out_of_range) return reject(HttpStatus::content_too_large);
+  if (error != std::errc{} || end != value_end) return reject(HttpStatus::bad_request);
+  if (has_content_length_ && length != content_length_) return reject(HttpStatus::bad_request);
+  has_content_length_ = true;
+  content_length_ = length;
+}
+
+void HttpRequest::end_head() {
+  step_ = Step::body;
+  if (!has_content_length_ && method_ == "POST") return reject(HttpStatus::length_required);
+  if (content_length_ > kLongestBody) return reject(HttpStatus::content_too_large);
+  if (content_length_ == 0) state_ = State::complete;
 }
 
 }  // namespace cherryrail::protocol
--- a/src/protocol/http_request.hpp
+++ b/src/protocol/http_request.hpp
@@ -1,34 +1,54 @@
-// Reads one HTTP/1.1 call as it comes in, in pieces of any size. Knows nothing of sockets.
+// Reads one HTTP/1.1 request as it comes in, in pieces of any size. Knows nothing of sockets; the admin
+// server feeds it.
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
+#include "protocol/http_status.hpp"
+
 namespace cherryrail::protocol {
 
 class HttpRequest {
  public:
-  enum class State { more, whole, bad };
+  enum class State : std::uint8_t { incomplete, complete, malformed };
 
+  // Takes the next bytes and returns the state after them. What follows a complete request is left: there is
+  // one request to a connection.
   State feed(std::string_view bytes);
-  State state() const { return state_; }
-  int fault() const { return fault_; }  // the status that a bad call is answered with
-  const std::string& method() const { return method_; }
-  const std::string& path() const { return path_; }  // without a query
-  const std::string& body() const { return body_; }
+
+  [[nodiscard]] State state() const { return state_; }
+  // What a malformed request is answered with.
+  [[nodiscard]] HttpStatus error_status() const { return error_status_; }
+  [[nodiscard]] const std::string& method() const { return method_; }  // empty until the request line is read
+  [[nodiscard]] const std::string& path() const { return path_; }      // without a query
+  [[nodiscard]] const std::string& body() const { return body_; }
 
  private:
-  State bad(int status);
-  State take_line(std::string_view line);
-  State take_header(std::string_view line);
-  State take_length(std::string_view value);
-
-  State state_ = State::more;
-  int fault_ = 0;
-  std::string line_, method_, path_, body_;
-  std::size_t head_ = 0, length_ = 0;
-  bool in_body_ = false, length_told_ = false;
+  // What the next bytes are.
+  enum class Step : std::uint8_t { request_line, header_line, body };
+
+  void reject(HttpStatus status);
+  void read_line(std::string_view& bytes);
+  void read_body(std::string_view& bytes);
+  void take_line(std::string_view line);
+  void take_request_line(std::string_view line);
+  void take_header(std::string_view line);
+  void take_content_length(std::string_view value);
+  void end_head();
+
+  State state_ = State::incomplete;
+  Step step_ = Step::request_line;
+  HttpStatus error_status_ = HttpStatus::bad_request;
+  std::string partial_line_;
+  std::string method_;
+  std::string path_;
+  std::string body_;
+  std::size_t head_size_ = 0;
+  std::size_t content_length_ = 0;
+  bool has_content_length_ = false;
 };
 
 }  // namespace cherryrail::protocol
--- /dev/null
+++ b/src/protocol/http_status.hpp
@@ -0,0 +1,29 @@
+// The HTTP status codes that the relay answers with.
+#pragma once
+
+#include <cstdint>
+
+namespace cherryrail::protocol {
+
+enum class HttpStatus : std::uint16_t {
+  ok = 200,
+  bad_request = 400,
+  not_found = 404,
+  method_not_allowed = 405,
+  request_timeout = 408,
+  length_required = 411,
+  content_too_large = 413,
+  header_fields_too_large = 431,
+  internal_server_error = 500,
+  not_implemented = 501,
+  service_unavailable = 503,
+  version_not_supported = 505,
+};
+
+// As it stands on the wire.
+constexpr int status_code(HttpStatus status) { return static_cast<int>(status); }
+
+// What RFC 9110 calls it, for the status line.
+const char* reason_phrase(HttpStatus status);
+
+}  // namespace cherryrail::protocol
--- a/src/proxy/downstream.cpp
+++ b/src/proxy/downstream.cpp
@@ -32,14 +32,13 @@
     start(std::move(socket));
   }
   void has_waited(Micros time) { quiet_since_ -= time; }
-  std::optional<HandoverMessage> to_hand() const {
+  std::optional<OutgoingHandover> to_hand() const {
     if (session_ && !over_) return session_->to_hand();
-    HandoverMessage handed;
-    handed.client = flat_settings();
-    if (handed.client < 0) return {};
-    handed.begun = lines_.partial_line();
-    handed.waited = side_.event_loop_.now() - quiet_since_;
-    return handed;
+    const int downstream = flat_settings();
+    if (downstream < 0) return {};
+    return OutgoingHandover{
+        PendingClient{std::string(lines_.partial_line()), side_.event_loop_.now() - quiet_since_},
+        downstream};
   }
   const ProxySession* session() const { return session_.get(); }
   void gone() { session_ ? session_->gone() : handed(); }
--- a/src/proxy/downstream.hpp
+++ b/src/proxy/downstream.hpp
@@ -36,7 +36,7 @@
   // Between two processes. `give` tells whether another process has what it was told of; where it says no,
   // the rest waits. Then both of what came from there: a client that has asked for nothing, or one with a
   // tunnel.
-  using Give = std::function<bool(HandoverMessage, const ProxySession*)>;
+  using Give = std::function<bool(OutgoingHandover, const ProxySession*)>;
   void hand_over(const Give& give);
   void come(net::SocketPtr socket, std::string_view begun, Micros waited);
   void stands(net::SocketPtr socket, const std::shared_ptr<ProxySession>& session);
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -127,9 +127,10 @@
 }
 
 bool ProxyServer::hand_over(const Give& give) {
-  clients_->hand_over([&give](HandoverMessage handed, const ProxySession* session) {
-    if (session) handed.backend = static_cast<const Endpoint&>(*session->backend).uid;
-    return give(handed);
+  clients_->hand_over([&give](OutgoingHandover handover, const ProxySession* session) {
+    if (auto* handed = std::get_if<OpenSession>(&handover.message))
+      handed->backend = static_cast<const Endpoint&>(*session->backend).uid;
+    return give(handover);
   });
   return clients_->empty();
 }
@@ -148,12 +149,18 @@
   return longest;
 }
 
-void ProxyServer::receive_handover(const HandoverMessage& handed) {
-  if (handed.memory) return balancer_->import_state(*handed.memory);
-  net::SocketPtr client = net::adopt_socket(handed.client);
-  if (handed.server < 0) return clients_->come(std::move(client), handed.begun, handed.waited);
-  net::SocketPtr server = net::adopt_socket(handed.server);
-  const auto session = std::make_shared<ProxySession>(event_loop_, *balancer_, handed.head);
+void ProxyServer::receive_handover(IncomingHandover handover) {
+  if (const auto* state = std::get_if<StateSnapshot>(&handover.message))
+    return balancer_->import_state(*state);
+  net::SocketPtr client = net::adopt_socket(handover.downstream.release());
+  if (const auto* pending = std::get_if<PendingClient>(&handover.message))
+    return clients_->come(std::move(client), pending->received, pending->waited);
+  net::SocketPtr server = net::adopt_socket(handover.upstream.release());
+  resume_session(std::get<OpenSession>(handover.message), std::move(client), std::move(server));
+}
+
+void ProxyServer::resume_session(const OpenSession& handed, net::SocketPtr client, net::SocketPtr server) {
+  const auto session = std::make_shared<ProxySession>(event_loop_, *balancer_, handed.open_request);
   if (const char* fault = fault_of(*session))
     return event_loop_.log().write(net::Topic::error, "bad open request in a handover: {}", fault);
   id_known(session);
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -31,12 +31,12 @@
   void begin_graceful_shutdown();
   // Instead: takes nobody in any more, for another process does, and gives that process what it holds as far
   // as that can go now. True once nothing is left.
-  using Give = std::function<bool(const HandoverMessage&)>;
+  using Give = std::function<bool(const OutgoingHandover&)>;
   StateSnapshot export_state();
   bool hand_over(const Give& give);
   void migrate_remaining_sessions();  // what could not be given
-  // What another process has given; the descriptors are closed with what comes of it.
-  void receive_handover(const HandoverMessage& handed);
+  // What another process has handed over; the sockets are closed with what comes of it.
+  void receive_handover(IncomingHandover handover);
   void set_descriptors_held_by_peers(std::size_t sockets) { others_hold_ = sockets; }  // of the same limit
   bool can_receive_handover() const;  // there are descriptors for one more
   void stop_when_empty();
@@ -72,6 +72,7 @@
   struct Endpoint;
 
   void take(const std::shared_ptr<ProxySession>& session);
+  void resume_session(const OpenSession& handed, net::SocketPtr client, net::SocketPtr server);
   const char* read_tunnel(ProxySession& session);
   const char* fault_of(ProxySession& session);  // of its first line, null if it can be served
   // Danger: with all that is usually kept back, the smallest limit would leave nothing for clients.
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -103,15 +103,15 @@
   });
 }
 
-std::optional<HandoverMessage> ProxySession::to_hand() const {
+std::optional<OutgoingHandover> ProxySession::to_hand() const {
   if (!is_established || !between_lines_ || client_left_ || !client || !server) return {};
-  HandoverMessage handed;
-  handed.client = client->flat_settings();
-  handed.server = server->flat_settings();
-  if (handed.client < 0 || handed.server < 0) return {};
-  handed.head = head.line();
+  const int downstream = client->flat_settings();
+  const int upstream = server->flat_settings();
+  if (downstream < 0 || upstream < 0) return {};
+  OpenSession handed;
+  handed.open_request = head.line();
   handed.waited = unanswered_for(event_loop_.now());
-  return handed;
+  return OutgoingHandover{std::move(handed), downstream, upstream};
 }
 
 void ProxySession::gone() {
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -79,7 +79,7 @@
   void last_call();  // the process ends: an open tunnel moves, one that waits hears now that it waits in vain
 
   // Between two processes. What can go now is told with its descriptors still its own; `gone` lets go of it.
-  std::optional<HandoverMessage> to_hand() const;
+  std::optional<OutgoingHandover> to_hand() const;
   void gone();
   void stands_at(const std::shared_ptr<Backend>& holder, Micros waited);  // both ends have come over
 
--- a/tests/admin/admin_test.cpp
+++ b/tests/admin/admin_test.cpp
@@ -8,7 +8,7 @@
 #include <filesystem>
 #include <fstream>
 
-#include "admin/operations.hpp"
+#include "admin/admin_services.hpp"
 #include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
@@ -26,7 +26,7 @@
 struct Office : LoopbackRelay {
   Folder folder;
   int desk = 0;
-  std::unique_ptr<admin::Operations> operation;
+  std::unique_ptr<admin::AdminServices> operation;
 
   explicit Office(std::size_t count) : LoopbackRelay(count, 500, "", false) {
     desk = TestSocket::listening().port();
@@ -34,7 +34,7 @@
     relay_config.admin_address = net::parse_address(relay_config.admin);
     relay_config.state_directory = folder.path;
     proxy = std::make_unique<proxy::ProxyServer>(event_loop, relay_config);
-    operation = std::make_unique<admin::Operations>(event_loop, *proxy, relay_config);
+    operation = std::make_unique<admin::AdminServices>(event_loop, *proxy, relay_config);
   }
   TestSocket caller(std::string_view text) const {
     TestSocket end = TestSocket::connected_to(desk);
@@ -92,7 +92,7 @@
   for (std::size_t step = 1; step <= text.size(); ++step) {
     protocol::HttpRequest call;
     for (std::size_t at = 0; at < text.size(); at += step) call.feed(std::string_view(text).substr(at, step));
-    EXPECT_EQ(call.state(), protocol::HttpRequest::State::whole) << step;
+    EXPECT_EQ(call.state(), protocol::HttpRequest::State::complete) << step;
     EXPECT_EQ(call.path(), "/backends/disable");
     EXPECT_EQ(call.body(), "{\"a\":1}");  // what follows is not of this call
   }
@@ -116,7 +116,7 @@
   relay.relay_config.admin = "127.0.0.1:" + std::to_string(taken.port());
   relay.relay_config.admin_address = net::parse_address(relay.relay_config.admin);
   try {
-    admin::Operations operation(relay.event_loop, *relay.proxy, relay.relay_config);
+    admin::AdminServices operation(relay.event_loop, *relay.proxy, relay.relay_config);
     FAIL() << "it started";
   } catch (const config::ConfigError& bad) {
     EXPECT_TRUE(std::string(bad.what()).starts_with("mgmt: ")) << bad.what();
@@ -149,7 +149,7 @@
 TEST(DisabledBackends, TheyHoldInTheProcessThatComesNextAndADamagedFileEndsNothing) {
   Office office(2);
   EXPECT_EQ(office.call("disable", "s-1"), "HTTP/1.1 200");
-  admin::Operations next(office.event_loop, *office.proxy, [&] {
+  admin::AdminServices next(office.event_loop, *office.proxy, [&] {
     config::RelayConfig start = office.relay_config;
     start.admin = "127.0.0.1:" + std::to_string(TestSocket::listening().port());
     start.admin_address = net::parse_address(start.admin);
@@ -162,10 +162,10 @@
   admin::DisabledBackends other(file);
   EXPECT_TRUE(other.names().contains("s-1"));
   std::ofstream(file) << "{\"bans\":[7";
-  EXPECT_FALSE(other.look());
-  EXPECT_NE(other.fault().find("damaged"), std::string::npos);
-  EXPECT_TRUE(other.names().contains("s-1"));  // what is known holds on
-  EXPECT_TRUE(other.change("s-0", true));      // and the next change mends the file
+  EXPECT_FALSE(other.reload_if_changed());
+  EXPECT_NE(other.error().value().message().find("damaged"), std::string::npos);
+  EXPECT_TRUE(other.names().contains("s-1"));    // what is known holds on
+  EXPECT_TRUE(other.set_disabled("s-0", true));  // and the next change mends the file
   EXPECT_EQ(admin::DisabledBackends(file).names(), (std::set<std::string>{"s-0", "s-1"}));
 }
 
@@ -173,35 +173,35 @@
 TEST(DisabledBackends, TwoProcessesKeepOneSet) {
   Folder folder;
   admin::DisabledBackends one(folder.file("b")), two(folder.file("b"));
-  EXPECT_TRUE(one.change("x", true));
-  EXPECT_TRUE(two.change("y", true));
-  EXPECT_TRUE(one.look());
+  EXPECT_TRUE(one.set_disabled("x", true));
+  EXPECT_TRUE(two.set_disabled("y", true));
+  EXPECT_TRUE(one.reload_if_changed());
   EXPECT_EQ(one.names(), (std::set<std::string>{"x", "y"}));
-  EXPECT_TRUE(one.change("x", false));
-  EXPECT_TRUE(two.look());
+  EXPECT_TRUE(one.set_disabled("x", false));
+  EXPECT_TRUE(two.reload_if_changed());
   EXPECT_EQ(two.names(), std::set<std::string>{"y"});
-  EXPECT_FALSE(two.look());  // nothing new
+  EXPECT_FALSE(two.reload_if_changed());  // nothing new
   admin::DisabledBackends nowhere("/nonexistent/b");
-  EXPECT_FALSE(nowhere.change("x", true));
+  EXPECT_FALSE(nowhere.set_disabled("x", true));
   EXPECT_TRUE(nowhere.names().contains("x"));  // it holds here all the same
 }
 
 TEST(HotRestart, TheLastToAnnounceItselfIsTheHeirOfTheOthers) {
   Folder folder;
-  admin::HotRestart none("", "n");
+  admin::HotRestartSocket none("", "n");
   EXPECT_FALSE(none.announce());
-  EXPECT_FALSE(none.successor());
-  admin::HotRestart first(folder.path, "n");
+  EXPECT_FALSE(none.connect_to_successor());
+  admin::HotRestartSocket first(folder.path, "n");
   EXPECT_TRUE(first.announce());
-  EXPECT_FALSE(first.successor());  // nobody but itself
+  EXPECT_FALSE(first.connect_to_successor());  // nobody but itself
   {
-    admin::HotRestart second(folder.path, "n");
-    EXPECT_FALSE(first.successor());  // it runs, but does not serve yet
+    admin::HotRestartSocket second(folder.path, "n");
+    EXPECT_FALSE(first.connect_to_successor());  // it runs, but does not serve yet
     EXPECT_TRUE(second.announce());
-    EXPECT_TRUE(first.successor());
-    EXPECT_FALSE(second.successor());
+    EXPECT_TRUE(first.connect_to_successor());
+    EXPECT_FALSE(second.connect_to_successor());
   }
-  EXPECT_FALSE(first.successor());  // it has died
+  EXPECT_FALSE(first.connect_to_successor());  // it has died
 }
 
 // One relay, of which there may be two processes: both have the clients' listening socket.
@@ -210,12 +210,12 @@
   TestSocket listening = TestSocket::listening();
   struct Process {
     proxy::ProxyServer proxy;
-    std::unique_ptr<admin::Operations> operation;
+    std::unique_ptr<admin::AdminServices> operation;
     Process(net::EventLoop& event_loop, const config::RelayConfig& start)
-        : proxy(event_loop, start), operation(std::make_unique<admin::Operations>(event_loop, proxy, start)) {
-    }
+        : proxy(event_loop, start),
+          operation(std::make_unique<admin::AdminServices>(event_loop, proxy, start)) {}
     bool empty() {
-      return proxy.hand_over([](const proxy::HandoverMessage&) { return false; });
+      return proxy.hand_over([](const proxy::OutgoingHandover&) { return false; });
     }
   };
   std::vector<TestSocket> watches;
@@ -239,7 +239,7 @@
   }
   void replace() {
     second = process();
-    first->operation->leave();
+    first->operation->shut_down();
   }
 };
 
@@ -306,7 +306,7 @@
 TEST(Handover, WithoutASuccessorItEndsAsEver) {
   House house(1);
   auto [here, there] = house.establish_session("1");
-  house.first->operation->leave();
+  house.first->operation->shut_down();
   auto late = house.establish_session("2");  // it goes on taking clients in for a moment
   EXPECT_TRUE(house.run_until([&] { return here.is_ended_by_peer() && late.first.is_ended_by_peer(); }));
   EXPECT_EQ(here.received(), "UP r\r\nMOVE\r\n");
@@ -317,12 +317,11 @@
   TestSocket one = TestSocket::listening(), client = TestSocket::connected_to(one.port()),
              theirs = one.accept();
   TestSocket two = TestSocket::listening(), server = TestSocket::connected_to(two.port());
-  proxy::HandoverMessage handed;
+  proxy::IncomingHandover handed;
   explicit HandedTunnel(const std::string& backend) {
-    handed.head = "OPEN 9 9 c=talk,d=1200";
-    handed.backend = backend;
-    handed.client = dup(theirs.fd());
-    handed.server = dup(server.fd());
+    handed.message = proxy::OpenSession{"OPEN 9 9 c=talk,d=1200", backend};
+    handed.downstream = net::FileDescriptor(dup(theirs.fd()));
+    handed.upstream = net::FileDescriptor(dup(server.fd()));
   }
 };
 
@@ -334,7 +333,7 @@
   house.second = house.process();
   HandedTunnel over("s-left");
   over.theirs.close();
-  house.second->proxy.receive_handover(over.handed);
+  house.second->proxy.receive_handover(std::move(over.handed));
   EXPECT_TRUE(house.run_until([&] { return over.client.received() == "MOVE\r\n"; }));
   EXPECT_FALSE(here.is_ended_by_peer()) << at;
 }
@@ -345,7 +344,7 @@
   house.backends.push_back(TestSocket::listening());
   house.first->proxy.set_disabled_backends({"s-1"});
   HandedTunnel over("s-1");
-  house.first->proxy.receive_handover(over.handed);
+  house.first->proxy.receive_handover(std::move(over.handed));
   house.watch = std::move(house.watches.back());
   house.publish_endpoints(R"({"rev":6,"all":false,"targets":[)" + house.endpoint(1, "active") + "]}");
   house.run_for(50);
@@ -360,9 +359,9 @@
   ASSERT_EQ(pipe(ready) + pipe(go), 0);
   const pid_t child = fork();
   if (child == 0) {  // the process that comes next: it says that it is there, and holds much
-    admin::HotRestart there(house.folder.path, "cherryrail-n.serves");
-    const net::FileDescriptor before = there.successor();
-    while (dup(0) >= 0 && admin::descriptors_of(getpid()) < 480) {
+    admin::HotRestartSocket there(house.folder.path, "cherryrail-n.serves");
+    const auto before = there.connect_to_successor();
+    while (dup(0) >= 0 && admin::count_open_descriptors(getpid()) < 480) {
     }
     char one = before ? 'y' : 'n';
     _exit(write(ready[1], &one, 1) == 1 && read(go[0], &one, 1) == 1 ? 0 : 1);
@@ -383,29 +382,31 @@
 
 TEST(HotRestart, WhatWasLearnedArrivesAsItWas) {
   Folder folder;
-  admin::HotRestart first(folder.path, "n"), second(folder.path, "n");
+  admin::HotRestartSocket first(folder.path, "n"), second(folder.path, "n");
   ASSERT_TRUE(second.announce());
-  const net::FileDescriptor to = first.successor();
+  const auto to = first.connect_to_successor();
   ASSERT_TRUE(to);
-  const net::FileDescriptor from(accept(second.listening(), nullptr, nullptr));
-  proxy::HandoverMessage handed;
-  handed.memory = StateSnapshot{
+  const admin::HandoverChannel from(net::FileDescriptor(accept(second.descriptor(), nullptr, nullptr)));
+  proxy::OutgoingHandover handed;
+  handed.message = StateSnapshot{
       5, 6, 7, 8, 2.5, 3, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
-  EXPECT_EQ(admin::give(to, handed), admin::Gave::yes);
-  bool over = false;
-  const auto got = admin::taken(from, over);
-  ASSERT_TRUE(got && got->memory && got->memory->backends.size() == 1);
-  EXPECT_EQ(got->memory->new_sessions, 8u);
-  const BackendSnapshot& of = got->memory->backends[0];
+  EXPECT_EQ(to->send(handed), admin::SendResult::sent);
+  const admin::ReceiveResult got = from.receive();
+  ASSERT_TRUE(got.handover);
+  const auto* memory = std::get_if<StateSnapshot>(&got.handover->message);
+  ASSERT_TRUE(memory && memory->backends.size() == 1);
+  EXPECT_EQ(memory->new_sessions, 8u);
+  const BackendSnapshot& of = memory->backends[0];
   EXPECT_EQ(of.name, 0xffffffffffffffffULL);
   EXPECT_EQ(of.capacity_limit, 1e300);
   EXPECT_EQ(of.admission_slot, -1);
   EXPECT_EQ(of.admitted_in_slot, 9u);
   EXPECT_TRUE(of.is_ejected && of.is_capacity_inferred && !of.is_unresponsive);
   // What cannot be understood costs nothing but itself.
-  EXPECT_EQ(send(to.get(), "rubbish", 7, 0), 7);
-  EXPECT_FALSE(admin::taken(from, over));
-  EXPECT_FALSE(over);
+  EXPECT_EQ(send(to->descriptor(), "rubbish", 7, 0), 7);
+  const admin::ReceiveResult rubbish = from.receive();
+  EXPECT_FALSE(rubbish.handover);
+  EXPECT_FALSE(rubbish.is_peer_gone);
 }
 
 TEST(HotRestart, AnInheritedDescriptorThatIsNotOursIsNamed) {
--- a/tests/admin/handover_compatibility_test.cpp
+++ b/tests/admin/handover_compatibility_test.cpp
@@ -12,47 +12,48 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
-#include <ostream>
 #include <set>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "admin/disabled_backends.hpp"
-#include "admin/hot_restart.hpp"
+#include "admin/handover_channel.hpp"
 
 namespace cherryrail::testing {
 namespace {
 
 // A message as it stands on the socket between the two processes.
 struct WireMessage {
-  std::string hex;
+  std::string_view hex;
   std::size_t descriptors = 0;
-  bool operator==(const WireMessage&) const = default;
 };
 
-std::ostream& operator<<(std::ostream& out, const WireMessage& message) {
-  return out << message.descriptors << " descriptors, " << message.hex;
+std::string describe(std::string_view hex, std::size_t descriptors) {
+  return fmt::format("{} descriptors, {}", descriptors, hex);
 }
 
-const WireMessage kClientThatAskedNothing{
+std::string describe(const WireMessage& message) { return describe(message.hex, message.descriptors); }
+
+constexpr WireMessage kClientThatAskedNothing{
     "a4676261636b656e644065626567756e40646865616440667761697465641a0012d687", 1};
-const WireMessage kClientWithHalfALine{
+constexpr WireMessage kClientWithHalfALine{
     "a4676261636b656e644065626567756e4e4f50454e2035203520633d7461ff646865616440667761697465641a0003d090", 1};
-const WireMessage kOpenSession{
+constexpr WireMessage kOpenSession{
     "a4676261636b656e6443732d3165626567756e406468656164564f50454e2039203920633d74616c6b2c643d313230306677"
     "616974656400",
     2};
-const WireMessage kOpenSessionThatWaits{
+constexpr WireMessage kOpenSessionThatWaits{
     "a4676261636b656e6443732d3165626567756e406468656164564f50454e2039203920633d74616c6b2c643d313230306677"
     "61697465641a0016e360",
     2};
-const WireMessage kOpenSessionThatWaitsSeventySeconds{
+constexpr WireMessage kOpenSessionThatWaitsSeventySeconds{
     "a4676261636b656e6443732d3165626567756e406468656164564f50454e2039203920633d74616c6b2c643d313230306677"
     "61697465641a042c1d80",
     2};
-const WireMessage kStateOfThreeBackends{
+constexpr WireMessage kStateOfThreeBackends{
     "a5676261636b656e644065626567756e40646865616440666d656d6f7279a7686261636b656e6473838c1bffffffffffffff"
     "ff1b000628434244f8041b000628434244f8051b000628434244f806fb3fb999999999999afb7e37e43c8800759cfa408800"
     "00f5f4f520098c193039070800fac0300000fa42200000fa00000000f4f5f403008c1902a6000000fa00000000fb3fd33333"
@@ -61,7 +62,7 @@
     "726e735f66726f6d1b000628434244f8026677616974656400",
     0};
 // As builds from before the key "further" wrote it: the same writer, without that key.
-const WireMessage kStateWithoutRetries{
+constexpr WireMessage kStateWithoutRetries{
     "a5676261636b656e644065626567756e40646865616440666d656d6f7279a6686261636b656e64738064626f726e056b6e65"
     "775f636c69656e747308657075727365fa402000006e73747261696e65645f756e74696c076a7475726e735f66726f6d0666"
     "77616974656400",
@@ -81,51 +82,54 @@
            {678, 0, 0, 0, 0, 0.3, 1.7, false, false, false, 0, 1}}};
 }
 
-void expect_equal(const StateSnapshot& actual, const StateSnapshot& expected) {
-  EXPECT_EQ(actual.balancer_started_at, expected.balancer_started_at);
-  EXPECT_EQ(actual.admission_slots_from, expected.admission_slots_from);
-  EXPECT_EQ(actual.general_overload_until, expected.general_overload_until);
-  EXPECT_EQ(actual.new_sessions, expected.new_sessions);
-  EXPECT_EQ(actual.health_check_tokens, expected.health_check_tokens);
-  EXPECT_EQ(actual.recent_retries, expected.recent_retries);
-  ASSERT_EQ(actual.backends.size(), expected.backends.size());
-  for (std::size_t i = 0; i < actual.backends.size(); ++i) {
-    const auto& found = actual.backends[i];
-    const auto& wanted = expected.backends[i];
-    EXPECT_EQ(found.name, wanted.name);
-    EXPECT_EQ(found.started_at, wanted.started_at);
-    EXPECT_EQ(found.reported_started_at, wanted.reported_started_at);
-    EXPECT_EQ(found.capacity_reduced_at, wanted.capacity_reduced_at);
-    EXPECT_EQ(found.failure_log_odds, wanted.failure_log_odds);
-    EXPECT_EQ(found.capacity_limit, wanted.capacity_limit);
-    EXPECT_EQ(found.load_at_overload, wanted.load_at_overload);
-    EXPECT_EQ(found.is_ejected, wanted.is_ejected);
-    EXPECT_EQ(found.is_unresponsive, wanted.is_unresponsive);
-    EXPECT_EQ(found.is_capacity_inferred, wanted.is_capacity_inferred);
-    EXPECT_EQ(found.admission_slot, wanted.admission_slot);
-    EXPECT_EQ(found.admitted_in_slot, wanted.admitted_in_slot);
-  }
+// Each field in the shortest form that tells one value from another.
+std::string describe(const StateSnapshot& state) {
+  std::string text = fmt::format("{} {} {} {} {} {}", state.balancer_started_at, state.admission_slots_from,
+                                 state.general_overload_until, state.new_sessions, state.health_check_tokens,
+                                 state.recent_retries);
+  for (const auto& backend : state.backends)
+    text += fmt::format("; {} {} {} {} {} {} {} {} {} {} {} {}", backend.name, backend.started_at,
+                        backend.reported_started_at, backend.capacity_reduced_at, backend.failure_log_odds,
+                        backend.capacity_limit, backend.load_at_overload, backend.is_ejected,
+                        backend.is_unresponsive, backend.is_capacity_inferred, backend.admission_slot,
+                        backend.admitted_in_slot);
+  return text;
+}
+
+std::string describe(const proxy::PendingClient& client) {
+  return fmt::format("pending client, waited {}: {}", client.waited, client.received);
+}
+
+std::string describe(const proxy::OpenSession& session) {
+  return fmt::format("open session at {}, waited {}: {}", session.backend, session.waited,
+                     session.open_request);
+}
+
+std::string describe(const proxy::IncomingHandover& handover) {
+  const std::string message = std::visit([](const auto& kind) { return describe(kind); }, handover.message);
+  return fmt::format("downstream {}, upstream {}, {}", static_cast<bool>(handover.downstream),
+                     static_cast<bool>(handover.upstream), message);
 }
 
 // The two processes' ends of the socket between them.
 struct Channel {
-  net::FileDescriptor sender;
-  net::FileDescriptor receiver;
+  std::array<int, 2> ends = connected_pair();
+  admin::HandoverChannel sender{net::FileDescriptor(ends[0])};
+  admin::HandoverChannel receiver{net::FileDescriptor(ends[1])};
 
-  Channel() {
+  static std::array<int, 2> connected_pair() {
     std::array<int, 2> ends{-1, -1};
     EXPECT_EQ(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends.data()), 0);
-    sender = net::FileDescriptor(ends[0]);
-    receiver = net::FileDescriptor(ends[1]);
+    return ends;
   }
 };
 
 constexpr std::size_t kRoomForDescriptors = CMSG_SPACE(4 * sizeof(int));
 
 // What the writer of this build puts on the socket.
-WireMessage written(const proxy::HandoverMessage& message) {
+std::string written(const proxy::OutgoingHandover& handover) {
   const Channel channel;
-  EXPECT_EQ(admin::give(channel.sender, message), admin::Gave::yes);
+  EXPECT_EQ(channel.sender.send(handover), admin::SendResult::sent);
   std::vector<unsigned char> bytes(65536);
   alignas(cmsghdr) std::array<char, kRoomForDescriptors> control{};
   iovec part{bytes.data(), bytes.size()};
@@ -134,23 +138,24 @@
   header.msg_iovlen = 1;
   header.msg_control = control.data();
   header.msg_controllen = control.size();
-  const ssize_t size = recvmsg(channel.receiver.get(), &header, MSG_DONTWAIT);
-  WireMessage wire;
-  for (ssize_t i = 0; i < size; ++i) wire.hex += fmt::format("{:02x}", bytes[static_cast<std::size_t>(i)]);
+  const ssize_t size = recvmsg(channel.receiver.descriptor(), &header, MSG_DONTWAIT);
+  std::string hex;
+  std::size_t descriptors = 0;
+  for (ssize_t i = 0; i < size; ++i) hex += fmt::format("{:02x}", bytes[static_cast<std::size_t>(i)]);
   if (const cmsghdr* attached = CMSG_FIRSTHDR(&header)) {
-    wire.descriptors = (attached->cmsg_len - CMSG_LEN(0)) / sizeof(int);
+    descriptors = (attached->cmsg_len - CMSG_LEN(0)) / sizeof(int);
     std::array<int, 4> received{-1, -1, -1, -1};
     std::copy_n(CMSG_DATA(attached), attached->cmsg_len - CMSG_LEN(0),
                 reinterpret_cast<unsigned char*>(received.data()));
-    for (std::size_t i = 0; i < wire.descriptors; ++i) close(received.at(i));
+    for (std::size_t i = 0; i < descriptors; ++i) close(received.at(i));
   }
-  return wire;
+  return describe(hex, descriptors);
 }
 
-void put_on_socket(const net::FileDescriptor& sender, const WireMessage& wire) {
+void put_on_socket(int sender, const WireMessage& wire) {
   std::string bytes;
   for (std::size_t at = 0; at < wire.hex.size(); at += 2)
-    bytes += static_cast<char>(std::stoi(wire.hex.substr(at, 2), nullptr, 16));
+    bytes += static_cast<char>(std::stoi(std::string(wire.hex.substr(at, 2)), nullptr, 16));
   const std::vector<int> descriptors(wire.descriptors, STDIN_FILENO);
   alignas(cmsghdr) std::array<char, kRoomForDescriptors> control{};
   iovec part{bytes.data(), bytes.size()};
@@ -167,18 +172,16 @@
     attached->cmsg_len = CMSG_LEN(size);
     std::copy_n(reinterpret_cast<const unsigned char*>(descriptors.data()), size, CMSG_DATA(attached));
   }
-  EXPECT_EQ(sendmsg(sender.get(), &header, 0), static_cast<ssize_t>(bytes.size()));
+  EXPECT_EQ(sendmsg(sender, &header, 0), static_cast<ssize_t>(bytes.size()));
 }
 
 // What the reader of this build makes of it.
-proxy::HandoverMessage read(const WireMessage& wire) {
+std::string read(const WireMessage& wire) {
   const Channel channel;
-  put_on_socket(channel.sender, wire);
-  bool is_over = true;
-  auto message = admin::taken(channel.receiver, is_over);
-  EXPECT_TRUE(message);
-  EXPECT_FALSE(is_over);
-  return message.value_or(proxy::HandoverMessage{});
+  put_on_socket(channel.sender.descriptor(), wire);
+  const admin::ReceiveResult result = channel.receiver.receive();
+  EXPECT_FALSE(result.is_peer_gone);
+  return result.handover ? describe(*result.handover) : "not understood";
 }
 
 // Descriptors that are open for as long as a test needs them, to be sent along.
@@ -187,123 +190,92 @@
   net::FileDescriptor server{dup(STDIN_FILENO)};
 };
 
-void expect_pending_client(const WireMessage& wire, std::string_view received, Micros waited) {
-  const proxy::HandoverMessage message = read(wire);
-  const net::FileDescriptor client(message.client);
-  EXPECT_TRUE(client);
-  EXPECT_EQ(message.server, -1);
-  EXPECT_FALSE(message.memory);
-  EXPECT_EQ(message.head, "");
-  EXPECT_EQ(message.backend, "");
-  EXPECT_EQ(message.begun, received);
-  EXPECT_EQ(message.waited, waited);
-}
-
-void expect_open_session(const WireMessage& wire, Micros waited) {
-  const proxy::HandoverMessage message = read(wire);
-  const net::FileDescriptor client(message.client);
-  const net::FileDescriptor server(message.server);
-  EXPECT_TRUE(client);
-  EXPECT_TRUE(server);
-  EXPECT_FALSE(message.memory);
-  EXPECT_EQ(message.begun, "");
-  EXPECT_EQ(message.head, "OPEN 9 9 c=talk,d=1200");
-  EXPECT_EQ(message.backend, "s-1");
-  EXPECT_EQ(message.waited, waited);
-}
-
-WireMessage written_pending_client(const std::string& received, Micros waited) {
+std::string written_pending_client(const std::string& received, Micros waited) {
   const Sockets sockets;
-  proxy::HandoverMessage message;
-  message.begun = received;
-  message.waited = waited;
-  message.client = sockets.client.get();
-  return written(message);
+  return written({proxy::PendingClient{received, waited}, sockets.client.get()});
 }
 
-WireMessage written_open_session(Micros waited) {
+std::string written_open_session(Micros waited) {
   const Sockets sockets;
-  proxy::HandoverMessage message;
-  message.head = "OPEN 9 9 c=talk,d=1200";
-  message.backend = "s-1";
-  message.waited = waited;
-  message.client = sockets.client.get();
-  message.server = sockets.server.get();
-  return written(message);
-}
-
-WireMessage written_state(const StateSnapshot& state) {
-  proxy::HandoverMessage message;
-  message.memory = state;
-  return written(message);
+  return written({proxy::OpenSession{"OPEN 9 9 c=talk,d=1200", "s-1", waited}, sockets.client.get(),
+                  sockets.server.get()});
 }
 
-StateSnapshot read_state(const WireMessage& wire) {
-  const proxy::HandoverMessage message = read(wire);
-  EXPECT_TRUE(message.memory);
-  EXPECT_EQ(message.client, -1);
-  EXPECT_EQ(message.server, -1);
-  return message.memory.value_or(StateSnapshot{});
-}
+std::string written_state(const StateSnapshot& state) { return written({state}); }
 
 TEST(HandoverCompatibility, ReadsAClientThatAskedNothingFromTheOldBuild) {
-  expect_pending_client(kClientThatAskedNothing, "", 1'234'567);
+  EXPECT_EQ(read(kClientThatAskedNothing),
+            "downstream true, upstream false, pending client, waited 1234567: ");
 }
 
 TEST(HandoverCompatibility, ReadsAClientWithHalfALineFromTheOldBuild) {
-  expect_pending_client(kClientWithHalfALine, "OPEN 5 5 c=ta\xff", 250'000);
+  EXPECT_EQ(read(kClientWithHalfALine),
+            "downstream true, upstream false, pending client, waited 250000: OPEN 5 5 c=ta\xff");
 }
 
 TEST(HandoverCompatibility, ReadsAnOpenSessionFromTheOldBuild) {
-  expect_open_session(kOpenSession, 0);
-  expect_open_session(kOpenSessionThatWaits, 1'500'000);
+  EXPECT_EQ(read(kOpenSession),
+            "downstream true, upstream true, open session at s-1, waited 0: OPEN 9 9 c=talk,d=1200");
+  EXPECT_EQ(read(kOpenSessionThatWaits),
+            "downstream true, upstream true, open session at s-1, waited 1500000: OPEN 9 9 c=talk,d=1200");
 }
 
 TEST(HandoverCompatibility, CutsAWaitThatCannotBeTrueToOneMinute) {
-  expect_open_session(kOpenSessionThatWaitsSeventySeconds, 60'000'000);
+  EXPECT_EQ(read(kOpenSessionThatWaitsSeventySeconds),
+            "downstream true, upstream true, open session at s-1, waited 60000000: OPEN 9 9 c=talk,d=1200");
 }
 
 TEST(HandoverCompatibility, ReadsTheStateFromTheOldBuild) {
-  expect_equal(read_state(kStateOfThreeBackends), state_of_three_backends());
+  EXPECT_EQ(read(kStateOfThreeBackends),
+            "downstream false, upstream false, " + describe(state_of_three_backends()));
 }
 
 TEST(HandoverCompatibility, ReadsAStateThatNamesNoRetries) {
-  expect_equal(read_state(kStateWithoutRetries), {5, 6, 7, 8, 2.5, 0, {}});
+  const StateSnapshot expected{5, 6, 7, 8, 2.5, 0, {}};
+  EXPECT_EQ(read(kStateWithoutRetries), "downstream false, upstream false, " + describe(expected));
 }
 
 TEST(HandoverCompatibility, WritesAPendingClientAsTheOldBuildDid) {
-  EXPECT_EQ(written_pending_client("", 1'234'567), kClientThatAskedNothing);
-  EXPECT_EQ(written_pending_client("OPEN 5 5 c=ta\xff", 250'000), kClientWithHalfALine);
+  EXPECT_EQ(written_pending_client("", 1'234'567), describe(kClientThatAskedNothing));
+  EXPECT_EQ(written_pending_client("OPEN 5 5 c=ta\xff", 250'000), describe(kClientWithHalfALine));
 }
 
 TEST(HandoverCompatibility, WritesAnOpenSessionAsTheOldBuildDid) {
-  EXPECT_EQ(written_open_session(0), kOpenSession);
-  EXPECT_EQ(written_open_session(1'500'000), kOpenSessionThatWaits);
+  EXPECT_EQ(written_open_session(0), describe(kOpenSession));
+  EXPECT_EQ(written_open_session(1'500'000), describe(kOpenSessionThatWaits));
 }
 
 TEST(HandoverCompatibility, WritesTheStateAsTheOldBuildDid) {
-  EXPECT_EQ(written_state(state_of_three_backends()), kStateOfThreeBackends);
+  EXPECT_EQ(written_state(state_of_three_backends()), describe(kStateOfThreeBackends));
 }
 
 // A folder of its own, removed at the end.
-struct TemporaryFolder {
-  std::string path = ::testing::TempDir() + "cherryrail-XXXXXX";
-  TemporaryFolder() { EXPECT_NE(mkdtemp(path.data()), nullptr); }
-  ~TemporaryFolder() { std::filesystem::remove_all(path); }
+class TemporaryFolder {
+ public:
+  TemporaryFolder() { EXPECT_NE(mkdtemp(path_.data()), nullptr); }
+  ~TemporaryFolder() { std::filesystem::remove_all(path_); }
+  TemporaryFolder(const TemporaryFolder&) = delete;
+  TemporaryFolder& operator=(const TemporaryFolder&) = delete;
+  TemporaryFolder(TemporaryFolder&&) = delete;
+  TemporaryFolder& operator=(TemporaryFolder&&) = delete;
+  [[nodiscard]] std::string file(const char* name) const { return path_ + "/" + name; }
+
+ private:
+  std::string path_ = ::testing::TempDir() + "cherryrail-XXXXXX";
 };
 
 TEST(HandoverCompatibility, ReadsDisabledBackendsThatTheOldBuildStored) {
   const TemporaryFolder folder;
-  std::ofstream(folder.path + "/cherryrail-n.bans") << kDisabledBackendsFile;
-  const admin::DisabledBackends disabled(folder.path + "/cherryrail-n.bans");
+  std::ofstream(folder.file("cherryrail-n.bans")) << kDisabledBackendsFile;
+  const admin::DisabledBackends disabled(folder.file("cherryrail-n.bans"));
   EXPECT_EQ(disabled.names(), (std::set<std::string>{"a\xc3\xa9\"b", "s-0", "s-1"}));
 }
 
 TEST(HandoverCompatibility, StoresDisabledBackendsAsTheOldBuildDid) {
   const TemporaryFolder folder;
-  const std::string path = folder.path + "/cherryrail-n.bans";
+  const std::string path = folder.file("cherryrail-n.bans");
   admin::DisabledBackends disabled(path);
-  for (const char* name : {"s-1", "a\xc3\xa9\"b", "s-0"}) EXPECT_TRUE(disabled.change(name, true));
+  for (const char* name : {"s-1", "a\xc3\xa9\"b", "s-0"}) EXPECT_TRUE(disabled.set_disabled(name, true));
   std::ifstream file(path);
   EXPECT_EQ(std::string(std::istreambuf_iterator<char>(file), {}), kDisabledBackendsFile);
   EXPECT_TRUE(std::filesystem::exists(path + ".lock"));
