Discovery: one watch has a file and named states; Discovery decides which watch counts

Cause: the watch was a class within discovery.cpp that reached into Discovery's fields; its state stood in two flags and a chained conditional, its limits in constants without their reasons. Change: DiscoveryWatch (connecting, awaiting first line, streaming) has a file of its own and tells its owner through an interface; Discovery holds the current and the previous watch, the address and the version. Values, order of calls and log lines are as before.

--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -1,4 +1,4 @@
-// Follows the list of backends at discovery by a watch, and moves over when discovery does.
+// Follows the endpoint list at discovery, and moves to another address when discovery does.
 #pragma once
 
 #include <cstdint>
@@ -9,40 +9,48 @@
 
 #include "net/event_loop.hpp"
 #include "protocol/endpoint_list.hpp"
+#include "proxy/discovery_watch.hpp"
 
 namespace cherryrail::proxy {
 
-class Discovery {
+// Holds the watch at the current address and, for a while after a move, the one at the address before.
+// Decides which of them counts and which lists are newer than what is known. Asks again only when it is told
+// to.
+class Discovery final : private DiscoveryWatchOwner {
  public:
-  using Failed = std::function<void(Micros most)>;
-  // Starts from the version known. `heard` gets each list; `failed` is told once for each watch that breaks
-  // or cannot be had at the address that holds, and how soon it must be asked for again. `first_within` is
-  // how long a call is given to bring its first line, twice as long after each that brought none.
-  Discovery(net::EventLoop& event_loop, std::string address, std::int64_t version, Micros first_within,
-            std::function<void(const protocol::EndpointList&)> heard, Failed failed);
+  using OnList = std::function<void(const protocol::EndpointList&)>;
+  using OnFailed = std::function<void(Micros retry_within)>;
+
+  // Starts from the version that is known. `on_list` gets each list that is not older than the one before;
+  // `on_failed` is called once for each watch that ends or cannot be had at the current address.
+  // `first_line_timeout` is how long a watch may take to its first line once it is connected.
+  Discovery(net::EventLoop& event_loop, std::string address, std::int64_t version, Micros first_line_timeout,
+            OnList on_list, OnFailed on_failed);
   ~Discovery();
-  // Watches for what has changed, unless a watch stands.
-  void follow();
-  // From now on the list is to be had there.
+  Discovery(const Discovery&) = delete;
+  Discovery& operator=(const Discovery&) = delete;
+
+  // Starts a watch at the current address, unless there is one.
+  void ensure_watching();
+  // From now on the list is to be had at `address`.
   void move_to(const std::string& address);
 
  private:
-  class DiscoveryWatch;
-
-  void first_line(const DiscoveryWatch& feed);
-  void list_line(DiscoveryWatch& feed, const std::string& line);
-  bool holds(const protocol::EndpointList& list);
-  void over(const DiscoveryWatch& feed, const std::string& why, Micros most);
+  void on_first_line(const DiscoveryWatch& watch) override;
+  void on_list_line(DiscoveryWatch& watch, const std::string& line) override;
+  void on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) override;
+  bool is_current(const protocol::EndpointList& list);
 
   net::EventLoop& event_loop_;
-  std::string where_;
+  std::string address_;
   std::int64_t version_;
-  std::function<void(const protocol::EndpointList&)> heard_;
-  Failed failed_;
-  Micros first_within_;
-  std::shared_ptr<DiscoveryWatch> feed_;    // at the address that holds
-  std::shared_ptr<DiscoveryWatch> former_;  // at the one before: followed until the new one's first line
-  std::optional<Micros> lower_since_;       // the address that holds has told a lower version since then
+  OnList on_list_;
+  OnFailed on_failed_;
+  Micros first_line_timeout_;
+  std::shared_ptr<DiscoveryWatch> watch_;  // at the current address
+  std::shared_ptr<DiscoveryWatch>
+      previous_watch_;                         // at the address before, until the current one's first line
+  std::optional<Micros> lower_version_since_;  // the current address has sent a lower version since then
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -395,7 +395,7 @@
 
 // Asked for soon, not now: the module asks from within its own making.
 void ProxyServer::watch_endpoints() {
-  event_loop_.post([this] { discovery_.follow(); });
+  event_loop_.post([this] { discovery_.ensure_watching(); });
 }
 
 }  // namespace cherryrail::proxy
