--- a/src/balancer/capacity.cpp
+++ b/src/balancer/capacity.cpp
@@ -8,9 +8,9 @@
   const CapacityLimit& limit = backend.capacity;
   if (!limit.is_limited()) return CapacityLimit::kUnlimited;
   const auto calm = static_cast<double>(actions_.now() - limit.reduced_at_ - 2 * kReduceInterval);
-  const double recovery_time = static_cast<double>(parameters_.capacity_recovery_time);
-  const double to_go =
-      1 - std::max(0.0, calm / recovery_time);  // below 0 once it is past the load at overload
+  const auto recovery_time = static_cast<double>(parameters_.capacity_recovery_time);
+  // Below 0 once it is past the load at overload.
+  const double to_go = 1 - std::max(0.0, calm / recovery_time);
   const double at_overload = limit.load_at_overload_;
   const double growth = to_go < 0 ? -to_go * to_go * to_go * at_overload : 0;
   return at_overload - (at_overload - limit.limit_) * to_go * to_go * to_go + growth;
--- a/src/balancer/fleet_load.cpp
+++ b/src/balancer/fleet_load.cpp
@@ -52,6 +52,10 @@
   // Measured with those that are late by themselves, the few in time would seem full, and nothing would move
   // there.
   if (penalties_.latency(backend) > 0) return;
+  add_in_time(backend, capacity, load, sums);
+}
+
+void FleetLoadMeter::add_in_time(const Backend& backend, double capacity, FleetLoad& load, Sums& sums) const {
   ++load.ready_count;
   load.ready_capacity += capacity;
   sums.load += backend.sessions.load();
--- a/src/balancer/fleet_load.hpp
+++ b/src/balancer/fleet_load.hpp
@@ -30,6 +30,8 @@
   struct Sums;
 
   void add(const Backend& backend, FleetLoad& load, Sums& sums) const;
+  // One that is in service and not late by itself.
+  void add_in_time(const Backend& backend, double capacity, FleetLoad& load, Sums& sums) const;
 
   const BalancerActions& actions_;
   const BalancerParameters& parameters_;
--- a/src/balancer/health_check_scheduler.cpp
+++ b/src/balancer/health_check_scheduler.cpp
@@ -16,15 +16,16 @@
 }
 
 void HealthCheckScheduler::check_backends(bool in_doubt) {
+  const Micros now = actions_.now();
   const double needed = in_doubt ? 1 : kMostTokens / 2;
   const auto& backends = fleet_.backends();
   const std::size_t from = round_from_;
   for (std::size_t i = 0; i < backends.size() && tokens_.tokens() >= needed; ++i) {
     Backend& backend = *backends[(from + i) % backends.size()];
     if (backend.state != EndpointState::ready || backend.health_check.is_pending()) continue;
-    if (is_in_doubt(backend) != in_doubt || !is_due(backend, in_doubt)) continue;
+    if (is_in_doubt(backend) != in_doubt || !is_due(backend, in_doubt, now)) continue;
     tokens_.take_one();
-    backend.health_check.start(actions_.now());
+    backend.health_check.start(now);
     actions_.check_health(backend);
     if (!in_doubt) round_from_ = (from + i + 1) % backends.size();
   }
@@ -35,12 +36,11 @@
   return is_suspected || capacity_.was_reduced_recently(backend);
 }
 
-bool HealthCheckScheduler::is_due(const Backend& backend, bool in_doubt) const {
+bool HealthCheckScheduler::is_due(const Backend& backend, bool in_doubt, Micros now) const {
   const Micros checked_at = backend.health_check.started_at();
-  const Micros doubt_interval =
-      backend.outlier.is_ejected() ? kSecond : parameters_.shortest_attempt_objective;
-  const Micros routine_due = std::max(checked_at, backend.outlier.last_response_at()) + kRoutineInterval;
-  return actions_.now() >= (in_doubt ? checked_at + doubt_interval : routine_due);
+  if (!in_doubt) return now >= std::max(checked_at, backend.outlier.last_response_at()) + kRoutineInterval;
+  return now >=
+         checked_at + (backend.outlier.is_ejected() ? kSecond : parameters_.shortest_attempt_objective);
 }
 
 }  // namespace cherryrail
--- a/src/balancer/health_check_scheduler.hpp
+++ b/src/balancer/health_check_scheduler.hpp
@@ -44,7 +44,7 @@
   bool is_in_doubt(const Backend& backend) const;
   // An ejected backend is checked once a second, or a dead one would take all tokens while the living go
   // unseen.
-  bool is_due(const Backend& backend, bool in_doubt) const;
+  bool is_due(const Backend& backend, bool in_doubt, Micros now) const;
 
   BalancerActions& actions_;
   const BalancerParameters& parameters_;
--- a/src/balancer/latency_penalties.cpp
+++ b/src/balancer/latency_penalties.cpp
@@ -6,6 +6,8 @@
 namespace cherryrail {
 
 Micros LatencyPenalties::latency(const Backend& backend) const {
+  // As nearly always: this is asked of every backend for every placement.
+  if (paths_.empty() && !backend.latency.penalty().was_imposed()) return 0;
   return std::max(backend.latency.penalty().latency(actions_.now()), path_latency(backend));
 }
 
--- a/src/balancer/latency_status.hpp
+++ b/src/balancer/latency_status.hpp
@@ -10,6 +10,7 @@
 // A latency that is expected of a backend, or of the path to a zone, for some time.
 class LatencyPenalty {
  public:
+  bool was_imposed() const { return duration_ > 0; }
   bool is_active(Micros now) const { return now < until_; }
   // 0 while it is not active.
   Micros latency(Micros now) const { return is_active(now) ? latency_ : 0; }
--- a/src/balancer/load_shedding.cpp
+++ b/src/balancer/load_shedding.cpp
@@ -8,10 +8,11 @@
   if (!report.reported_utilization) return;
   const double utilization = *report.reported_utilization;
   backend.reported_utilization = utilization;
-  if (utilization <= kFullUtilization) return capacity_.record_spare_capacity(backend, utilization);
   const double share = std::max(kDeepReduction, kFullUtilization / utilization);
   // One that is nearly full serves all in time; its sessions, migrated, would overload the next.
-  if (utilization > kOverloadUtilization)
+  if (utilization <= kFullUtilization)
+    capacity_.record_spare_capacity(backend, utilization);
+  else if (utilization > kOverloadUtilization)
     handle_overload(backend, share);
   else
     capacity_.reduce(backend, share);
@@ -19,12 +20,12 @@
 
 void LoadShedder::record_message_latency(Backend& backend, Micros latency) {
   const Micros shortest = parameters_.shortest_message_objective;
-  if (latency > shortest) {
-    const bool is_deep = latency > 2 * parameters_.longest_message_objective;
-    return handle_overload(backend, is_deep ? kDeepReduction : kSlightReduction);
-  }
-  // The mean is in time, yet at half of the objective a part is late, and more with each session that comes.
-  if (2 * latency > shortest) capacity_.reduce(backend, 1);
+  const bool is_deep = latency > 2 * parameters_.longest_message_objective;
+  // At half of the objective the mean is in time, yet a part is late, and more with each session that comes.
+  if (latency > shortest)
+    handle_overload(backend, is_deep ? kDeepReduction : kSlightReduction);
+  else if (2 * latency > shortest)
+    capacity_.reduce(backend, 1);
 }
 
 void LoadShedder::handle_overload(Backend& backend, double share) {
--- a/src/balancer/migration_pool.cpp
+++ b/src/balancer/migration_pool.cpp
@@ -44,14 +44,19 @@
   const auto self = session.weak_from_this();
   const bool has_space = fleet_.migration_queued_count() < queue_limit();
   fleet_.mark_migration_queued(session);
-  if (has_space) return queue_.push_back(self);
-  actions_.call_at(actions_.now() + kQueueFullWait, [this, self] { enqueue_when_space(self); });
+  if (has_space)
+    queue_.push_back(self);
+  else
+    actions_.call_at(actions_.now() + kQueueFullWait, [this, self] { enqueue_when_space(self); });
 }
 
 void MigrationPool::enqueue_when_space(const std::weak_ptr<Session>& waiting) {
   const auto session = waiting.lock();
   if (!session || !session->is_established) return;
-  if (queue_.size() >= queue_limit()) return actions_.migrate_session(*session);
+  if (queue_.size() >= queue_limit()) {
+    actions_.migrate_session(*session);
+    return;
+  }
   queue_.push_back(waiting);
   run();
 }
--- a/src/balancer/outlier_detector.cpp
+++ b/src/balancer/outlier_detector.cpp
@@ -17,7 +17,10 @@
       is_success ? (1 - kOutlierFailureShare) / (1 - usual) : kOutlierFailureShare / usual;
   status.failure_log_odds_ =
       std::clamp(status.failure_log_odds_ + std::log(likelihood_ratio), 0.0, 2 * kEjectionLogOdds);
-  if (status.is_ejected_) return record_recovery_outcome(backend, is_success);
+  if (status.is_ejected_) {
+    record_recovery_outcome(backend, is_success);
+    return;
+  }
   // What fails during overload is the load's fault: the capacity limit answers that.
   const bool is_outlier = status.failure_log_odds_ >= kEjectionLogOdds;
   if (is_outlier && !capacity_.was_reduced_recently(backend) && may_eject_another()) eject(backend);
