The simulator's adapter has a module a job, named wire codes and typed errors

Change: frame_reader and frame_writer hold the bytes, wire_codes the numbers and the wire's words for them, events the records as structs, BalancerInstance one balancer with its sessions, backends and timers, Adapter the batches. WireError knows the byte and the value; its texts are the same. The program reads frames by FrameInput.

--- /dev/null
+++ b/src/simulator/frame_writer.cpp
@@ -0,0 +1,28 @@
+#include "simulator/frame_writer.hpp"
+
+#include <cstring>
+
+namespace cherryrail::simulator {
+namespace {
+
+// Below the 65,535 bytes that the length of a text can state.
+constexpr std::size_t kLongestText = 60000;
+
+}  // namespace
+
+void FrameWriter::begin() { frame_.assign(kReplyHeaderSize, '\0'); }
+
+void FrameWriter::write_text(CommandCode code, std::uint16_t instance, std::string_view text) {
+  const std::string_view kept = text.substr(0, kLongestText);
+  write(code, instance, static_cast<std::uint16_t>(kept.size()));
+  frame_.append(kept);
+}
+
+std::string_view FrameWriter::finish() {
+  const auto length = static_cast<std::uint32_t>(frame_.size());
+  static_assert(sizeof(length) == kReplyHeaderSize);
+  std::memcpy(frame_.data(), &length, sizeof(length));
+  return frame_;
+}
+
+}  // namespace cherryrail::simulator
