--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "net/connection.hpp"
+
 namespace cherryrail::admin {
 namespace {
 
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -6,142 +6,130 @@
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
-#include <csignal>
 #include <cstring>
 #include <exception>
+#include <optional>
 #include <stdexcept>
+#include <string>
 #include <utility>
 
 namespace cherryrail::net {
 namespace {
 
+// Of a source's ready time, by GLib's convention.
+constexpr gint64 kNever = -1;
+constexpr gint64 kAtOnce = 0;
+
 template <class Clock>
-Micros micros_of() {
-  return std::chrono::duration_cast<std::chrono::microseconds>(Clock::now().time_since_epoch()).count();
+Micros clock_micros() {
+  const auto since_epoch = Clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count();
 }
 
 }  // namespace
 
-struct EventLoop::Source {
+struct EventLoop::LoopSource::Layout {
   GSource base;
   EventLoop* event_loop;
+  Dispatch dispatch;
 };
 
-IoWatch::IoWatch(EventLoop& event_loop, int fd, Ready ready)
-    : event_loop_(event_loop), fd_(fd), ready_(std::move(ready)) {
-  ++event_loop_.sockets_;
+EventLoop::LoopSource::LoopSource(EventLoop& event_loop, Dispatch dispatch) {
+  static GSourceFuncs functions{nullptr, nullptr, &LoopSource::on_ready, nullptr, nullptr, nullptr};
+  source_ = g_source_new(&functions, sizeof(Layout));
+  auto* layout = reinterpret_cast<Layout*>(source_);
+  layout->event_loop = &event_loop;
+  layout->dispatch = dispatch;
+  g_source_attach(source_, nullptr);
 }
 
-IoWatch::~IoWatch() {
-  set_interest(false, false);
-  --event_loop_.sockets_;
-  // Danger: what has just been closed may stand further on in the batch under way.
-  for (std::size_t i = event_loop_.batch_at_; i < event_loop_.batch_size_; ++i) {
-    if (event_loop_.batch_[i].data.ptr == this) event_loop_.batch_[i].data.ptr = nullptr;
-  }
+EventLoop::LoopSource::~LoopSource() {
+  g_source_destroy(source_);
+  g_source_unref(source_);
 }
 
-void IoWatch::set_interest(bool read, bool write) {
-  const std::uint32_t wanted = (read ? std::uint32_t{EPOLLIN} : 0U) | (write ? std::uint32_t{EPOLLOUT} : 0U);
-  if (wanted == wanted_) return;
-  epoll_event event{};
-  event.events = wanted;
-  event.data.ptr = this;
-  // One that wants nothing leaves the set: its hang-up would be reported without end.
-  const int what = wanted == 0 ? EPOLL_CTL_DEL : wanted_ == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD;
-  epoll_ctl(event_loop_.epoll_, what, fd_, &event);
-  wanted_ = wanted;
+gboolean EventLoop::LoopSource::on_ready(GSource* source, GSourceFunc /*callback*/, gpointer /*data*/) {
+  const auto* layout = reinterpret_cast<const Layout*>(source);
+  (layout->event_loop->*layout->dispatch)();
+  return G_SOURCE_CONTINUE;
 }
 
 EventLoop::EventLoop()
-    : main_(g_main_loop_new(nullptr, FALSE)), socket_funcs_{nullptr, nullptr, &EventLoop::dispatch_sockets,
-                                                            nullptr, nullptr, nullptr},
-      alarm_funcs_{nullptr, nullptr, &EventLoop::dispatch_alarms, nullptr, nullptr, nullptr},
-      epoll_(epoll_create1(EPOLL_CLOEXEC)),
-      offset_(micros_of<std::chrono::system_clock>() - micros_of<std::chrono::steady_clock>()) {
-  if (epoll_ < 0) throw std::runtime_error(std::string("epoll: ") + std::strerror(errno));
-  // GLib's own poll walks every socket at every turn; so it is given one descriptor that stands for all.
-  socket_source_ = g_source_new(&socket_funcs_, sizeof(Source));
-  alarm_source_ = g_source_new(&alarm_funcs_, sizeof(Source));
-  // Danger: after a stall both are ready, and time-outs would strike setups whose answers have come. GLib
-  // goes in this order.
-  for (GSource* source : {socket_source_, alarm_source_}) {
-    reinterpret_cast<Source*>(source)->event_loop = this;
-    g_source_attach(source, nullptr);
-  }
-  g_source_add_unix_fd(socket_source_, epoll_, G_IO_IN);
-  std::signal(SIGPIPE, SIG_IGN);
-  sigemptyset(&signals_);
+    : main_loop_(g_main_loop_new(nullptr, FALSE)), io_source_(*this, &EventLoop::dispatch_io),
+      timer_source_(*this, &EventLoop::dispatch_timers),
+      unix_time_offset_(clock_micros<std::chrono::system_clock>() -
+                        clock_micros<std::chrono::steady_clock>()) {
+  // GLib's own poll would walk every socket in every round, so it gets one descriptor that stands for all.
+  g_source_add_unix_fd(io_source_.get(), poller_.descriptor(), G_IO_IN);
+  std::signal(SIGPIPE, SIG_IGN);  // NOLINT(cert-err33-c): a socket without a reader is found out by the write
+  sigemptyset(&handled_signals_);
 }
 
 EventLoop::~EventLoop() {
-  soon_.clear();  // what they hold leaves the set of sockets first
-  alarms_.clear();
+  // What the callbacks hold, watches among it, goes while the loop is whole.
+  posted_.clear();
+  timers_.clear();
   signal_watch_.reset();
-  if (signal_fd_ >= 0) close(signal_fd_);
-  sigprocmask(SIG_UNBLOCK, &signals_, nullptr);
-  for (GSource* source : {socket_source_, alarm_source_}) {
-    g_source_destroy(source);
-    g_source_unref(source);
-  }
-  close(epoll_);
-  g_main_loop_unref(main_);
+  signal_fd_ = FileDescriptor();
+  sigprocmask(SIG_UNBLOCK, &handled_signals_, nullptr);
 }
 
-Micros EventLoop::now() const { return micros_of<std::chrono::steady_clock>() + offset_; }
+Micros EventLoop::now() const { return clock_micros<std::chrono::steady_clock>() + unix_time_offset_; }
+
+void EventLoop::call_at(Micros when, Callback callback) {
+  const bool is_earliest = timers_.empty() || when < timers_.begin()->first;
+  timers_.emplace(when, std::move(callback));
+  if (is_earliest) arm_timer_source();
+}
 
-void EventLoop::call_at(Micros when, std::function<void()> then) {
-  const bool earliest = alarms_.empty() || when < alarms_.begin()->first;
-  alarms_.emplace(when, std::move(then));
-  if (earliest) set_alarm();
+void EventLoop::post(Callback callback) {
+  posted_.push_back(std::move(callback));
+  if (posted_.size() == 1) g_source_set_ready_time(timer_source_.get(), kAtOnce);
 }
 
-void EventLoop::post(std::function<void()> then) {
-  soon_.push_back(std::move(then));
-  if (soon_.size() == 1) g_source_set_ready_time(alarm_source_, 0);
+void EventLoop::arm_timer_source() {
+  gint64 ready_time = kNever;
+  if (!timers_.empty()) ready_time = std::max(kAtOnce, timers_.begin()->first - unix_time_offset_);
+  if (!posted_.empty()) ready_time = kAtOnce;
+  g_source_set_ready_time(timer_source_.get(), ready_time);
 }
 
-void EventLoop::set_alarm() {
-  if (!soon_.empty())
-    g_source_set_ready_time(alarm_source_, 0);
-  else
-    g_source_set_ready_time(alarm_source_,
-                            alarms_.empty() ? -1 : std::max<Micros>(0, alarms_.begin()->first - offset_));
+void EventLoop::on_terminate(Callback callback) {
+  on_signal(SIGTERM, callback);
+  on_signal(SIGINT, std::move(callback));
 }
 
-// Danger: GLib's own signal sources start a second thread, and a process held while that has a lock is held
+void EventLoop::on_reload(Callback callback) { on_signal(SIGHUP, std::move(callback)); }
+
+// GLib's own signal sources start a second thread, and a process stopped while that thread has a lock hangs
 // for good. So signals are read as sockets are, and the relay has one thread.
-void EventLoop::on_signal(int signal, std::function<void()> then) {
-  told_[signal] = std::move(then);
-  sigaddset(&signals_, signal);
-  sigprocmask(SIG_BLOCK, &signals_, nullptr);
-  signal_fd_ = signalfd(signal_fd_, &signals_, SFD_CLOEXEC | SFD_NONBLOCK);
-  if (signal_fd_ < 0) throw std::runtime_error(std::string("signalfd: ") + std::strerror(errno));
-  if (signal_watch_) return;
-  signal_watch_ = std::make_unique<IoWatch>(*this, signal_fd_, [this](bool, bool) {
-    signalfd_siginfo come{};
-    while (read(signal_fd_, &come, sizeof(come)) == sizeof(come)) {
-      const auto told = told_[static_cast<int>(come.ssi_signo)];  // it may be replaced meanwhile
-      guarded(told);
-    }
-  });
+void EventLoop::on_signal(int signal, Callback callback) {
+  signal_callbacks_[signal] = std::move(callback);
+  sigaddset(&handled_signals_, signal);
+  sigprocmask(SIG_BLOCK, &handled_signals_, nullptr);
+  const int fd = signalfd(signal_fd_.get(), &handled_signals_, SFD_CLOEXEC | SFD_NONBLOCK);
+  if (fd < 0) throw std::runtime_error(std::string("signalfd: ") + std::strerror(errno));
+  if (signal_fd_) return;
+  signal_fd_ = FileDescriptor(fd);
+  signal_watch_ = std::make_unique<IoWatch>(*this, signal_fd_.get(), [this](bool, bool) { read_signals(); });
   signal_watch_->set_interest(true, false);
 }
 
-void EventLoop::on_terminate(std::function<void()> then) {
-  on_signal(SIGTERM, then);
-  on_signal(SIGINT, std::move(then));
+void EventLoop::read_signals() {
+  signalfd_siginfo received{};
+  while (read(signal_fd_.get(), &received, sizeof(received)) == sizeof(received)) {
+    const Callback callback = signal_callbacks_[static_cast<int>(received.ssi_signo)];  // it may be replaced
+    run_guarded(callback);
+  }
 }
 
-void EventLoop::on_reload(std::function<void()> then) { on_signal(SIGHUP, std::move(then)); }
-
-void EventLoop::run() { g_main_loop_run(main_); }
+void EventLoop::run() { g_main_loop_run(main_loop_.get()); }
 void EventLoop::run_once() { g_main_context_iteration(nullptr, FALSE); }
-void EventLoop::quit() { g_main_loop_quit(main_); }
+void EventLoop::quit() { g_main_loop_quit(main_loop_.get()); }
 
-// Danger: an exception must not cross GLib's C frames, and one failed step must not end the process.
+// An exception must not cross GLib's C frames, and one failed callback must not end the process.
 template <class Call>
-void EventLoop::guarded(const Call& call) {
+void EventLoop::run_guarded(const Call& call) {
   try {
     call();
   } catch (const std::exception& failure) {
@@ -149,46 +137,35 @@
   }
 }
 
-gboolean EventLoop::dispatch_sockets(GSource* source, GSourceFunc, gpointer) {
-  reinterpret_cast<Source*>(source)->event_loop->sockets_ready();
-  return G_SOURCE_CONTINUE;
+void EventLoop::dispatch_io() {
+  poller_.wait();
+  while (const std::optional<IoPoller::ReadyIo> ready = poller_.next()) {
+    run_guarded([&ready] { ready->callback(ready->is_readable, ready->is_writable); });
+  }
 }
 
-gboolean EventLoop::dispatch_alarms(GSource* source, GSourceFunc, gpointer) {
-  reinterpret_cast<Source*>(source)->event_loop->alarms_due();
-  return G_SOURCE_CONTINUE;
+void EventLoop::dispatch_timers() {
+  run_posted();
+  run_due_timers();
+  arm_timer_source();
 }
 
-void EventLoop::sockets_ready() {
-  const int count = epoll_wait(epoll_, batch_.data(), static_cast<int>(batch_.size()), 0);
-  batch_size_ = count > 0 ? static_cast<std::size_t>(count) : 0;
-  for (batch_at_ = 0; batch_at_ < batch_size_;) {
-    const epoll_event event = batch_[batch_at_++];
-    auto* watch = static_cast<IoWatch*>(event.data.ptr);
-    if (!watch) continue;
-    // A hang-up or an error is found out by reading or writing, whichever is wanted.
-    const bool broken = (event.events & (EPOLLHUP | EPOLLERR)) != 0;
-    const bool read = (event.events & EPOLLIN) || (broken && (watch->wanted_ & EPOLLIN));
-    const bool write = (event.events & EPOLLOUT) || (broken && (watch->wanted_ & EPOLLOUT));
-    const IoWatch::Ready ready = watch->ready_;  // the watch may go while it is told
-    guarded([&] { ready(read, write); });
+// Only what had been posted before: what these post waits for the next round, so that sockets get their turn.
+void EventLoop::run_posted() {
+  for (std::size_t left = posted_.size(); left > 0 && !posted_.empty(); --left) {
+    const Callback callback = std::move(posted_.front());
+    posted_.pop_front();
+    run_guarded(callback);
   }
-  batch_size_ = 0;
 }
 
-void EventLoop::alarms_due() {
-  for (std::size_t left = soon_.size(); left > 0 && !soon_.empty(); --left) {
-    const auto then = std::move(soon_.front());
-    soon_.pop_front();
-    guarded(then);
-  }
+void EventLoop::run_due_timers() {
   const Micros due = now();
-  while (!alarms_.empty() && alarms_.begin()->first <= due) {
-    const auto then = std::move(alarms_.begin()->second);
-    alarms_.erase(alarms_.begin());
-    guarded(then);
+  while (!timers_.empty() && timers_.begin()->first <= due) {
+    const Callback callback = std::move(timers_.begin()->second);
+    timers_.erase(timers_.begin());
+    run_guarded(callback);
   }
-  set_alarm();
 }
 
 }  // namespace cherryrail::net
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -1,88 +1,104 @@
-// GLib's main loop as the rest sees it: sockets that become ready, alarms, things to do soon, signals.
+// The event loop: GLib's main loop as the rest of the program sees it. Descriptors that become ready, timers,
+// posted callbacks and signals, all on one thread.
 #pragma once
 
 #include <glib.h>
-#include <sys/epoll.h>
 
-#include <array>
 #include <csignal>
 #include <cstddef>
-#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 
 #include "balancer/time.hpp"
+#include "net/file_descriptor.hpp"
+#include "net/io_poller.hpp"
 #include "net/log.hpp"
 
 namespace cherryrail::net {
 
-class EventLoop;
-
-// Tells its owner when a socket can be read or written. Level-triggered.
-class IoWatch {
- public:
-  using Ready = std::function<void(bool readable, bool writable)>;
-  IoWatch(EventLoop& event_loop, int fd, Ready ready);
-  ~IoWatch();
-  IoWatch(const IoWatch&) = delete;
-  IoWatch& operator=(const IoWatch&) = delete;
-  void set_interest(bool read, bool write);
-
- private:
-  friend class EventLoop;
-  EventLoop& event_loop_;
-  int fd_;
-  Ready ready_;
-  std::uint32_t wanted_ = 0;
-};
-
+// One for the process: it uses GLib's default context and the process's signal mask. In each round the
+// callbacks of descriptors come first, then what had been posted, then timers. A callback that throws a
+// std::exception is logged, and the loop goes on.
 class EventLoop {
  public:
+  using Callback = std::function<void()>;
+
+  // Throws std::runtime_error.
   EventLoop();
   ~EventLoop();
   EventLoop(const EventLoop&) = delete;
   EventLoop& operator=(const EventLoop&) = delete;
 
-  Micros now() const;  // Unix time that never jumps: the steady clock from the start on
-  void call_at(Micros when, std::function<void()> then);
-  void post(std::function<void()> then);          // after what is under way, in the order asked
-  void on_terminate(std::function<void()> then);  // at SIGTERM or SIGINT
-  void on_reload(std::function<void()> then);     // at SIGHUP
+  // Unix time in microseconds that never jumps: the steady clock, set by the system clock at the start.
+  Micros now() const;
+  // Calls back once `when` has come. It cannot be taken back; callbacks for one moment go in the order asked.
+  void call_at(Micros when, Callback callback);
+  // Calls back after what is under way, in the order asked.
+  void post(Callback callback);
+  // At SIGTERM or SIGINT.
+  void on_terminate(Callback callback);
+  // At SIGHUP.
+  void on_reload(Callback callback);
+
+  // Until quit.
   void run();
-  void run_once();  // once round, without waiting
+  // One round, without waiting.
+  void run_once();
   void quit();
+
   Log& log() { return log_; }
-  std::size_t watch_count() const { return sockets_; }  // how many are watched
+  // How many descriptors are watched.
+  std::size_t watch_count() const { return poller_.watch_count(); }
 
  private:
   friend class IoWatch;
-  struct Source;
-  static gboolean dispatch_sockets(GSource* source, GSourceFunc, gpointer);
-  static gboolean dispatch_alarms(GSource* source, GSourceFunc, gpointer);
-  void sockets_ready();
-  void alarms_due();
-  void set_alarm();
-  void on_signal(int signal, std::function<void()> then);
+
+  // A GLib source that calls one member function of the loop when it is ready.
+  class LoopSource {
+   public:
+    using Dispatch = void (EventLoop::*)();
+    LoopSource(EventLoop& event_loop, Dispatch dispatch);
+    ~LoopSource();
+    LoopSource(const LoopSource&) = delete;
+    LoopSource& operator=(const LoopSource&) = delete;
+    GSource* get() const { return source_; }
+
+   private:
+    struct Layout;
+    static gboolean on_ready(GSource* source, GSourceFunc callback, gpointer data);
+
+    GSource* source_;
+  };
+
+  struct MainLoopUnref {
+    void operator()(GMainLoop* main_loop) const { g_main_loop_unref(main_loop); }
+  };
+
+  void dispatch_io();
+  void dispatch_timers();
+  void run_posted();
+  void run_due_timers();
+  void arm_timer_source();
+  void on_signal(int signal, Callback callback);
+  void read_signals();
   template <class Call>
-  void guarded(const Call& call);
+  void run_guarded(const Call& call);
 
   Log log_;
-  GMainLoop* main_;
-  GSourceFuncs socket_funcs_, alarm_funcs_;
-  GSource* socket_source_;
-  GSource* alarm_source_;
-  int epoll_;
-  Micros offset_;  // from the steady clock to Unix time
-  std::multimap<Micros, std::function<void()>> alarms_;
-  std::deque<std::function<void()>> soon_;
-  std::array<epoll_event, 256> batch_{};
-  std::size_t batch_size_ = 0, batch_at_ = 0, sockets_ = 0;
-  sigset_t signals_{};
-  int signal_fd_ = -1;
+  std::unique_ptr<GMainLoop, MainLoopUnref> main_loop_;
+  IoPoller poller_;
+  // In this order: after a stall both are ready, and timers would fail attempts whose answers have come.
+  LoopSource io_source_;
+  LoopSource timer_source_;
+  Micros unix_time_offset_;  // from the steady clock
+  std::multimap<Micros, Callback> timers_;
+  std::deque<Callback> posted_;
+  sigset_t handled_signals_{};
+  std::map<int, Callback> signal_callbacks_;
+  FileDescriptor signal_fd_;
   std::unique_ptr<IoWatch> signal_watch_;
-  std::map<int, std::function<void()>> told_;  // of a signal, what to do
 };
 
 }  // namespace cherryrail::net
--- /dev/null
+++ b/src/net/io_poller.cpp
@@ -0,0 +1,86 @@
+#include "net/io_poller.hpp"
+
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "net/event_loop.hpp"
+
+namespace cherryrail::net {
+namespace {
+
+constexpr std::uint32_t kInput = EPOLLIN;
+constexpr std::uint32_t kOutput = EPOLLOUT;
+constexpr std::uint32_t kBroken = EPOLLHUP | EPOLLERR;
+
+bool has_any(std::uint32_t events, std::uint32_t wanted) { return (events & wanted) != 0; }
+
+}  // namespace
+
+IoWatch::IoWatch(EventLoop& event_loop, int fd, Callback callback)
+    : poller_(event_loop.poller_), fd_(fd), callback_(std::move(callback)) {
+  poller_.add(*this);
+}
+
+IoWatch::~IoWatch() {
+  set_interest(false, false);
+  poller_.remove(*this);
+}
+
+void IoWatch::set_interest(bool wants_input, bool wants_output) {
+  const std::uint32_t input = wants_input ? kInput : 0;
+  const std::uint32_t output = wants_output ? kOutput : 0;
+  poller_.change_interest(*this, input | output);
+}
+
+IoPoller::IoPoller() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+  if (!epoll_) throw std::runtime_error(std::string("epoll: ") + std::strerror(errno));
+}
+
+void IoPoller::add(IoWatch& /*watch*/) { ++watch_count_; }
+
+void IoPoller::remove(IoWatch& watch) {
+  --watch_count_;
+  // The rest of the batch under way may still name a watch that a callback has just destroyed.
+  for (std::size_t i = batch_position_; i < batch_end_; ++i) {
+    if (batch_[i].data.ptr == &watch) batch_[i].data.ptr = nullptr;
+  }
+}
+
+void IoPoller::change_interest(IoWatch& watch, std::uint32_t interest) {
+  if (interest == watch.interest_) return;
+  epoll_event event{};
+  event.events = interest;
+  event.data.ptr = &watch;
+  int operation = EPOLL_CTL_MOD;
+  if (watch.interest_ == 0) operation = EPOLL_CTL_ADD;
+  // A watch that wants nothing leaves the set: its hang-up would be reported without end.
+  if (interest == 0) operation = EPOLL_CTL_DEL;
+  epoll_ctl(epoll_.get(), operation, watch.fd_, &event);
+  watch.interest_ = interest;
+}
+
+void IoPoller::wait() {
+  const int count = epoll_wait(epoll_.get(), batch_.data(), static_cast<int>(batch_.size()), 0);
+  batch_end_ = count > 0 ? static_cast<std::size_t>(count) : 0;
+  batch_position_ = 0;
+}
+
+std::optional<IoPoller::ReadyIo> IoPoller::next() {
+  while (batch_position_ < batch_end_) {
+    const epoll_event event = batch_[batch_position_];
+    ++batch_position_;
+    const auto* watch = static_cast<const IoWatch*>(event.data.ptr);
+    if (!watch) continue;
+    // A hang-up or an error is found out by reading or writing, whichever is wanted.
+    const bool is_broken = has_any(event.events, kBroken);
+    const std::uint32_t ready = event.events | (is_broken ? watch->interest_ : 0);
+    return ReadyIo{watch->callback_, has_any(ready, kInput), has_any(ready, kOutput)};
+  }
+  batch_end_ = 0;
+  return std::nullopt;
+}
+
+}  // namespace cherryrail::net
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -1,32 +1,42 @@
-// A listening socket on the loop: gives on what connects, as long as that is wanted.
+// A listening TCP socket on the event loop.
 #pragma once
 
 #include <functional>
 #include <memory>
 
-#include "net/connection.hpp"
+#include "net/address.hpp"
+#include "net/event_loop.hpp"
+#include "net/socket.hpp"
 
 namespace cherryrail::net {
 
-// Throws std::runtime_error.
+// Bound and listening. Throws std::runtime_error.
 SocketPtr create_listening_socket(const Address& address);
 
+// Hands on each connection that comes in, while that is wanted. It wants none at first.
 class Listener {
  public:
-  using Taken = std::function<void(SocketPtr)>;
-  Listener(EventLoop& event_loop, SocketPtr socket, Taken taken);
-  void set_accepting(bool wanted);
-  void close();  // gives on whoever has connected by now, and takes nobody after that
+  using OnAccepted = std::function<void(SocketPtr)>;
+
+  // `socket` is listening already; it may be shared with another process.
+  Listener(EventLoop& event_loop, SocketPtr socket, OnAccepted on_accepted);
+
+  // While it does not accept, connections wait in the kernel's queue.
+  void set_accepting(bool is_accepting);
+  // Hands on what has connected by now, and closes the socket.
+  void close();
 
  private:
-  bool accept();  // whether there may be more
+  bool accept_some();
+  bool accept_one();
+  void pause();
 
   EventLoop& event_loop_;
   SocketPtr socket_;
-  Taken taken_;
-  bool wanted_ = false;
+  OnAccepted on_accepted_;
+  bool is_accepting_ = false;
   std::unique_ptr<IoWatch> watch_;
-  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // timers ask it whether this still exists
 };
 
 }  // namespace cherryrail::net
--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -3,14 +3,16 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdio>
+#include <string>
 
 namespace cherryrail::net {
 namespace {
 
-constexpr std::array<const char*, 5> kTopicNames = {"lifecycle", "connection", "balancer", "discovery",
-                                                    "error"};
-constexpr double kBurst = 500;           // lines of one topic at once
-constexpr double kLinesPerSecond = 100;  // of one topic in the long run
+constexpr std::array<const char*, kTopicCount> kTopicNames = {"lifecycle", "connection", "balancer",
+                                                              "discovery", "error"};
+// Lines of one topic at once, and in the long run: enough to follow a relay's usual day line by line.
+constexpr double kBurst = 500;
+constexpr double kLinesPerSecond = 100;
 
 double unix_seconds() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -13,10 +13,12 @@
 
 // What a line is about; README lists the names as they stand in the log.
 enum class Topic : std::uint8_t { lifecycle, connection, balancer, discovery, error };
+constexpr std::size_t kTopicCount = 5;
 
 // Writes "SECONDS.MILLISECONDS TOPIC TEXT" lines to standard error. Each topic may write a burst of 500 lines
 // and 100 a second in the long run, so that a storm of events does not cost the time that sessions need; what
-// is over the rate is counted, and the next line that gets through tells how many were left out.
+// is over the rate is counted, and the next line that gets through tells how many were left out. The event
+// loop owns the log of its process; it is used from that thread alone.
 class Log {
  public:
   // Writes one line; `form` is a format string of the {fmt} library, checked when it is compiled.
@@ -27,17 +29,17 @@
   }
 
  private:
-  // A token bucket: how many lines may be written now.
+  // A token bucket for one topic.
   struct RateLimit {
-    double lines = 0;
-    double refilled_at = 0;
-    std::size_t left_out = 0;
+    double lines = 0;          // that may be written now
+    double refilled_at = 0;    // in seconds of Unix time; at first so long ago that the bucket fills up
+    std::size_t left_out = 0;  // lines since the last one that got through
   };
 
   bool is_allowed(Topic topic);
   void emit(Topic topic, std::string_view text);
 
-  std::array<RateLimit, 5> limits_{};
+  std::array<RateLimit, kTopicCount> limits_{};
 };
 
 }  // namespace cherryrail::net
