The command line in small functions; its words and output are the same

Cause: main built the commands in a loop over tuples and handled errors around it. Change: add_config_command, run_command_line and whole names.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,56 +1,75 @@
-// The relay's command line.
+// The relay's command line: `serve` runs it, `check` reads the configuration alone, `version` names the
+// build.
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <string>
 
 #include "admin/admin_services.hpp"
 #include "config/descriptor_limit.hpp"
 
 namespace {
 
-void serve(const std::string& path) {
-  auto start = cherryrail::config::read_relay_config(path);
-  start.descriptor_limit = cherryrail::config::raise_descriptor_limit(start.descriptor_limit);
+using ConfigCommand = void (*)(const std::string& config_path);
+
+void serve(const std::string& config_path) {
+  auto config = cherryrail::config::read_relay_config(config_path);
+  config.descriptor_limit = cherryrail::config::raise_descriptor_limit(config.descriptor_limit);
   cherryrail::net::EventLoop event_loop;
-  cherryrail::proxy::ProxyServer proxy(event_loop, start);
-  cherryrail::admin::AdminServices admin_services(event_loop, proxy, start);
+  cherryrail::proxy::ProxyServer proxy(event_loop, config);
+  cherryrail::admin::AdminServices admin_services(event_loop, proxy, config);
   event_loop.on_terminate([&admin_services] { admin_services.shut_down(); });
-  event_loop.on_reload([&proxy, &path] { proxy.reload(path); });
+  event_loop.on_reload([&proxy, &config_path] { proxy.reload(config_path); });
   event_loop.run();
 }
 
-void check(const std::string& path) {
-  const auto start = cherryrail::config::read_relay_config(path);
+void check(const std::string& config_path) {
+  const auto config = cherryrail::config::read_relay_config(config_path);
   std::printf("%s: %zu profiles, %zu known backends, %zu sockets: the configuration can be used\n",
-              start.name.c_str(), start.settings.config.traffic_classes.size(),
-              start.known_endpoints.entries.size(), start.descriptor_limit);
+              config.name.c_str(), config.settings.config.traffic_classes.size(),
+              config.known_endpoints.entries.size(), config.descriptor_limit);
 }
 
-}  // namespace
+void print_version() { std::puts("cherryrail " CHERRYRAIL_VERSION); }
+
+std::string config_path_from_environment() {
+  const char* path = std::getenv("EDGE_CONFIG");
+  return path ? path : "";
+}
 
-int main(int count, char** words) {
+// A subcommand that works on the configuration file; `config_path` outlives the parsing and holds the
+// default.
+void add_config_command(CLI::App& app, const char* name, const char* description, ConfigCommand run,
+                        std::string& config_path) {
+  CLI::App* command = app.add_subcommand(name, description);
+  command->add_option("-c,--config", config_path, "the configuration file (else EDGE_CONFIG names it)");
+  command->callback([run, &config_path] { run(config_path); });
+}
+
+// The process's exit code. Throws whatever the command throws.
+int run_command_line(int argument_count, char** arguments) {
+  std::string config_path = config_path_from_environment();
   CLI::App app("cherryrail, a relay for long-lived connections");
   app.require_subcommand(1);
-  const char* told = std::getenv("EDGE_CONFIG");
-  std::string path = told ? told : "";
-  for (const auto& [name, what, run] :
-       {std::tuple{"serve", "run one relay until SIGTERM", &serve},
-        std::tuple{"check", "read and check the configuration, then end", &check}}) {
-    CLI::App* command = app.add_subcommand(name, what);
-    command->add_option("-c,--config", path, "the configuration file (else EDGE_CONFIG names it)");
-    command->callback([run = run, &path] { run(path); });
-  }
-  app.add_subcommand("version", "print the version")->callback([] {
-    std::puts("cherryrail " CHERRYRAIL_VERSION);
-  });
+  add_config_command(app, "serve", "run one relay until SIGTERM", &serve, config_path);
+  add_config_command(app, "check", "read and check the configuration, then end", &check, config_path);
+  app.add_subcommand("version", "print the version")->callback(&print_version);
   try {
-    app.parse(count, words);
+    app.parse(argument_count, arguments);
   } catch (const CLI::ParseError& error) {
     return app.exit(error);
+  }
+  return 0;
+}
+
+}  // namespace
+
+int main(int argument_count, char** arguments) {
+  try {
+    return run_command_line(argument_count, arguments);
   } catch (const std::exception& failure) {
     std::fprintf(stderr, "cherryrail: %s\n", failure.what());
     return 1;
   }
-  return 0;
 }
