--- /dev/null
+++ b/src/proxy/backend_connection.cpp
@@ -0,0 +1,231 @@
+#include "proxy/backend_connection.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "protocol/text_fields.hpp"
+
+namespace cherryrail::proxy {
+namespace {
+
+// How long a backend has to close once its client has ended its sending.
+constexpr Micros kCloseTimeout = 2'000'000;
+// Of a line that was not understood, so much goes into the log.
+constexpr std::size_t kLoggedReplyLength = 80;
+
+}  // namespace
+
+// ---- The attempt ----------------------------------------------------------------------------------------
+
+void BackendConnection::start(const net::Address& address, Micros connect_timeout, Micros attempt_timeout) {
+  deadline_ = started_at_ + attempt_timeout;
+  session_->set_upstream(this);
+  if (attempt_timeout <= 0) {
+    post_failure(AttemptResult::timed_out);
+    return;
+  }
+  const net::ConnectAttempt attempt = net::Connection::connect(event_loop_, address, *this);
+  // A relay out of descriptors would otherwise take healthy backends for dead.
+  is_out_of_descriptors_ = attempt.is_out_of_descriptors;
+  connection_ = attempt.connection;
+  if (!connection_) {
+    post_failure(is_out_of_descriptors_ ? AttemptResult::not_sent : AttemptResult::connect_failed);
+    return;
+  }
+  schedule_timeouts(std::min(deadline_, started_at_ + connect_timeout));
+}
+
+void BackendConnection::schedule_timeouts(Micros connect_deadline) {
+  event_loop_.call_at(connect_deadline, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->state_ == State::connecting)
+      self->finish_attempt(CloseKind::broken, AttemptResult::connect_failed);
+  });
+  event_loop_.call_at(deadline_, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (!self || self->state_ == State::established) return;
+    self->finish_attempt(CloseKind::broken, self->result_without_reply(AttemptResult::timed_out));
+  });
+}
+
+// Posted: the balancer is in the midst of the step that started the attempt.
+void BackendConnection::post_failure(AttemptResult result) {
+  event_loop_.post([weak = weak_from_this(), result] {
+    if (const auto self = weak.lock()) self->finish_attempt(CloseKind::broken, result);
+  });
+}
+
+void BackendConnection::on_connected() {
+  if (!session_->may_send_request()) {
+    finish_attempt(CloseKind::orderly, AttemptResult::not_sent);
+    return;
+  }
+  const protocol::OpenRequest::LinePieces line =
+      session_->request().with_client_timeout(deadline_ - event_loop_.now());
+  state_ = State::sending_request;
+  connection_->send({line.before, line.client_timeout(), line.after, "\r\n"});
+  if (connection_->unsent_bytes() == 0) state_ = State::awaiting_reply;
+}
+
+void BackendConnection::on_all_sent() {
+  if (state_ == State::sending_request) state_ = State::awaiting_reply;
+  session_->set_downstream_reading(true);
+}
+
+void BackendConnection::on_received(std::string_view bytes) {
+  if (state_ != State::established) read_first_reply(bytes);
+  if (state_ == State::established && !bytes.empty()) read_session_lines(bytes);
+}
+
+// Leaves in `bytes` what follows the line.
+void BackendConnection::read_first_reply(std::string_view& bytes) {
+  bytes = lines_.feed(bytes, [this](std::string_view line) {
+    on_first_reply(line);
+    return false;
+  });
+  if (lines_.is_overlong()) finish_attempt(CloseKind::broken, AttemptResult::error);
+}
+
+void BackendConnection::on_first_reply(std::string_view line) {
+  const protocol::BackendReply reply = protocol::parse_backend_reply(line);
+  switch (reply.kind) {
+    case protocol::ReplyKind::up:
+      state_ = State::established;
+      session_->on_upstream_established(line, event_loop_.now() - started_at_);
+      return;
+    case protocol::ReplyKind::bye:
+      finish_attempt(CloseKind::orderly, AttemptResult::succeeded, reply.arguments, line);
+      return;
+    case protocol::ReplyKind::busy:
+      finish_attempt(CloseKind::orderly, AttemptResult::rejected, reply.arguments);
+      return;
+    case protocol::ReplyKind::move:
+      finish_attempt(CloseKind::orderly, AttemptResult::cancelled);
+      return;
+    case protocol::ReplyKind::error:
+      finish_attempt(CloseKind::orderly, AttemptResult::error, reply.arguments);
+      return;
+    default:
+      event_loop_.log().write(net::Topic::error, "unexpected reply of a backend: {}",
+                              line.substr(0, kLoggedReplyLength));
+      finish_attempt(CloseKind::orderly, AttemptResult::error);
+  }
+}
+
+bool BackendConnection::has_sent_request() const {
+  return state_ == State::sending_request || state_ == State::awaiting_reply;
+}
+
+// Until the last byte of the open request is written, the backend cannot have begun the session.
+AttemptResult BackendConnection::result_without_reply(AttemptResult once_sent) const {
+  return state_ == State::awaiting_reply ? once_sent : AttemptResult::connect_failed;
+}
+
+// ---- The session ----------------------------------------------------------------------------------------
+
+void BackendConnection::resume(net::SocketPtr socket) {
+  session_->set_upstream(this);
+  state_ = State::established;
+  connection_ = net::Connection::adopt(event_loop_, std::move(socket), *this);
+}
+
+// The bytes are passed on as they come, and only then read for the lines that concern the relay, too.
+void BackendConnection::read_session_lines(std::string_view bytes) {
+  session_->on_upstream_data(bytes);
+  while (!bytes.empty() && !lines_.is_overlong() && state_ == State::established) {
+    bytes = lines_.feed(bytes, [this](std::string_view line) {
+      const protocol::BackendReply reply = protocol::parse_backend_reply(line);
+      last_line_kind_ = reply.kind;
+      if (reply.kind == protocol::ReplyKind::load) {
+        if (const auto value = protocol::parse_number(reply.arguments))
+          owner_.on_load_line(*session_, *value);
+      }
+      return state_ == State::established;
+    });
+  }
+}
+
+void BackendConnection::send(std::string_view bytes) {
+  connection_->send({bytes});
+  if (connection_->unsent_bytes() > kSendBufferLimit) session_->set_downstream_reading(false);
+}
+
+void BackendConnection::set_reading(bool wanted) {
+  if (connection_) connection_->set_reading(wanted);
+}
+
+void BackendConnection::end_sending() {
+  connection_->end_sending();
+  event_loop_.call_at(event_loop_.now() + kCloseTimeout, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->finish_attempt(CloseKind::orderly, AttemptResult::cancelled);
+  });
+}
+
+// ---- The end --------------------------------------------------------------------------------------------
+
+void BackendConnection::on_peer_closed(CloseKind kind) {
+  const bool is_established = state_ == State::established;
+  finish_attempt(kind, is_established ? established_result() : result_without_reply(AttemptResult::reset));
+}
+
+bool BackendConnection::has_said_last_line() const {
+  return last_line_kind_ == protocol::ReplyKind::bye || last_line_kind_ == protocol::ReplyKind::move;
+}
+
+AttemptResult BackendConnection::established_result() const {
+  if (last_line_kind_ == protocol::ReplyKind::bye) return AttemptResult::succeeded;
+  const bool is_expected = has_said_last_line() || session_->has_client_left();
+  return is_expected ? AttemptResult::cancelled : AttemptResult::reset;
+}
+
+void BackendConnection::finish_attempt(CloseKind kind, AttemptResult result, std::string_view report,
+                                       std::string_view last_line) {
+  if (state_ == State::closed) return;
+  const LoadReport load = owner_.parse_load_report(report);
+  const AttemptOutcome outcome{result, event_loop_.now() - started_at_};
+  const bool was_established = state_ == State::established;
+  state_ = State::closed;
+  log_result(is_out_of_descriptors_ ? UpstreamResult::no_descriptors : to_upstream_result(result));
+  session_->on_upstream_closed(was_established ? kind : CloseKind::orderly, outcome, load, last_line);
+  if (connection_) connection_->close();
+  owner_.on_closed(number_);
+}
+
+void BackendConnection::abandon() {
+  if (connection_) connection_->close();
+  detach(UpstreamResult::abandoned);
+}
+
+void BackendConnection::reset() {
+  if (connection_) connection_->reset();
+  detach(UpstreamResult::abandoned);
+}
+
+void BackendConnection::detach(UpstreamResult result) {
+  if (std::exchange(state_, State::closed) == State::closed) return;
+  log_result(result);
+  session_->set_upstream(nullptr);
+  owner_.on_closed(number_);
+}
+
+void BackendConnection::log_result(UpstreamResult result) {
+  const std::uint64_t backend = session_->backend ? session_->backend->name : 0;
+  event_loop_.log().write(net::Topic::connection, "attempt={} session={} backend={} result={} duration_ms={}",
+                          number_, session_->id(), backend, to_string(result),
+                          (event_loop_.now() - started_at_) / 1000);
+}
+
+// ---- Hot restart ----------------------------------------------------------------------------------------
+
+// After its last line the backend is about to close, so there is nothing left to hand over.
+std::optional<int> BackendConnection::transferable_descriptor() const {
+  if (state_ != State::established || has_said_last_line() || !connection_->is_transferable()) return {};
+  return connection_->descriptor();
+}
+
+void BackendConnection::release_to_successor() {
+  connection_->close();
+  detach(UpstreamResult::handed_over);
+}
+
+}  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/backend_connection.hpp
@@ -0,0 +1,96 @@
+// One connection to a backend: an attempt to open a session there, and then the session's backend end.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "net/connection.hpp"
+#include "protocol/backend_reply.hpp"
+#include "protocol/line_reader.hpp"
+#include "proxy/proxy_session.hpp"
+
+namespace cherryrail::proxy {
+
+// What a backend's connection asks of the connector that owns it.
+class BackendConnectionOwner {
+ public:
+  BackendConnectionOwner() = default;
+  BackendConnectionOwner(const BackendConnectionOwner&) = delete;
+  BackendConnectionOwner& operator=(const BackendConnectionOwner&) = delete;
+
+  virtual LoadReport parse_load_report(std::string_view fields) const = 0;
+  virtual void on_load_line(ProxySession& session, double value) = 0;
+  // The object may be removed, though not within this call.
+  virtual void on_closed(std::uint64_t number) = 0;
+
+ protected:
+  ~BackendConnectionOwner() = default;
+};
+
+class BackendConnection final : public net::ConnectionHandler,
+                                public UpstreamConnection,
+                                public std::enable_shared_from_this<BackendConnection> {
+ public:
+  BackendConnection(net::EventLoop& event_loop, BackendConnectionOwner& owner, std::uint64_t number,
+                    std::shared_ptr<ProxySession> session)
+      : event_loop_(event_loop), owner_(owner), number_(number), session_(std::move(session)),
+        started_at_(event_loop.now()) {}
+  ~BackendConnection() = default;
+
+  // Starts an attempt. `connect_timeout` and `attempt_timeout` both count from now.
+  void start(const net::Address& address, Micros connect_timeout, Micros attempt_timeout);
+  // The end of a session that is established already.
+  void resume(net::SocketPtr socket);
+
+  ProxySession& session() { return *session_; }
+
+  // net::ConnectionHandler
+  void on_connected() override;
+  void on_received(std::string_view bytes) override;
+  void on_end_of_stream() override { on_peer_closed(CloseKind::orderly); }
+  void on_connection_lost() override { on_peer_closed(CloseKind::broken); }
+  void on_all_sent() override;
+
+  // UpstreamConnection
+  void send(std::string_view bytes) override;
+  void end_sending() override;
+  bool has_sent_request() const override;
+  void abandon() override;
+  void reset() override;
+  void set_reading(bool wanted) override;
+  std::optional<int> transferable_descriptor() const override;
+  void release_to_successor() override;
+
+ private:
+  enum class State : std::uint8_t { connecting, sending_request, awaiting_reply, established, closed };
+
+  void schedule_timeouts(Micros connect_deadline);
+  void post_failure(AttemptResult result);
+  void read_first_reply(std::string_view& bytes);
+  void on_first_reply(std::string_view line);
+  void read_session_lines(std::string_view bytes);
+  void on_peer_closed(CloseKind kind);
+  AttemptResult result_without_reply(AttemptResult once_sent) const;
+  AttemptResult established_result() const;
+  bool has_said_last_line() const;
+  void finish_attempt(CloseKind kind, AttemptResult result, std::string_view report = {},
+                      std::string_view last_line = {});
+  void detach(UpstreamResult result);
+  void log_result(UpstreamResult result);
+
+  net::EventLoop& event_loop_;
+  BackendConnectionOwner& owner_;
+  std::uint64_t number_;  // for the log
+  std::shared_ptr<ProxySession> session_;
+  Micros started_at_;
+  Micros deadline_ = 0;  // for the backend's first reply
+  std::shared_ptr<net::Connection> connection_;
+  protocol::LineReader lines_;
+  protocol::ReplyKind last_line_kind_ = protocol::ReplyKind::other;  // of the lines passed on
+  State state_ = State::connecting;
+  bool is_out_of_descriptors_ = false;
+};
+
+}  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/descriptor_budget.cpp
@@ -0,0 +1,29 @@
+#include "proxy/descriptor_budget.hpp"
+
+#include <algorithm>
+
+namespace cherryrail::proxy {
+namespace {
+
+// For discovery, health checks, operators, attempts of clients whose request is read, and the loop itself.
+constexpr std::size_t kUsualReserve = 24;
+
+// With the whole usual reserve, the smallest limit would leave nothing for clients.
+std::size_t max_reserve(std::size_t limit) { return 5 * limit / 8; }
+
+}  // namespace
+
+DescriptorBudget::DescriptorBudget(const net::EventLoop& event_loop, std::size_t limit)
+    : event_loop_(event_loop), limit_(limit), reserved_(std::min(kUsualReserve, max_reserve(limit))) {}
+
+void DescriptorBudget::reserve(std::size_t count) {
+  reserved_ = std::min(reserved_ + count, max_reserve(limit_));
+}
+
+std::size_t DescriptorBudget::in_use() const { return event_loop_.watch_count() + held_by_peers_; }
+
+bool DescriptorBudget::is_exhausted() const { return in_use() + reserved_ > limit_; }
+
+bool DescriptorBudget::allows_use_of_reserve() const { return in_use() + reserved_ / 2 <= limit_; }
+
+}  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/downstream_listener.cpp
@@ -0,0 +1,181 @@
+#include "proxy/downstream_listener.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace cherryrail::proxy {
+namespace {
+
+// How long a connection that asks for no session may stay: a client in order may take two seconds to write
+// its first line.
+constexpr Micros kRequestTimeout = 2'600'000;
+
+}  // namespace
+
+DownstreamListener::DownstreamListener(net::EventLoop& event_loop, net::SocketPtr listening_socket,
+                                       DownstreamCallbacks callbacks)
+    : event_loop_(event_loop), callbacks_(std::move(callbacks)),
+      listener_(event_loop, std::move(listening_socket),
+                [this](net::SocketPtr socket) { on_accepted(std::move(socket)); }) {}
+
+// ---- Clients --------------------------------------------------------------------------------------------
+
+void DownstreamListener::on_accepted(net::SocketPtr socket) {
+  forget_closed_connections();
+  free_descriptors();
+  if (callbacks_.are_descriptors_short()) {
+    // Every descriptor serves a session: the client is answered at once, and nothing of it is kept.
+    net::send_and_close(std::move(socket), "BUSY\r\n");
+    event_loop_.log().write(net::Topic::error, "client rejected: descriptors run short");
+    return;
+  }
+  add_pending_client(std::move(socket), "", 0);
+}
+
+DownstreamListener::ClientPtr DownstreamListener::add_client() {
+  ++last_number_;
+  ClientConnectionOwner& owner = *this;
+  auto client = std::make_shared<ClientConnection>(event_loop_, owner, last_number_);
+  clients_.emplace(last_number_, client);
+  return client;
+}
+
+void DownstreamListener::add_pending_client(net::SocketPtr socket, std::string_view received, Micros waited) {
+  const auto client = add_client();
+  pending_.insert(last_number_);
+  client->start(std::move(socket), waited);
+  schedule_request_timeout(client);
+  if (!received.empty()) client->on_received(received);
+  client->read_now();  // most have written their first line by now
+}
+
+void DownstreamListener::add_established_client(net::SocketPtr socket,
+                                                const std::shared_ptr<ProxySession>& session) {
+  add_client()->resume(std::move(socket), session);
+}
+
+void DownstreamListener::schedule_request_timeout(const ClientPtr& client) {
+  const Micros due = client->pending_since() + kRequestTimeout;
+  event_loop_.call_at(due, [this, weak = std::weak_ptr<ClientConnection>(client)] {
+    const auto late = weak.lock();
+    if (!late || !late->is_pending()) return;
+    const bool has_pinged = event_loop_.now() < late->pending_since() + kRequestTimeout;
+    if (has_pinged) {
+      schedule_request_timeout(late);
+    } else {
+      late->time_out();
+    }
+  });
+}
+
+std::size_t DownstreamListener::session_count() const {
+  const auto count = std::count_if(clients_.begin(), clients_.end(),
+                                   [](const auto& entry) { return entry.second->has_session(); });
+  return static_cast<std::size_t>(count);
+}
+
+bool DownstreamListener::has_partial_requests() const {
+  return std::any_of(pending_.begin(), pending_.end(),
+                     [this](std::uint64_t number) { return clients_.at(number)->has_partial_request(); });
+}
+
+// A copy: clients that close meanwhile leave the map.
+std::vector<DownstreamListener::ClientPtr> DownstreamListener::all_clients() const {
+  std::vector<ClientPtr> all;
+  for (const auto& [number, client] : clients_) all.push_back(client);
+  return all;
+}
+
+// A client that has written its line to this machine counts as accepted, though nobody may have read it yet
+// or even accepted its connection: what the process holds when it stops is cut off without an answer.
+void DownstreamListener::shut_down(bool has_successor) {
+  if (has_successor) {
+    listener_.set_accepting(false);
+  } else {
+    listener_.close();
+  }
+  for (const auto& client : all_clients()) client->shut_down();
+}
+
+void DownstreamListener::hand_over(const Give& give) {
+  for (const auto& client : all_clients()) {
+    const auto handover = client->prepare_handover();
+    if (!handover) continue;
+    if (!give(*handover)) return;
+    client->finish_handover();
+  }
+}
+
+// ---- Descriptors ----------------------------------------------------------------------------------------
+
+// Hundreds of connections that write nothing, or ping and stay, would hold all descriptors; then none would
+// be left for clients with a session to open, nor for attempts, health checks and discovery.
+void DownstreamListener::free_descriptors() {
+  if (callbacks_.are_descriptors_short()) close_answered_connections();
+  // A first line that is read meanwhile asks for descriptors itself.
+  if (std::exchange(is_rejecting_pending_, true)) return;
+  reject_pending_clients();
+  is_rejecting_pending_ = false;
+}
+
+void DownstreamListener::forget_closed_connections() {
+  while (!closing_.empty()) {
+    const auto oldest = closing_.front().lock();
+    if (oldest && oldest->is_open()) return;
+    closing_.pop_front();
+  }
+}
+
+// A client whose last line has not gone out yet would never read it, so such a connection stays.
+void DownstreamListener::close_answered_connections() {
+  std::erase_if(closing_, [this](const auto& entry) {
+    const auto connection = entry.lock();
+    if (!connection) return true;
+    const bool must_stay = connection->unsent_bytes() > 0 || !callbacks_.are_descriptors_short();
+    if (connection->is_open() && must_stay) return false;
+    connection->close_discarding_input();
+    return true;
+  });
+}
+
+void DownstreamListener::reject_pending_clients() {
+  std::size_t second_chances = pending_.size();
+  while (callbacks_.are_descriptors_short() && !pending_.empty()) {
+    const auto client = longest_silent_client();
+    const Micros last_write_at = client->last_write_at();
+    client->read_now();  // its first line may not have been read yet
+    if (!client->is_pending()) continue;
+    // In a crowd that never finishes a line, clients that are slow but go on writing would be the oldest.
+    if (client->last_write_at() > last_write_at && second_chances-- > 0) continue;
+    client->reject(DownstreamResult::no_descriptors);
+  }
+}
+
+DownstreamListener::ClientPtr DownstreamListener::longest_silent_client() const {
+  const auto longest_silent =
+      std::min_element(pending_.begin(), pending_.end(), [this](std::uint64_t left, std::uint64_t right) {
+        return clients_.at(left)->last_write_at() < clients_.at(right)->last_write_at();
+      });
+  return clients_.at(*longest_silent);
+}
+
+// ---- What the clients' connections report -------------------------------------------------------------
+
+std::shared_ptr<ProxySession> DownstreamListener::create_session(std::string_view open_request_line) {
+  return callbacks_.create_session(open_request_line);
+}
+
+void DownstreamListener::on_session_requested(const std::shared_ptr<ProxySession>& session) {
+  callbacks_.on_session_requested(session);
+}
+
+void DownstreamListener::on_closing(const std::shared_ptr<net::Connection>& connection) {
+  closing_.push_back(connection);
+}
+
+void DownstreamListener::on_closed(std::uint64_t number) {
+  pending_.erase(number);
+  event_loop_.post([this, number] { clients_.erase(number); });
+}
+
+}  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/endpoint_registry.hpp
@@ -0,0 +1,52 @@
+// The backends by their names in the endpoint list, and those that operators have disabled.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "net/event_loop.hpp"
+#include "protocol/endpoint_list.hpp"
+#include "proxy/proxy_backend.hpp"
+
+namespace cherryrail::proxy {
+
+class EndpointRegistry {
+ public:
+  using BackendPtr = std::shared_ptr<ProxyBackend>;
+
+  // `zone_names`: the zones that the settings name, in the order of their numbers.
+  EndpointRegistry(net::EventLoop& event_loop, Balancer& balancer, std::vector<std::string> zone_names);
+
+  // Tells the balancer what an endpoint list says. A complete list removes the backends that it leaves out.
+  void apply(const protocol::EndpointList& list);
+  // Those, and no others, are disabled from now on. A uid may be one that no list has named yet.
+  void set_disabled(const std::set<std::string>& uids);
+
+  std::size_t size() const { return backends_.size(); }
+  // Whether operators can name that backend: a list has, or it is disabled.
+  bool knows(const std::string& uid) const { return backends_.contains(uid) || disabled_.contains(uid); }
+  // Null if no list has named it.
+  BackendPtr find(std::string_view uid) const;
+  // For a session from a predecessor. A backend that no list names has left, so its sessions are to migrate.
+  BackendPtr find_or_add_gone(const std::string& uid);
+
+ private:
+  const BackendPtr& find_or_add(const std::string& uid);
+  void apply_entry(const protocol::EndpointEntry& entry);
+  void remove_unlisted(const std::set<std::string_view>& listed);
+  unsigned zone_number(const std::string& name);
+
+  net::EventLoop& event_loop_;
+  Balancer& balancer_;
+  std::map<std::string, BackendPtr, std::less<>> backends_;  // by uid
+  std::set<std::string> disabled_;                           // uids
+  std::vector<std::string> zone_names_;                      // a zone's number is its position
+};
+
+}  // namespace cherryrail::proxy
--- a/src/proxy/health_checker.hpp
+++ b/src/proxy/health_checker.hpp
@@ -1,35 +1,25 @@
-// Looks at backends: one connection each, kept while it is used.
+// Checks backends' health when the balancer asks for it: one connection a backend.
 #pragma once
 
-#include <cstdint>
-#include <functional>
 #include <map>
 #include <memory>
 #include <string>
 
-#include "balancer/balancer.hpp"
-#include "net/connection.hpp"
+#include "proxy/health_check_connection.hpp"
 
 namespace cherryrail::proxy {
 
 class HealthChecker {
  public:
-  using Tell = std::function<void(const AttemptOutcome&, std::string_view report)>;
+  HealthChecker(net::EventLoop& event_loop, HealthCheckConfig config);
 
-  // `word` is what a probe says, PING or STATS; it is given up after `limit`.
-  HealthChecker(net::EventLoop& event_loop, std::string word, Micros connect_limit, Micros limit,
-                Micros idle);
-  ~HealthChecker();
-  // Looks once at the backend of that name; `tell` hears how it went, soon, and once.
-  void look(const std::string& uid, const net::Address& to, Tell tell);
+  // Checks the backend `uid` once.
+  void check(const std::string& uid, const net::Address& address, HealthCheckCallback on_result);
 
  private:
-  class HealthCheck;
-
   net::EventLoop& event_loop_;
-  std::string word_;
-  Micros connect_limit_, limit_, idle_;
-  std::map<std::string, std::shared_ptr<HealthCheck>> probes_;
+  const HealthCheckConfig config_;
+  std::map<std::string, std::shared_ptr<HealthCheckConnection>> connections_;  // by uid
 };
 
 }  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/open_request_reader.cpp
@@ -0,0 +1,83 @@
+#include "proxy/open_request_reader.hpp"
+
+#include <algorithm>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/milliseconds.hpp"
+#include "protocol/text_fields.hpp"
+
+namespace cherryrail::proxy {
+namespace {
+
+// Larger figures are no plausible timeout (eleven days) and no plausible load, and would not fit.
+constexpr double kMaxTimeoutMilliseconds = 1e9;
+constexpr double kMaxLoadHint = 1e12;
+
+// The size of `names` if the name is not among them.
+std::size_t position_of(std::string_view name, const std::vector<std::string>& names) {
+  return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
+}
+
+}  // namespace
+
+const char* describe(SessionRequestFault fault, const protocol::OpenRequest& request) {
+  switch (fault) {
+    case SessionRequestFault::malformed:
+      return protocol::describe(*request.fault());
+    case SessionRequestFault::unknown_traffic_class:
+      return "its class is not known";
+    case SessionRequestFault::no_client_timeout:
+      return "it does not tell how long the client waits";
+    case SessionRequestFault::duplicate_id:
+      return "its id is another's";
+  }
+  return "unknown";
+}
+
+OpenRequestReader::OpenRequestReader(const config::SiteSettings& settings, const Balancer& balancer)
+    : settings_(settings), balancer_(balancer) {}
+
+std::optional<SessionRequestFault> OpenRequestReader::read(ProxySession& session, Micros now) const {
+  const protocol::OpenRequest& request = session.request();
+  if (request.fault()) return SessionRequestFault::malformed;
+
+  const std::vector<TrafficClass>& traffic_classes = balancer_.traffic_classes();
+  const std::size_t traffic_class = position_of(request.value("c"), settings_.traffic_class_names);
+  if (traffic_class >= traffic_classes.size()) return SessionRequestFault::unknown_traffic_class;
+  session.traffic_class = &traffic_classes[traffic_class];
+
+  const auto timeout = protocol::parse_number(request.value("d"));
+  if (!timeout || *timeout <= 0 || *timeout > kMaxTimeoutMilliseconds)
+    return SessionRequestFault::no_client_timeout;
+  session.deadline = now + config::micros_from_milliseconds(*timeout);
+
+  read_keys(session);
+  const auto load_hint = protocol::parse_number(request.value("h"));
+  if (load_hint && *load_hint > 0 && *load_hint < kMaxLoadHint)
+    session.load_hint = *load_hint * 1000;  // stated for a millisecond, kept for a second
+  read_tenant(session);
+  session.is_reconnecting = request.value("r") == "1" || request.value("again") == "1";
+  return {};
+}
+
+void OpenRequestReader::read_keys(ProxySession& session) const {
+  session.client_key = session.request().flow_key();
+  const std::uint64_t key = protocol::parse_key(session.request().value("g"));
+  if (settings_.keys_name_groups) {
+    session.group_key = key;
+  } else if (key != 0) {
+    session.client_key = key;
+  }
+}
+
+// Sites name the field differently; the last one that is there counts.
+void OpenRequestReader::read_tenant(ProxySession& session) const {
+  for (const char* field : {"t", "tenant", "realm"}) {
+    const std::string_view tenant = session.request().value(field);
+    if (!tenant.empty()) session.tenant = position_of(tenant, settings_.tenant_names);
+  }
+}
+
+}  // namespace cherryrail::proxy
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -1,60 +1,70 @@
-// The module's door on sockets: turns what the two sides, discovery and probes bring into calls on the
-// Balancer, and carries out what it asks. Decides nothing.
+// The relay on sockets: brings clients' sessions to backends as the balancer decides.
 #pragma once
 
-#include <algorithm>
-#include <deque>
-#include <map>
+#include <cstddef>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
+#include "proxy/config_reloader.hpp"
+#include "proxy/descriptor_budget.hpp"
 #include "proxy/discovery.hpp"
-#include "proxy/downstream.hpp"
+#include "proxy/downstream_listener.hpp"
+#include "proxy/endpoint_registry.hpp"
 #include "proxy/health_checker.hpp"
-#include "proxy/upstream.hpp"
+#include "proxy/load_report_reader.hpp"
+#include "proxy/open_request_reader.hpp"
+#include "proxy/session_id_registry.hpp"
+#include "proxy/shutdown_sequence.hpp"
+#include "proxy/unresponsive_session_monitor.hpp"
+#include "proxy/upstream_connector.hpp"
 
 namespace cherryrail::proxy {
 
+// Turns what the connections, discovery and health checks bring into calls on the Balancer, and carries out
+// what it asks for. Decides nothing itself. Has to outlive the loop's run.
 class ProxyServer final : public BalancerActions {
  public:
-  ProxyServer(net::EventLoop& event_loop, const config::RelayConfig& start);
+  // Throws std::runtime_error if clients cannot connect where the configuration says.
+  ProxyServer(net::EventLoop& event_loop, const config::RelayConfig& config);
   ~ProxyServer() override;
-  // AdminServer `then` once clients can be placed, and takes them in from then on.
-  void on_ready(std::function<void()> then);
-  bool is_ready() const { return ready_ && !leaving_; }
-  // Once no more are sent here, moves every client, answers those that come all the same, and quits the loop.
+  ProxyServer(const ProxyServer&) = delete;
+  ProxyServer& operator=(const ProxyServer&) = delete;
+
+  // Calls `callback` once clients are accepted.
+  void on_ready(std::function<void()> callback);
+  bool is_ready() const { return is_accepting_ && !shutdown_->has_begun(); }
+  // Of any traffic class: how long a client waits for its answer at most.
+  Micros longest_client_timeout() const;
+
+  // For operators. Whether a list has named that backend or it is disabled; and those, and no others, are
+  // disabled from now on.
+  bool knows_backend(const std::string& uid) const { return endpoints_.knows(uid); }
+  void set_disabled_backends(const std::set<std::string>& uids) { endpoints_.set_disabled(uids); }
+  // Keeps so many more descriptors back from clients.
+  void reserve_descriptors(std::size_t count) { descriptors_.reserve(count); }
+  void reload(const std::string& path) { config_reloader_.reload(path); }
+
+  // Without a successor: once no more clients are sent here, migrates every session, and stops the loop.
   void begin_graceful_shutdown();
-  // Instead: takes nobody in any more, for another process does, and gives that process what it holds as far
-  // as that can go now. True once nothing is left.
-  using Give = std::function<bool(const OutgoingHandover&)>;
+
+  // To a successor, instead. Accepts nobody any more, and gives what the balancer has learned.
   StateSnapshot export_state();
+  // Hands over what can go now; `give` returns whether the successor has got it. True once nothing is left.
+  using Give = std::function<bool(const OutgoingHandover&)>;
   bool hand_over(const Give& give);
-  void migrate_remaining_sessions();  // what could not be given
-  // What another process has handed over; the sockets are closed with what comes of it.
-  void receive_handover(IncomingHandover handover);
-  void set_descriptors_held_by_peers(std::size_t sockets) { others_hold_ = sockets; }  // of the same limit
-  bool can_receive_handover() const;  // there are descriptors for one more
+  void migrate_remaining_sessions();  // what could not be handed over
   void stop_when_empty();
-  Micros longest_client_timeout() const;
-  // Whether operators may speak of that backend: the list has named it, or it is banned.
-  bool knows_backend(const std::string& uid) const {
-    return backends_.contains(uid) || banned_.contains(uid);
-  }
-  // Those, and no others, are left out from now on.
-  void set_disabled_backends(const std::set<std::string>& uids);
-  // More descriptors than the usual are kept back: for operators.
-  void reserve_descriptors(std::size_t sockets) {
-    kept_back_ = std::min(kept_back_ + sockets, most_kept_back(sockets_));
-  }
-  // Reads the configuration again and takes what may change under way: where discovery is and how many
-  // descriptors there are. One that cannot be used leaves the old one in force.
-  void reload(const std::string& path);
 
+  // From a predecessor. Its descriptors and this process's share one limit.
+  void set_descriptors_held_by_peers(std::size_t count) { descriptors_.set_held_by_peers(count); }
+  bool can_receive_handover() const { return descriptors_.allows_use_of_reserve(); }
+  void receive_handover(IncomingHandover handover);
+
+  // BalancerActions
   Micros now() const override { return event_loop_.now(); }
   void start_attempt(Session& session, Backend& backend, Micros time_limit) override;
   void cancel_attempt(Session& session) override;
@@ -63,51 +73,38 @@
   void migrate_session(Session& session) override;
   void check_health(Backend& backend) override;
   void watch_endpoints() override;
-  void call_at(Micros when, std::function<void()> then) override {
-    event_loop_.call_at(when, std::move(then));
-  }
-  void log(const std::string& line) override { event_loop_.log().write(net::Topic::balancer, "{}", line); }
+  void call_at(Micros when, std::function<void()> then) override;
+  void log(const std::string& line) override;
 
  private:
-  struct Endpoint;
-
-  void take(const std::shared_ptr<ProxySession>& session);
-  void resume_session(const OpenSession& handed, net::SocketPtr client, net::SocketPtr server);
-  const char* read_tunnel(ProxySession& session);
-  const char* fault_of(ProxySession& session);  // of its first line, null if it can be served
-  // Danger: with all that is usually kept back, the smallest limit would leave nothing for clients.
-  static std::size_t most_kept_back(std::size_t sockets) { return 5 * sockets / 8; }
-  bool full() const;  // descriptors run short
-  bool id_known(const std::shared_ptr<ProxySession>& session);
+  DownstreamCallbacks downstream_callbacks();
+  UpstreamCallbacks upstream_callbacks();
+  Micros startup_wait(const config::RelayConfig& config) const;
+  void start_accepting();
   void on_endpoint_list(const protocol::EndpointList& list);
-  const std::shared_ptr<Endpoint>& endpoint(const std::string& uid);  // made where it is not known yet
-  void serve();
-  void told(ProxySession& session, double figure);
-  void look_for_silence();
-  void look_whether_empty(Micros empty_since);
-  LoadReport read_report(std::string_view text) const;
-  unsigned zone_of(const std::string& name);
+  void on_session_requested(const std::shared_ptr<ProxySession>& session);
+  void place(const std::shared_ptr<ProxySession>& session);
+  void resume_session(const OpenSession& handover, net::SocketPtr client, net::SocketPtr server);
 
   net::EventLoop& event_loop_;
-  std::string listen_;
-  config::FlatSettings flat_settings_;
-  config::SiteSettings settings_;
-  std::size_t sockets_, kept_back_, others_hold_ = 0;
-  std::map<std::string, std::shared_ptr<Endpoint>, std::less<>> backends_;  // by uid
-  std::vector<std::string> zones_;
-  using Ids = std::map<std::string, std::weak_ptr<ProxySession>, std::less<>>;
-  Ids ids_;
-  std::deque<std::pair<Micros, Ids::iterator>> ids_by_age_;  // when to look at each next
-  std::set<std::string> banned_;                             // by operators; some may be on no list
-  bool ready_ = false, leaving_ = false;
-  const bool inherited_;  // the clients' listening socket: another process has it after this one
-  Micros told_to_end_ = 0;
-  std::function<void()> on_ready_;
+  const config::SiteSettings settings_;
+  const bool has_inherited_listener_;  // the clients' listening socket: a successor inherits it, too
+  DescriptorBudget descriptors_;
   Discovery discovery_;
-  HealthChecker probes_;
-  UpstreamConnector servers_;
-  std::unique_ptr<Balancer> balancer_;
-  std::unique_ptr<DownstreamListener> clients_;  // last: clients come once all else stands
+  HealthChecker health_checker_;
+  UpstreamConnector upstream_;
+  Balancer balancer_;
+  LoadReportReader load_reports_;
+  EndpointRegistry endpoints_;
+  OpenRequestReader request_reader_;
+  SessionIdRegistry session_ids_;
+  ConfigReloader config_reloader_;
+  UnresponsiveSessionMonitor unresponsive_sessions_;
+  std::function<void()> on_ready_;
+  bool is_accepting_ = false;
+  // Made last, when everything that a client needs is there.
+  std::unique_ptr<DownstreamListener> downstream_;
+  std::unique_ptr<ShutdownSequence> shutdown_;
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -1,181 +1,251 @@
 #include "proxy/proxy_session.hpp"
 
-#include <array>
-#include <charconv>
+#include <fmt/format.h>
+
+#include <string>
 #include <utility>
 
+#include "proxy/proxy_backend.hpp"
+
 namespace cherryrail::proxy {
 namespace {
 
-constexpr Micros kLineEnds = 500'000;  // how long a move waits for the end of a torn line
+// How long a migration waits for the end of a line that the backend has begun.
+constexpr Micros kLineEndTimeout = 500'000;
 
 }  // namespace
 
-void ProxySession::client_passes(std::string_view bytes) {
-  if (!server) return;
-  if (asked_at_ == 0) asked_at_ = event_loop_.now();
-  server->pass(bytes);
+void ProxySession::set_downstream_reading(bool wanted) {
+  if (downstream_) downstream_->set_reading(wanted);
 }
 
-void ProxySession::client_ended(Ended how) {
-  client_left_ = true;
-  if (is_established) {
-    if (how == Ended::orderly) {
-      if (server) server->finish();
-      return;
-    }
-    client = nullptr;
-    if (server) server->drop();
-    setup_over({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, true, {});
-    return;
+void ProxySession::set_upstream_reading(bool wanted) {
+  if (upstream_) upstream_->set_reading(wanted);
+}
+
+Micros ProxySession::time_unanswered(Micros now) const {
+  return unanswered_since_ > 0 ? now - unanswered_since_ : 0;
+}
+
+// ---- The client's end
+// -----------------------------------------------------------------------------------
+
+void ProxySession::on_downstream_data(std::string_view bytes) {
+  if (!upstream_) return;
+  if (unanswered_since_ == 0) unanswered_since_ = event_loop_.now();
+  upstream_->send(bytes);
+}
+
+void ProxySession::on_downstream_closed(CloseKind kind) {
+  has_client_left_ = true;
+  const bool is_broken = kind == CloseKind::broken;
+  if (is_broken) downstream_ = nullptr;
+  if (!is_established) {
+    end_before_answer(DownstreamResult::client_left);
+  } else if (is_broken) {
+    if (upstream_) upstream_->reset();
+    report_cancelled(true);
+  } else if (upstream_) {
+    upstream_->end_sending();
   }
-  if (how == Ended::broken) client = nullptr;
-  give_up_client("client_left");
 }
 
-void ProxySession::client_spoke_early() { give_up_client("early_data"); }
+void ProxySession::on_early_data() { end_before_answer(DownstreamResult::early_data); }
 
-// It may only have ended its sending: so it is told, and the setup under way is not left to run for nobody.
-// Where the site lets none be cancelled, what has gone out already runs to its end all the same.
-void ProxySession::give_up_client(const char* reason) {
+// The client may only have ended its sending, so it is answered; and the
+// attempt under way is not left to run for nobody. Where the site lets none be
+// cancelled, what has been sent runs to its end all the same.
+void ProxySession::end_before_answer(DownstreamResult result) {
   balancer_.on_client_left(*this);
-  if (client) client->finish("ERR", reason);
-  if (server && (balancer_.may_cancel_attempts() || !server->has_sent())) abandon();
-}
-
-// Danger: while its connection came up, or the loop stood still, the client may have left, its backend may
-// have been told to drain, or the time in which a repeat is known may have passed.
-bool ProxySession::may_still_send() {
-  const auto keep = self();
-  if (client) client->look();
-  const Backend* to = stood_at ? stood_at.get() : backend.get();
-  return client && to && balancer_.may_still_send(*this, *to);
-}
-
-void ProxySession::came_up(std::string_view line, Micros duration) {
-  const auto keep = self();
-  if (!client || is_answered) return abandon();  // is_answered before: what comes now is nobody's
-  client->pass(line, "\r\n");
-  if (const auto stood = std::exchange(stood_at, nullptr))
-    balancer_.adopt(keep, stood);
-  else
+  refuse("ERR", result);
+  if (upstream_ && (balancer_.may_cancel_attempts() || !upstream_->has_sent_request())) abandon_attempt();
+}
+
+// ---- The backend's end
+// ----------------------------------------------------------------------------------
+
+// While the connection was established, or the loop was held up, the client may
+// have left, the backend may have begun to drain, or the time in which the
+// backends recognise a repeated request may have passed.
+bool ProxySession::may_send_request() {
+  const auto keep_alive = self();
+  if (downstream_) downstream_->read_now();
+  const Backend* target = previous_backend_ ? previous_backend_.get() : backend.get();
+  return downstream_ != nullptr && target != nullptr && balancer_.may_still_send(*this, *target);
+}
+
+void ProxySession::on_upstream_established(std::string_view line, Micros duration) {
+  const auto keep_alive = self();
+  if (!downstream_ || is_answered) {  // answered already: what comes now is for nobody
+    abandon_attempt();
+    return;
+  }
+  downstream_->send(line, "\r\n");
+  if (const auto previous = std::exchange(previous_backend_, nullptr)) {
+    balancer_.adopt(keep_alive, previous);
+  } else {
     balancer_.on_established(*this, duration);
+  }
 }
 
-void ProxySession::server_passes(std::string_view bytes) {
-  const auto keep = self();
-  if (bytes.empty() || !client) return;
-  client->pass(bytes, {});
-  between_lines_ = bytes.back() == '\n';
-  if (to_move_ && between_lines_) return part();
-  // Only what is late is told: an echo shows that lines pass, not how laden the backend is, and the module
-  // looks less often at what it has heard from.
-  const Micros asked = std::exchange(asked_at_, 0), duration = asked > 0 ? event_loop_.now() - asked : 0;
+void ProxySession::on_upstream_data(std::string_view bytes) {
+  const auto keep_alive = self();
+  if (bytes.empty() || !downstream_) return;
+  downstream_->send(bytes, {});
+  is_between_lines_ = bytes.back() == '\n';
+  if (is_migration_pending_ && is_between_lines_) {
+    close_for_migration();
+    return;
+  }
+  // Only a late answer is reported: a prompt one shows that lines pass, not how
+  // loaded the backend is, and the balancer checks a backend's health less
+  // often once it has heard from it.
+  const Micros asked_at = std::exchange(unanswered_since_, 0);
+  const Micros duration = asked_at > 0 ? event_loop_.now() - asked_at : 0;
   if (duration > traffic_class->message_latency_objective)
     balancer_.on_message_latency_reported(*this, duration);
 }
 
-void ProxySession::server_ended(Ended how, const AttemptOutcome& outcome, const LoadReport& report,
-                                std::string_view last_line) {
-  const auto keep = self();
-  server = nullptr;
-  const bool finished = is_established || outcome.result == AttemptResult::succeeded;
-  if (client && finished) {
-    const char* reason = outcome.result == AttemptResult::succeeded ? "served" : "backend_closed";
-    how == Ended::orderly ? client->finish(last_line, reason) : client->drop(reason);
-  }
-  setup_over(outcome, finished, report);
-}
-
-// Danger: this is often called from within the module's own step; so the module hears of it soon, not now.
-void ProxySession::setup_over(const AttemptOutcome& outcome, bool finished, const LoadReport& report) {
-  event_loop_.post([self = self(), outcome, finished, report] {
-    if (std::exchange(self->stood_at, nullptr) && !self->is_answered && !finished) {
-      // It could not be opened again where it stood. Whether that setup ran matters for the next one.
-      if (self->traffic_class->idempotency == Idempotency::idempotent ||
-          outcome.result == AttemptResult::rejected || outcome.result == AttemptResult::connect_failed ||
-          outcome.result == AttemptResult::not_sent)
-        return self->balancer_.admit(self);
-      if (self->client) self->client->finish("ERR", "failed");
-      return;
+void ProxySession::on_upstream_closed(CloseKind kind, const AttemptOutcome& outcome, const LoadReport& report,
+                                      std::string_view last_line) {
+  const auto keep_alive = self();
+  upstream_ = nullptr;
+  const bool has_succeeded = outcome.result == AttemptResult::succeeded;
+  const bool is_finished = is_established || has_succeeded;
+  if (downstream_ && is_finished) {
+    const auto result = has_succeeded ? DownstreamResult::served : DownstreamResult::backend_closed;
+    if (kind == CloseKind::orderly) {
+      downstream_->finish(last_line, result);
+    } else {
+      downstream_->reset(result);
     }
-    self->balancer_.on_attempt_ended(*self, outcome, finished, report);
+  }
+  report_attempt_end(outcome, is_finished, report);
+}
+
+// ---- The end of an attempt
+// ------------------------------------------------------------------------------
+
+// Posted: a call from within the balancer's own step would change what that
+// step works on.
+void ProxySession::report_attempt_end(const AttemptOutcome& outcome, bool is_finished,
+                                      const LoadReport& report) {
+  event_loop_.post([session = self(), outcome, is_finished, report] {
+    session->on_attempt_ended(outcome, is_finished, report);
   });
 }
 
-std::optional<OutgoingHandover> ProxySession::to_hand() const {
-  if (!is_established || !between_lines_ || client_left_ || !client || !server) return {};
-  const int downstream = client->flat_settings();
-  const int upstream = server->flat_settings();
-  if (downstream < 0 || upstream < 0) return {};
-  OpenSession handed;
-  handed.open_request = head.line();
-  handed.waited = unanswered_for(event_loop_.now());
-  return OutgoingHandover{std::move(handed), downstream, upstream};
+void ProxySession::report_cancelled(bool is_finished) {
+  report_attempt_end({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, is_finished, {});
 }
 
-void ProxySession::gone() {
-  const auto keep = self();
-  client->handed();
-  server->handed();
-  setup_over({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, true, {});
+void ProxySession::on_attempt_ended(const AttemptOutcome& outcome, bool is_finished,
+                                    const LoadReport& report) {
+  const bool was_at_previous_backend = std::exchange(previous_backend_, nullptr) != nullptr;
+  if (!was_at_previous_backend || is_answered || is_finished) {
+    balancer_.on_attempt_ended(*this, outcome, is_finished, report);
+  } else if (may_try_another_backend(outcome.result)) {
+    balancer_.admit(self());
+  } else {
+    fail();
+  }
 }
 
-void ProxySession::stands_at(const std::shared_ptr<Backend>& holder, Micros waited) {
-  attempt_started_at = event_loop_.now();
-  if (waited > 0) asked_at_ = event_loop_.now() - waited;
-  balancer_.adopt(self(), holder);
+// An attempt at the previous backend that may have run there must not be
+// repeated at another one, unless running it twice does no harm.
+bool ProxySession::may_try_another_backend(AttemptResult result) const {
+  return traffic_class->idempotency == Idempotency::idempotent || result == AttemptResult::rejected ||
+         result == AttemptResult::connect_failed || result == AttemptResult::not_sent;
 }
 
-// For the log: what most stood in the way, as far as can be told.
-const char* ProxySession::why_declined() const {
-  if (balancer_.is_shutting_down()) return "rejected reason=shutting_down";
-  if (attempts > 0) return "rejected reason=attempts_failed";
-  if (passed_over_warming_up > passed_over_at_capacity) return "rejected reason=backends_warming_up";
-  return passed_over_at_capacity > 0 ? "rejected reason=no_capacity" : "rejected reason=no_backend";
+// ---- What the balancer asks for
+// -------------------------------------------------------------------------
+
+// What most kept the session from being placed, as far as can be told.
+DownstreamResult ProxySession::rejection_result() const {
+  if (balancer_.is_shutting_down()) return DownstreamResult::rejected_shutting_down;
+  if (attempts > 0) return DownstreamResult::rejected_attempts_failed;
+  if (passed_over_warming_up > passed_over_at_capacity) return DownstreamResult::rejected_backends_warming_up;
+  return passed_over_at_capacity > 0 ? DownstreamResult::rejected_no_capacity
+                                     : DownstreamResult::rejected_no_backend;
 }
 
-void ProxySession::decline(Micros retry_after) {
-  if (!client) return;
-  std::array<char, 32> line{'B', 'U', 'S', 'Y', ' '};
-  char* end = line.data() + 4;
-  if (retry_after > 0)
-    end = std::to_chars(line.data() + 5, line.data() + line.size(), (retry_after + 999) / 1000).ptr;
-  client->finish({line.data(), static_cast<std::size_t>(end - line.data())}, why_declined());
+void ProxySession::reject(Micros retry_after) {
+  const Micros milliseconds = (retry_after + 999) / 1000;  // rounded up: no earlier than asked for
+  const std::string line = retry_after > 0 ? fmt::format("BUSY {}", milliseconds) : "BUSY";
+  refuse(line, rejection_result());
 }
 
-void ProxySession::fail_session() {
-  if (client) client->finish("ERR", "failed");
+void ProxySession::refuse(std::string_view last_line, DownstreamResult result) {
+  if (downstream_) downstream_->finish(last_line, result);
 }
 
-void ProxySession::abandon() {
-  if (!server) return;
-  server->abandon();
-  setup_over({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, is_answered, {});
+void ProxySession::fail() { refuse("ERR", DownstreamResult::failed); }
+
+void ProxySession::abandon_attempt() {
+  if (!upstream_) return;
+  upstream_->abandon();
+  report_cancelled(is_answered);
 }
 
-void ProxySession::move() {
-  if (!is_established || to_move_) return;
-  if (between_lines_ || !client) return part();
-  to_move_ = true;
-  event_loop_.call_at(event_loop_.now() + kLineEnds, [weak = weak_from_this()] {
-    if (const auto session = weak.lock(); session && session->is_established)
-      static_cast<ProxySession&>(*session).part();
+void ProxySession::migrate() {
+  if (!is_established || is_migration_pending_) return;
+  if (is_between_lines_ || !downstream_) {
+    close_for_migration();
+    return;
+  }
+  is_migration_pending_ = true;
+  event_loop_.call_at(event_loop_.now() + kLineEndTimeout, [weak = weak_from_this()] {
+    const auto session = std::static_pointer_cast<ProxySession>(weak.lock());
+    if (session && session->is_established) session->close_for_migration();
   });
 }
 
-void ProxySession::last_call() {
-  const auto keep = self();
-  if (is_established) return move();
+// A client that has part of a line gets no MOVE: it would read it as the rest
+// of that line.
+void ProxySession::close_for_migration() {
+  is_migration_pending_ = false;
+  if (downstream_) downstream_->finish(is_between_lines_ ? "MOVE" : "", DownstreamResult::migrated);
+  if (upstream_) upstream_->abandon();
+  report_cancelled(true);
+}
+
+void ProxySession::shut_down() {
+  const auto keep_alive = self();
+  if (is_established) {
+    migrate();
+    return;
+  }
   balancer_.give_up(*this);
-  if (server) abandon();
+  if (upstream_) abandon_attempt();
 }
 
-void ProxySession::part() {
-  to_move_ = false;
-  if (client) client->finish(between_lines_ ? "MOVE" : "", "migrated");
-  if (server) server->abandon();
-  setup_over({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, true, {});
+// ---- Hot restart
+// ----------------------------------------------------------------------------------------
+
+std::optional<OutgoingHandover> ProxySession::prepare_handover() const {
+  if (!is_established || !is_between_lines_ || has_client_left_ || !downstream_ || !upstream_) return {};
+  const std::optional<int> downstream = downstream_->transferable_descriptor();
+  const std::optional<int> upstream = upstream_->transferable_descriptor();
+  if (!downstream || !upstream) return {};
+  OpenSession message;
+  message.open_request = request_.line();
+  message.backend = as_proxy_backend(*backend).uid;
+  message.waited = time_unanswered(event_loop_.now());
+  return OutgoingHandover{std::move(message), *downstream, *upstream};
+}
+
+void ProxySession::release_to_successor() {
+  const auto keep_alive = self();
+  downstream_->release_to_successor();
+  upstream_->release_to_successor();
+  report_cancelled(true);
+}
+
+void ProxySession::resume(const std::shared_ptr<Backend>& holder, Micros waited) {
+  attempt_started_at = event_loop_.now();
+  if (waited > 0) unanswered_since_ = event_loop_.now() - waited;
+  balancer_.adopt(self(), holder);
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -1,103 +1,105 @@
-// Where the two sides of a tunnel meet: one object a tunnel. Neither side knows the other, or the module.
+// A session in the proxy: the one object that its client's connection and its backend's connection share.
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include "net/event_loop.hpp"
 #include "protocol/open_request.hpp"
+#include "proxy/connection_result.hpp"
+#include "proxy/downstream_connection.hpp"
 #include "proxy/handover_message.hpp"
+#include "proxy/upstream_connection.hpp"
 
 namespace cherryrail::proxy {
 
-constexpr std::size_t kMuchWaiting = 65536;  // bytes that a slow reader may have waiting, on either side
-
-enum class Ended : std::uint8_t { orderly, broken };
-
-// What the client's side does when asked.
-class DownstreamConnection {
- public:
-  virtual void pass(std::string_view bytes, std::string_view more) = 0;
-  virtual void finish(std::string_view last_line, const char* reason) = 0;  // a line, if any, then the end
-  virtual void drop(const char* reason) = 0;                                // a reset, as the backend's
-  virtual void read_on(bool wanted) = 0;
-  virtual void look() = 0;                // reads at once what has come: it may have left
-  virtual int flat_settings() const = 0;  // its descriptor, if that alone is the whole of this end; else -1
-  virtual void handed() = 0;              // another process has it
-
- protected:
-  ~DownstreamConnection() = default;
-};
-
-// What the server's side does when asked.
-class UpstreamConnection {
- public:
-  virtual void pass(std::string_view bytes) = 0;
-  virtual void finish() = 0;  // the client sends no more
-  virtual bool has_sent() const = 0;
-  virtual void abandon() = 0;  // nobody waits any longer: the connection ends, and nothing more is told
-  virtual void drop() = 0;     // the same with a reset
-  virtual void read_on(bool wanted) = 0;
-  virtual int flat_settings() const = 0;
-  virtual void handed() = 0;
-
- protected:
-  ~UpstreamConnection() = default;
-};
+// How many bytes may wait for a slow reader at either end before reading at the other end pauses.
+constexpr std::size_t kSendBufferLimit = 65536;
 
+// Passes lines between the two ends and tells the balancer what becomes of the session. Neither end knows
+// the other. The calls into the balancer that end an attempt are posted, because this is often called from
+// within the balancer's own step.
 class ProxySession final : public Session {
  public:
-  ProxySession(net::EventLoop& event_loop, Balancer& relay, std::string_view line)
-      : head(line), event_loop_(event_loop), balancer_(relay) {}
+  ProxySession(net::EventLoop& event_loop, Balancer& balancer, std::string_view open_request_line)
+      : request_(open_request_line), event_loop_(event_loop), balancer_(balancer) {}
   ProxySession(const ProxySession&) = delete;
   ProxySession& operator=(const ProxySession&) = delete;
-
-  const protocol::OpenRequest head;
-  DownstreamConnection* client = nullptr;  // each is set and taken back by the side that owns it
-  UpstreamConnection* server = nullptr;
-  std::shared_ptr<Backend> stood_at;  // where it was open before this relay started, until it stands again
-
-  // Said by the client's side.
-  void client_passes(std::string_view bytes);
-  void client_ended(Ended how);
-  void client_spoke_early();  // more than its first line, before the answer to that
-  // Asked by the server's side before the first byte of a setup goes out: the one place that all pass.
-  bool may_still_send();
-  // Said by the server's side, for the setup that is out or the backend that holds it.
-  void came_up(std::string_view line, Micros duration);
-  void server_passes(std::string_view bytes);
-  void server_ended(Ended how, const AttemptOutcome& outcome, const LoadReport& report,
-                    std::string_view last_line);
-  // Said for the module.
-  void decline(Micros retry_after);
-  void fail_session();
-  void abandon();
-  void move();
-  void last_call();  // the process ends: an open tunnel moves, one that waits hears now that it waits in vain
-
-  // Between two processes. What can go now is told with its descriptors still its own; `gone` lets go of it.
-  std::optional<OutgoingHandover> to_hand() const;
-  void gone();
-  void stands_at(const std::shared_ptr<Backend>& holder, Micros waited);  // both ends have come over
-
-  bool client_left() const { return client_left_; }
-  // How long a line of the client has waited for any from the backend.
-  Micros unanswered_for(Micros now) const { return asked_at_ > 0 ? now - asked_at_ : 0; }
+  ~ProxySession() = default;
+
+  const protocol::OpenRequest& request() const { return request_; }
+  std::string_view id() const { return request_.id(); }
+
+  // Each end registers itself while it is there; null takes it back.
+  void set_downstream(DownstreamConnection* downstream) { downstream_ = downstream; }
+  void set_upstream(UpstreamConnection* upstream) { upstream_ = upstream; }
+  // Each end pauses and resumes the other when its own peer reads slowly.
+  void set_downstream_reading(bool wanted);
+  void set_upstream_reading(bool wanted);
+
+  // Called by the client's end.
+  void on_downstream_data(std::string_view bytes);
+  void on_downstream_closed(CloseKind kind);
+  void on_early_data();
+
+  // Asked by the backend's end before the first byte of the open request is written: true if the attempt is
+  // still wanted and allowed.
+  bool may_send_request();
+  // Called by the backend's end. `line` is the backend's reply that establishes the session.
+  void on_upstream_established(std::string_view line, Micros duration);
+  void on_upstream_data(std::string_view bytes);
+  void on_upstream_closed(CloseKind kind, const AttemptOutcome& outcome, const LoadReport& report,
+                          std::string_view last_line);
+
+  // Answers the client without asking the balancer.
+  void refuse(std::string_view last_line, DownstreamResult result);
+
+  // What the balancer asks for.
+  void reject(Micros retry_after);  // 0: no time is stated to the client
+  void fail();
+  void abandon_attempt();
+  void migrate();
+
+  // The process stops: an established session is migrated, one that waits is answered now.
+  void shut_down();
+
+  // The session was established at that backend before this relay started; the next attempt goes there.
+  void set_previous_backend(std::shared_ptr<Backend> previous) { previous_backend_ = std::move(previous); }
+
+  // Hot restart. The message for the successor, if the session can go now: both ends idle, between two
+  // lines. The sockets stay this process's own until release_to_successor().
+  std::optional<OutgoingHandover> prepare_handover() const;
+  void release_to_successor();
+  // Both ends have come from a predecessor. `waited`: since a line of the client that is not answered yet.
+  void resume(const std::shared_ptr<Backend>& holder, Micros waited);
+
+  bool has_client_left() const { return has_client_left_; }
+  // For how long a line of the client has waited for any line of the backend; 0 if none waits.
+  Micros time_unanswered(Micros now) const;
 
  private:
   std::shared_ptr<ProxySession> self() { return std::static_pointer_cast<ProxySession>(shared_from_this()); }
-  void setup_over(const AttemptOutcome& outcome, bool finished, const LoadReport& report);
-  void part();
-  void give_up_client(const char* reason);
-  const char* why_declined() const;
-
+  void report_attempt_end(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
+  void on_attempt_ended(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
+  void report_cancelled(bool is_finished);
+  bool may_try_another_backend(AttemptResult result) const;
+  void end_before_answer(DownstreamResult result);
+  void close_for_migration();
+  DownstreamResult rejection_result() const;
+
+  const protocol::OpenRequest request_;
   net::EventLoop& event_loop_;
   Balancer& balancer_;
-  Micros asked_at_ = 0;  // when the first line yet unanswered went to the backend
-  bool between_lines_ = true, to_move_ = false, client_left_ = false;
+  DownstreamConnection* downstream_ = nullptr;
+  UpstreamConnection* upstream_ = nullptr;
+  std::shared_ptr<Backend> previous_backend_;  // until the session is established again
+  Micros unanswered_since_ = 0;                // when the first line not answered yet was passed on; 0: none
+  bool is_between_lines_ = true;               // the backend's last line is complete
+  bool is_migration_pending_ = false;          // waits for the end of the backend's line
+  bool has_client_left_ = false;
 };
 
 }  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/session_id_registry.cpp
@@ -0,0 +1,31 @@
+#include "proxy/session_id_registry.hpp"
+
+namespace cherryrail::proxy {
+namespace {
+
+// How long an id stays known, at least.
+constexpr Micros kRetention = 5'000'000;
+
+}  // namespace
+
+bool SessionIdRegistry::add(std::string_view id, const std::shared_ptr<Session>& session, Micros now) {
+  forget_old(now);
+  const auto [entry, is_new] = ids_.try_emplace(std::string(id), session);
+  if (is_new) next_checks_.emplace_back(now + kRetention, entry);
+  return is_new;
+}
+
+void SessionIdRegistry::forget_old(Micros now) {
+  while (!next_checks_.empty() && next_checks_.front().first <= now) {
+    const Ids::iterator entry = next_checks_.front().second;
+    next_checks_.pop_front();
+    const bool is_over = entry->second.expired();
+    if (is_over) {
+      ids_.erase(entry);
+    } else {
+      next_checks_.emplace_back(now + kRetention, entry);
+    }
+  }
+}
+
+}  // namespace cherryrail::proxy
--- /dev/null
+++ b/src/proxy/upstream_connector.hpp
@@ -0,0 +1,52 @@
+// Opens sessions at backends and owns the connections to them, one a session.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "proxy/backend_connection.hpp"
+
+namespace cherryrail::proxy {
+
+// What the connector asks of the proxy.
+struct UpstreamCallbacks {
+  std::function<LoadReport(std::string_view fields)> parse_load_report;
+  // A backend's LOAD line on an established session.
+  std::function<void(ProxySession&, double value)> on_load_line;
+};
+
+class UpstreamConnector final : private BackendConnectionOwner {
+ public:
+  UpstreamConnector(net::EventLoop& event_loop, Micros connect_timeout, UpstreamCallbacks callbacks);
+  ~UpstreamConnector() = default;
+  UpstreamConnector(const UpstreamConnector&) = delete;
+  UpstreamConnector& operator=(const UpstreamConnector&) = delete;
+
+  // The session is told how it went, never within this call.
+  void start_attempt(const std::shared_ptr<ProxySession>& session, const net::Address& address,
+                     Micros attempt_timeout);
+  // An established session that a predecessor has handed over.
+  void add_established(const std::shared_ptr<ProxySession>& session, net::SocketPtr socket);
+  // Calls `visit` for each session whose client has waited at least so long for any line.
+  void for_each_unanswered(Micros waited, const std::function<void(ProxySession&)>& visit);
+
+ private:
+  using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
+
+  BackendConnectionPtr add_connection(const std::shared_ptr<ProxySession>& session);
+
+  // BackendConnectionOwner
+  LoadReport parse_load_report(std::string_view fields) const override;
+  void on_load_line(ProxySession& session, double value) override;
+  void on_closed(std::uint64_t number) override;
+
+  net::EventLoop& event_loop_;
+  Micros connect_timeout_;
+  UpstreamCallbacks callbacks_;
+  std::map<std::uint64_t, BackendConnectionPtr> connections_;  // by number
+  std::uint64_t last_number_ = 0;
+};
+
+}  // namespace cherryrail::proxy
