Balancer tests: a file for each thing decided, names that state the expectation

Each decision has a file and a suite now, arranged, acted and asserted in steps, with whole words and plain comments; the balancer's own four cases have left endings_test.cpp.

--- /dev/null
+++ b/tests/balancer/endpoint_list_refresh_test.cpp
@@ -0,0 +1,113 @@
+// When the endpoint list is asked for again after a failure. A change counts as known six seconds after
+// discovery had it and could be reached: the wait and the call, which needs two of them, must fit in.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+#include "support/balancer_fixture.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+BalancerConfig polling_config(unsigned relay_count) {
+  BalancerConfig config = default_config();
+  config.must_request_endpoints = true;
+  config.relay_count = relay_count;
+  return config;
+}
+
+TEST(EndpointListRefresh, WatchesFromTheStartAndAgainAfterEachFailure) {
+  const BalancerConfig config = polling_config(1);
+  BalancerFixture fixture(1, config);
+  ASSERT_EQ(fixture.actions.endpoint_watches.size(), 1u);
+
+  for (int i = 0; i < 12; ++i) {
+    fixture.balancer.on_discovery_failed();
+    fixture.actions.advance(config.endpoint_request_interval / 4 + kMillisecond);
+  }
+
+  EXPECT_EQ(fixture.actions.endpoint_watches.size(), 13u);
+}
+
+// Discovery is one service for all relays: asked by dozens within a second, it serves no call before that
+// call has timed out, and no relay ever gets the list again. A few relays ask again at once; many use all of
+// the four seconds that there are, evenly.
+TEST(EndpointListRefresh, SpreadsTheCallsOfRelaysThatFailedTogether) {
+  const auto most_calls_in_a_second = [](unsigned relay_count) {
+    const BalancerConfig config = polling_config(relay_count);
+    std::map<Micros, int> calls_by_second;
+    for (unsigned i = 0; i < relay_count; ++i) {
+      RecordingActions actions;
+      Balancer balancer(actions, config, 100 + i);
+      balancer.on_discovery_failed();
+      actions.advance(config.endpoint_request_interval);
+      EXPECT_EQ(actions.endpoint_watches.size(), 2u);  // at the start, and in time after the failure
+      if (actions.endpoint_watches.size() != 2) continue;
+      ++calls_by_second[(actions.endpoint_watches[1] - actions.endpoint_watches[0]) / kSecond];
+    }
+    int most = 0;
+    for (const auto& [second, calls] : calls_by_second) most = std::max(most, calls);
+    return most;
+  };
+
+  EXPECT_LE(most_calls_in_a_second(48), 28);
+  EXPECT_LE(most_calls_in_a_second(200), 58);  // an even spread has 50
+  EXPECT_EQ(most_calls_in_a_second(3), 3);
+}
+
+TEST(EndpointListRefresh, CallsWithinTheTimeLeftAtAnyNumberOfRelays) {
+  for (const unsigned relay_count : {1u, 5u, 300u}) {
+    for (unsigned i = 0; i < 40; ++i) {
+      RecordingActions actions;
+      Balancer balancer(actions, polling_config(relay_count), 100 + i);
+
+      balancer.on_discovery_failed(2 * kSecond);
+      actions.advance(2 * kSecond);
+
+      EXPECT_EQ(actions.endpoint_watches.size(), 2u) << relay_count;
+    }
+  }
+}
+
+TEST(EndpointListRefresh, CallsInTimeAndSpreadAfterAnyNumberOfFailures) {
+  for (const unsigned relay_count : {1u, 30u, 350u}) {
+    for (const unsigned failures : {1u, 2u, 8u}) {
+      std::map<Micros, unsigned> calls_by_tenth_of_a_second;
+      for (unsigned i = 0; i < relay_count; ++i) {
+        BalancerConfig config = polling_config(relay_count);
+        config.endpoint_request_interval = 20 * kSecond;
+        RecordingActions actions;
+        Balancer balancer(actions, config, 100 + i);
+        Micros failed_at = 0;
+        for (unsigned failure = 1; failure <= failures; ++failure) {
+          failed_at = actions.current_time;
+          balancer.on_discovery_failed();
+          actions.advance(4 * kSecond);
+          ASSERT_EQ(actions.endpoint_watches.size(), failure + 1)
+              << relay_count << " relays, failure " << failure;
+        }
+        ++calls_by_tenth_of_a_second[(actions.endpoint_watches.back() - failed_at) / (100 * kMillisecond)];
+      }
+      for (const auto& [tenth, calls] : calls_by_tenth_of_a_second)
+        EXPECT_LE(calls, relay_count / 20 + 4) << relay_count;
+    }
+  }
+}
+
+// What the relay's own discovery agent has counts as known, however long the agent could not be reached.
+TEST(EndpointListRefresh, AsksItsOwnAgentWithinTheGraceHoweverOftenThatFailed) {
+  BalancerConfig config = polling_config(300);
+  config.endpoint_retry_delay = 50 * kMillisecond;
+  RecordingActions actions;
+  Balancer balancer(actions, config, 7);
+
+  for (std::size_t i = 0; i < 30; ++i) {
+    balancer.on_discovery_failed();
+    actions.advance(50 * kMillisecond);
+    EXPECT_EQ(actions.endpoint_watches.size(), i + 2);
+  }
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/balancer/migration_test.cpp
@@ -0,0 +1,66 @@
+// How sessions leave a draining backend.
+#include <gtest/gtest.h>
+
+#include "support/balancer_fixture.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(Migration, EmptiesADrainingBackendByABoundedPool) {
+  BalancerFixture fixture(1);
+  fixture.establish_sessions(1, 30);
+  fixture.add_backend(0);
+
+  fixture.set_endpoint_state(0, EndpointState::draining);
+  const std::size_t at_once = fixture.actions.migrated_sessions.size();
+  EXPECT_GE(at_once, 1u);
+  EXPECT_LT(at_once, 30u);
+
+  fixture.end_attempt(*fixture.actions.migrated_sessions[0], AttemptResult::cancelled, true);
+  EXPECT_EQ(fixture.actions.migrated_sessions.size(), at_once + 1);
+
+  fixture.actions.advance(60 * kSecond);  // an outcome that never comes holds its place for a second only
+  EXPECT_EQ(fixture.actions.migrated_sessions.size(), 30u);
+}
+
+TEST(Migration, AFullQueueMovesOnWithoutOutcomesAfterAShortWait) {
+  BalancerFixture fixture(1);
+  fixture.establish_sessions(1, 40);
+  fixture.add_backend(0);
+  fixture.set_endpoint_state(0, EndpointState::draining);
+  const std::size_t at_once = fixture.actions.migrated_sessions.size();
+
+  fixture.actions.advance(110 * kMillisecond);
+
+  EXPECT_GT(fixture.actions.migrated_sessions.size(), at_once);
+}
+
+TEST(Migration, MigratesAdoptedSessionsLikeTheOthers) {
+  BalancerFixture fixture(1);
+  fixture.make_session(1);
+  fixture.balancer.adopt(fixture.sessions[0], fixture.backends[0]);
+  fixture.add_backend(0);
+
+  fixture.set_endpoint_state(0, EndpointState::draining);
+
+  ASSERT_EQ(fixture.actions.migrated_sessions.size(), 1u);
+  EXPECT_EQ(fixture.actions.migrated_sessions[0], fixture.sessions[0].get());
+}
+
+// A client migrated with no place to go is rejected and waits longer each time; the draining backend still
+// serves it until then.
+TEST(Migration, WaitsUntilAnotherBackendCouldTakeTheSession) {
+  BalancerFixture fixture(1);
+  fixture.establish_session(1);
+
+  fixture.set_endpoint_state(0, EndpointState::draining);
+  fixture.actions.advance(3 * kSecond);
+  EXPECT_TRUE(fixture.actions.migrated_sessions.empty());
+
+  fixture.add_backend(0);
+  fixture.actions.advance(kSecond);
+  EXPECT_EQ(fixture.actions.migrated_sessions.size(), 1u);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/balancer/retry_policy_test.cpp
@@ -0,0 +1,194 @@
+// When an attempt that ended is followed by another: idempotency, time limits, the retry budget.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <vector>
+
+#include "support/balancer_fixture.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(RetryPolicy, TriesAnotherBackendEachTimeWhileAttemptsRemain) {
+  BalancerFixture fixture(6);
+  Session& session = fixture.request_session(3);
+
+  for (int i = 0; i < 4; ++i) fixture.end_attempt(session, AttemptResult::connect_failed);
+
+  ASSERT_EQ(fixture.actions.attempts.size(), 4u);
+  std::set<const Backend*> tried;
+  for (const auto& attempt : fixture.actions.attempts) tried.insert(attempt.backend);
+  EXPECT_EQ(tried.size(), 4u);
+  EXPECT_EQ(fixture.final_answers(session), 1u);
+}
+
+TEST(RetryPolicy, AttemptTimeoutLeavesTimeForTwoMoreBeforeTheClientGivesUp) {
+  BalancerFixture fixture(3);
+
+  const Session& session = fixture.request_session(1);
+
+  EXPECT_LE(3 * fixture.actions.attempts[0].time_limit, session.traffic_class->client_timeout);
+}
+
+TEST(RetryPolicy, AttemptTimeoutGrowsWhileAllAttemptsTimeOut) {
+  BalancerFixture fixture(6);
+
+  for (std::uint64_t key = 1; key <= 10; ++key) {
+    Session& session = fixture.request_session(key);
+    fixture.balancer.on_attempt_ended(
+        session, {AttemptResult::timed_out, fixture.actions.attempts.back().time_limit}, false, {});
+  }
+
+  EXPECT_GT(fixture.actions.attempts.back().time_limit, 400 * kMillisecond);
+}
+
+TEST(RetryPolicy, NonIdempotentSessionIsFailedAndNotRetriedOnceItMayHaveRun) {
+  BalancerFixture fixture(3, default_config(Idempotency::non_idempotent));
+  Session& session = fixture.request_session(1);
+
+  fixture.end_attempt(session, AttemptResult::rejected);
+  EXPECT_EQ(fixture.actions.attempts.size(), 2u);  // a rejection proves that it has not run
+
+  fixture.end_attempt(session, AttemptResult::reset);
+  EXPECT_EQ(fixture.actions.attempts.size(), 2u);
+  EXPECT_EQ(fixture.actions.failed_sessions.size(), 1u);
+  EXPECT_TRUE(fixture.actions.rejections.empty());
+}
+
+TEST(RetryPolicy, NonIdempotentSessionStillUnansweredAtItsTimeoutIsFailed) {
+  BalancerFixture fixture(3, default_config(Idempotency::non_idempotent));
+  fixture.request_session(1);
+
+  fixture.actions.advance(2 * kSecond);
+
+  EXPECT_EQ(fixture.actions.failed_sessions.size(), 1u);
+  EXPECT_TRUE(fixture.actions.rejections.empty());
+}
+
+TEST(RetryPolicy, SessionWithIdempotencyKeyIsRetriedOnlyWithinItsDeduplicationScope) {
+  BalancerConfig config = default_config(Idempotency::idempotency_key);
+  config.traffic_classes[0].deduplication_scope = DeduplicationScope::zone;
+  BalancerFixture fixture(6, config);
+  Session& session = fixture.request_session(1);
+  const unsigned zone = session.backend->zone;
+
+  fixture.end_attempt(session, AttemptResult::error);
+  ASSERT_EQ(fixture.actions.attempts.size(), 2u);
+  EXPECT_EQ(fixture.actions.attempts[1].backend->zone, zone);
+
+  fixture.end_attempt(session, AttemptResult::error);
+  fixture.end_attempt(session, AttemptResult::error);
+  // The zone's three backends are tried. A rejection would claim that none of them has run it.
+  EXPECT_EQ(fixture.actions.failed_sessions.size(), 1u);
+}
+
+TEST(RetryPolicy, SessionWithIdempotencyKeyIsNotRetriedAfterItsDeduplicationWindow) {
+  BalancerConfig config = default_config(Idempotency::idempotency_key);
+  config.traffic_classes[0].deduplication_scope = DeduplicationScope::zone;
+  config.traffic_classes[0].deduplication_window = 100 * kMillisecond;
+  BalancerFixture fixture(6, config);
+  Session& session = fixture.request_session(1);
+
+  fixture.actions.advance(150 * kMillisecond);
+  fixture.end_attempt(session, AttemptResult::error);
+
+  EXPECT_EQ(fixture.actions.attempts.size(), 1u);
+}
+
+// The connection may take longer to come up than the window lasts.
+TEST(RetryPolicy, RetryMayNoLongerBeSentOnceItsDeduplicationWindowHasPassed) {
+  BalancerConfig config = default_config(Idempotency::idempotency_key);
+  config.traffic_classes[0].deduplication_window = 500 * kMillisecond;
+  BalancerFixture fixture(3, config);
+  Session& session = fixture.request_session(1);
+  fixture.end_attempt(session, AttemptResult::timed_out);
+  ASSERT_TRUE(session.backend);
+  EXPECT_TRUE(fixture.balancer.may_still_send(session, *session.backend));
+
+  fixture.actions.advance(600 * kMillisecond);
+
+  EXPECT_FALSE(fixture.balancer.may_still_send(session, *session.backend));
+}
+
+BalancerConfig retry_budget_config(double minimum_retries, double retry_ratio) {
+  BalancerConfig config = default_config();
+  config.traffic_classes.push_back(config.traffic_classes[0]);
+  config.traffic_classes[1].index = 1;
+  config.traffic_classes[1].priority_weight = 3;
+  config.retry_budget_window = 5 * kSecond;
+  config.retry_budget_minimum = minimum_retries;
+  config.retry_budget_ratio = retry_ratio;
+  return config;
+}
+
+// One backend after the other refuses: each session would be retried as often as it may be.
+TEST(RetryPolicy, RetriesStayWithinTheBudgetInEveryWindow) {
+  BalancerFixture fixture(8, retry_budget_config(1, 0.15));
+  std::vector<Micros> requests;
+  std::vector<Micros> retries;
+
+  for (int i = 0; i < 300; ++i) {
+    requests.push_back(fixture.actions.current_time);
+    Session& session = fixture.request_session(static_cast<std::uint64_t>(i) + 1);
+    while (session.backend) {
+      if (session.attempts > 1) retries.push_back(fixture.actions.current_time);
+      fixture.end_attempt(session, AttemptResult::connect_failed);
+    }
+    EXPECT_EQ(fixture.final_answers(session), 1u);  // at once, whatever is left of its time
+    fixture.actions.advance(i < 150 ? 40 * kMillisecond : 700 * kMillisecond);
+  }
+
+  EXPECT_GE(retries.size(), 20u);
+  for (const Micros at : retries) {
+    const auto is_within = [at](Micros other) { return other <= at && other > at - 5 * kSecond; };
+    const auto requested = std::count_if(requests.begin(), requests.end(), is_within);
+    EXPECT_LE(std::count_if(retries.begin(), retries.end(), is_within),
+              1 + 0.15 * static_cast<double>(requested));
+  }
+}
+
+TEST(RetryPolicy, SecondHalfOfTheBudgetIsReservedForHigherPriority) {
+  BalancerFixture fixture(8, retry_budget_config(4, 0));
+
+  std::vector<unsigned> attempts;
+  for (const std::size_t traffic_class : {0u, 0u, 0u, 1u, 1u, 1u}) {
+    Session& session = fixture.make_session(attempts.size() + 1);
+    session.traffic_class = &fixture.balancer.traffic_classes()[traffic_class];
+    fixture.balancer.admit(fixture.sessions.back());
+    fixture.end_attempt(session, AttemptResult::rejected);
+    attempts.push_back(session.attempts);
+  }
+
+  EXPECT_EQ(attempts, (std::vector<unsigned>{2, 2, 1, 2, 2, 1}));
+}
+
+TEST(RetryPolicy, RetryThatWasNotSentIsReturnedToTheBudget) {
+  BalancerFixture fixture(3, retry_budget_config(1, 0));
+  Session& session = fixture.request_session(1);
+
+  fixture.end_attempt(session, AttemptResult::rejected);
+  ASSERT_EQ(session.attempts, 2u);
+  fixture.end_attempt(session, AttemptResult::not_sent);
+
+  EXPECT_EQ(session.attempts, 3u);
+}
+
+TEST(RetryPolicy, TwoProcessesOfOneRelaySpendOneBudget) {
+  BalancerFixture first(3, retry_budget_config(1, 0));
+  BalancerFixture second(3, retry_budget_config(1, 0));
+
+  second.balancer.import_state(first.balancer.export_state());
+  first.end_attempt(first.request_session(1), AttemptResult::rejected);
+  EXPECT_EQ(first.actions.attempts.size(), 1u);
+  second.end_attempt(second.request_session(1), AttemptResult::rejected);
+  EXPECT_EQ(second.actions.attempts.size(), 2u);
+
+  BalancerFixture third(3, retry_budget_config(1, 0));
+  third.balancer.import_state(second.balancer.export_state());
+  third.end_attempt(third.request_session(1), AttemptResult::rejected);
+  EXPECT_EQ(third.actions.attempts.size(), 1u);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/balancer/state_snapshot_test.cpp
@@ -0,0 +1,53 @@
+// What a process hands to its successor, and what it leaves to it from then on.
+#include <gtest/gtest.h>
+
+#include "support/balancer_fixture.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+// Two processes that use one relay's admission slots would send a warming-up backend twice its part.
+TEST(StateSnapshot, ARelayThatExportedItsStateSendsNothingToAWarmingUpBackend) {
+  BalancerFixture fixture(1);
+  const Backend& warming_up = fixture.add_backend(fixture.actions.current_time);
+  fixture.balancer.export_state();
+
+  for (int i = 0; i < 40; ++i) {
+    fixture.establish_session(static_cast<std::uint64_t>(i) + 1);
+    fixture.actions.advance(kSecond / 4);
+  }
+
+  EXPECT_EQ(fixture.attempts_to(warming_up), 0u);
+  EXPECT_EQ(fixture.attempts_to(*fixture.backends[0]), 40u);
+}
+
+// A relay that is replaced often would otherwise never know more than a few minutes of its backends.
+TEST(StateSnapshot, TheSuccessorKnowsWhatWasLearnedExceptOfBackendsThatRestarted) {
+  BalancerFixture fixture(3);
+  for (int i = 0; i < 200 && !fixture.backends[0]->outlier.is_ejected(); ++i) {
+    Session& session = fixture.request_session(static_cast<std::uint64_t>(i) + 1);
+    if (session.backend.get() == fixture.backends[0].get())
+      fixture.end_attempt(session, AttemptResult::error);
+    else if (session.backend)
+      fixture.balancer.on_established(session, 20 * kMillisecond);
+  }
+  ASSERT_TRUE(fixture.backends[0]->outlier.is_ejected());
+  fixture.balancer.set_disabled(*fixture.backends[1], true);
+  fixture.actions.advance(kSecond);
+  fixture.balancer.set_disabled(*fixture.backends[1], false);  // warming up from now on, as far as is known
+
+  BalancerFixture successor(3);
+  successor.actions.current_time = fixture.actions.current_time;
+  successor.balancer.import_state(fixture.balancer.export_state());
+  EXPECT_TRUE(successor.backends[0]->outlier.is_ejected());
+  EXPECT_EQ(successor.backends[1]->slow_start.started_at(), fixture.backends[1]->slow_start.started_at());
+
+  BalancerFixture better_informed(3);  // its list has a start that the other relay did not know of
+  better_informed.balancer.update_endpoint(better_informed.backends[0], EndpointState::ready, 1,
+                                           better_informed.actions.current_time - kSecond);
+  better_informed.balancer.import_state(fixture.balancer.export_state());
+  EXPECT_FALSE(better_informed.backends[0]->outlier.is_ejected());
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- a/tests/proxy/endings_test.cpp
+++ b/tests/proxy/endings_test.cpp
@@ -157,18 +157,6 @@
   EXPECT_TRUE(relay.run_until([&] { return here.received() == "UP 1\r\n"; }));
 }
 
-TEST(Endings, ARepeatIsAskedForAgainBeforeItLeavesWhetherItIsStillKnown) {
-  BalancerConfig config = default_config(Idempotency::idempotency_key);
-  config.traffic_classes[0].deduplication_window = 500 * kMillisecond;
-  BalancerFixture fixture(3, config);
-  Session& session = fixture.request_session(1);
-  fixture.end_attempt(session, AttemptResult::timed_out);
-  ASSERT_TRUE(session.backend);
-  EXPECT_TRUE(fixture.balancer.may_still_send(session, *session.backend));
-  fixture.actions.advance(600 * kMillisecond);  // so long its connection took
-  EXPECT_FALSE(fixture.balancer.may_still_send(session, *session.backend));
-}
-
 TEST(Endings, WhereItStoodIsNoPlaceOnceThatLeaves) {
   LoopbackRelay relay(3);
   relay.publish_endpoints(R"({"rev":5,"all":false,"targets":[)" + relay.endpoint(2, "leaving") + "]}");
@@ -267,47 +255,6 @@
   EXPECT_LT(relay.event_loop.now() - last_word, 5500 * kMillisecond);
 }
 
-TEST(Endings, TheListIsAskedForWithinTheTimeLeftByAnyNumberOfRelays) {
-  for (unsigned relay_count : {1u, 5u, 300u}) {
-    for (unsigned i = 0; i < 40; ++i) {
-      BalancerConfig config = default_config();
-      config.must_request_endpoints = true;
-      config.relay_count = relay_count;
-      RecordingActions actions;
-      Balancer balancer(actions, config, 100 + i);
-      balancer.on_discovery_failed(2 * kSecond);
-      actions.advance(2 * kSecond);
-      EXPECT_EQ(actions.endpoint_watches.size(), 2u) << relay_count;
-    }
-  }
-}
-
-// A change counts as told six seconds after discovery had it and could be reached, whatever failed before. So
-// much of it is for the wait that the call has its two; and relays that failed together do not come together.
-TEST(Endings, AfterAnyNumberOfFailedCallsTheListIsAskedForInTimeAndNotInAStorm) {
-  for (const unsigned relay_count : {1u, 30u, 350u}) {
-    for (const unsigned failures : {1u, 2u, 8u}) {
-      std::map<Micros, unsigned> tenths;
-      for (unsigned i = 0; i < relay_count; ++i) {
-        BalancerConfig config = default_config();
-        config.must_request_endpoints = true;
-        config.relay_count = relay_count;
-        config.endpoint_request_interval = 20 * kSecond;
-        RecordingActions actions;
-        Balancer balancer(actions, config, 100 + i);
-        for (unsigned k = 0; k < failures; ++k) {
-          const Micros failed = actions.current_time;
-          balancer.on_discovery_failed();
-          actions.advance(4 * kSecond);
-          ASSERT_EQ(actions.endpoint_watches.size(), k + 2) << relay_count << " relays, failure " << k + 1;
-          if (k + 1 == failures) ++tenths[(actions.endpoint_watches.back() - failed) / (100 * kMillisecond)];
-        }
-      }
-      for (const auto& [tenth, calls] : tenths) EXPECT_LE(calls, relay_count / 20 + 4) << relay_count;
-    }
-  }
-}
-
 // A call that hangs while discovery comes back, again and again: given up, waited and asked anew within the
 // six seconds each time, with two left for the answer.
 TEST(Endings, ACallThatHangsIsMadeAnewInTimeHoweverOftenThatWasInVain) {
@@ -347,21 +294,6 @@
   }
 }
 
-// What an agent of the relay's own has counts as told, however long it could not be reached.
-TEST(Endings, AnAgentOfItsOwnIsAskedAgainWithinTheGraceHoweverOftenThatFailed) {
-  BalancerConfig config = default_config();
-  config.must_request_endpoints = true;
-  config.relay_count = 300;
-  config.endpoint_retry_delay = 50 * kMillisecond;
-  RecordingActions actions;
-  Balancer balancer(actions, config, 7);
-  for (std::size_t i = 0; i < 30; ++i) {
-    balancer.on_discovery_failed();
-    actions.advance(50 * kMillisecond);
-    EXPECT_EQ(actions.endpoint_watches.size(), i + 2);
-  }
-}
-
 // From the first moment of a process: what it knew may be old, and all its backends may be on their way out.
 TEST(Endings, WhereListsArePushedNobodyIsSentOnByAnOldOneAtTheStart) {
   LoopbackRelay relay(3, 500, kPushed);
--- a/tests/support/balancer_fixture.cpp
+++ b/tests/support/balancer_fixture.cpp
@@ -81,10 +81,34 @@
   return session;
 }
 
+void BalancerFixture::establish_sessions(std::uint64_t first_key, std::uint64_t count) {
+  for (std::uint64_t key = first_key; key < first_key + count; ++key) establish_session(key);
+}
+
+Session& BalancerFixture::request_reconnect(std::uint64_t client_key) {
+  Session& session = make_session(client_key);
+  session.is_reconnecting = true;
+  balancer.admit(sessions.back());
+  return session;
+}
+
 void BalancerFixture::end_attempt(Session& session, AttemptResult result, bool is_final) {
   balancer.on_attempt_ended(session, {result, 10 * kMillisecond}, is_final, {});
 }
 
+void BalancerFixture::end_migrated_sessions() {
+  for (Session* session : std::exchange(actions.migrated_sessions, {}))
+    end_attempt(*session, AttemptResult::cancelled, true);
+}
+
+void BalancerFixture::report_message_latency(const Backend& backend, Micros latency) {
+  balancer.on_message_latency_reported(*backend.sessions[0], latency);
+}
+
+void BalancerFixture::report_utilization(Backend& backend, double utilization, Micros duration) {
+  balancer.on_health_check_ended(backend, {AttemptResult::succeeded, duration}, {utilization});
+}
+
 void BalancerFixture::answer_health_checks(Backend& odd_backend, AttemptResult result, int rounds) {
   for (int i = 0; i < rounds; ++i) {
     for (Backend* backend : std::exchange(actions.health_checks, {})) {
--- a/tests/support/balancer_fixture.hpp
+++ b/tests/support/balancer_fixture.hpp
@@ -40,8 +40,20 @@
   // A new session whose first attempt, if there is one, succeeds.
   Session& establish_session(std::uint64_t client_key);
 
+  // So many established sessions, with the keys from this one on.
+  void establish_sessions(std::uint64_t first_key, std::uint64_t count);
+  // As request_session, for a client that had a session before.
+  Session& request_reconnect(std::uint64_t client_key);
+
   // The attempt, or the established session where `is_final`, ends with this result.
   void end_attempt(Session& session, AttemptResult result, bool is_final = false);
+  // The clients told to migrate leave; the record of them is empty afterwards.
+  void end_migrated_sessions();
+
+  // Message latency as measured on the first session that the backend holds.
+  void report_message_latency(const Backend& backend, Micros latency);
+  // Utilization as told by the answer to a health check.
+  void report_utilization(Backend& backend, double utilization, Micros duration = kMillisecond);
   // Lets 20 ms pass a round while health checks are answered: of this backend so, of the others well.
   void answer_health_checks(Backend& odd_backend, AttemptResult result, int rounds);
 
