--- /dev/null
+++ b/tests/admin/admin_server_test.cpp
@@ -0,0 +1,82 @@
+// The operators' HTTP endpoint.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "support/admin_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+struct RequestAndStatus {
+  std::string request;
+  const char* status;
+};
+
+const std::vector<RequestAndStatus>& requests_and_statuses() {
+  static const std::vector<RequestAndStatus> kRequests{
+      {"GET /ready HTTP/1.1\r\n\r\n", "HTTP/1.1 200"},
+      {"GET /ready?now HTTP/1.0\r\n\r\n", "HTTP/1.1 200"},
+      {"GET /nowhere HTTP/1.1\r\n\r\n", "HTTP/1.1 404"},
+      {"POST /ready HTTP/1.1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 405"},
+      {"GET /backends/disable HTTP/1.1\r\n\r\n", "HTTP/1.1 405"},
+      {"POST /backends/disable HTTP/1.1\r\n\r\n{\"who\":\"s-0\"}", "HTTP/1.1 411"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 400"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n", "HTTP/1.1 413"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n", "HTTP/1.1 413"},
+      {"POST /backends/disable HTTP/1.1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n", "HTTP/1.1 400"},
+      {"POST /backends/disable HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "HTTP/1.1 501"},
+      {http_post("/backends/disable", "who?"), "HTTP/1.1 400"},
+      {http_post("/backends/disable", "{\"who\":7}"), "HTTP/1.1 400"},
+      {http_post("/backends/disable", "[\"who\"]"), "HTTP/1.1 400"},
+      {http_post("/backends/disable", "{\"who\":\"s-9\"}"), "HTTP/1.1 404"},
+      {http_post("/backends/enable", "{\"who\":\"s-9\"}"), "HTTP/1.1 404"},
+      {"GET /" + std::string(20000, 'x') + " HTTP/1.1\r\n\r\n", "HTTP/1.1 431"},
+      {"\x16\x03\x01\r\n\r\n", "HTTP/1.1 400"},
+      {"GET /ready HTTP/9\r\n\r\n", "HTTP/1.1 505"}};
+  return kRequests;
+}
+
+TEST(AdminServer, AnswersEachFaultyRequestWithItsStatusAndDisablesNothing) {
+  AdminRelay relay(1);
+
+  for (const auto& [request, status] : requests_and_statuses())
+    EXPECT_EQ(relay.status_of(relay.connect_operator(request)), status) << request.substr(0, 80);
+  TestSocket half_request = relay.connect_operator("POST /backends/disable HTTP/1.1\r\nContent-Le");
+  half_request.finish_sending();
+  EXPECT_EQ(relay.status_of(std::move(half_request)), "HTTP/1.1 400");
+
+  relay.establish_session("1");
+}
+
+// Connections without a whole request must keep neither the next one out, nor clients.
+TEST(AdminServer, IdleConnectionsGiveWayToARequest) {
+  AdminRelay relay(1);
+  std::vector<TestSocket> idle;
+  for (int i = 0; i < 40; ++i) idle.push_back(relay.connect_operator(i % 2 != 0 ? "GET /rea" : ""));
+
+  EXPECT_EQ(relay.status_of(relay.connect_operator("GET /ready HTTP/1.1\r\n\r\n")), "HTTP/1.1 200");
+
+  EXPECT_TRUE(relay.run_until([&] { return idle.front().is_ended_by_peer(); }));  // idle for longest
+  EXPECT_FALSE(idle.back().is_ended_by_peer());
+  relay.establish_session("1");
+}
+
+TEST(AdminServer, AnAddressInUseIsAnErrorThatNamesTheKey) {
+  LoopbackRelay relay(1);
+  const TestSocket other_listener = TestSocket::listening();
+  relay.relay_config.admin = "127.0.0.1:" + std::to_string(other_listener.port());
+  relay.relay_config.admin_address = net::parse_address(relay.relay_config.admin);
+
+  try {
+    const admin::AdminServices services(relay.event_loop, *relay.proxy, relay.relay_config);
+    FAIL() << "it started";
+  } catch (const config::ConfigError& error) {
+    EXPECT_TRUE(std::string(error.what()).starts_with("mgmt: ")) << error.what();
+  }
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/admin/disabled_backends_test.cpp
@@ -0,0 +1,99 @@
+// Backends that an operator has disabled: what they get, and where that is stored.
+#include "admin/disabled_backends.hpp"
+
+#include <gtest/gtest.h>
+
+#include <filesystem>
+#include <fstream>
+#include <set>
+#include <string>
+
+#include "support/admin_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+// The endpoint list does not know of it: it goes on reporting the backend as ready.
+TEST(DisabledBackends, ADisabledBackendIsEmptiedAndGetsNothingUntilItIsEnabled) {
+  AdminRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t disabled = relay.backend_index(session.upstream);
+
+  EXPECT_EQ(relay.change_backend("disable", backend_uid(disabled)), "HTTP/1.1 200");
+  EXPECT_EQ(relay.change_backend("disable", backend_uid(disabled)), "HTTP/1.1 200");
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
+
+  relay.publish_endpoints(endpoint_snapshot(5, {relay.endpoint(1 - disabled, "active")}));
+  relay.publish_endpoints(endpoint_snapshot(6, {relay.endpoint(0, "active"), relay.endpoint(1, "active")}));
+  for (int i = 2; i < 12; ++i) {
+    const auto other = relay.establish_session(std::to_string(i));
+    EXPECT_EQ(relay.backend_index(other.upstream), 1 - disabled);
+  }
+
+  EXPECT_EQ(relay.change_backend("enable", backend_uid(disabled)), "HTTP/1.1 200");  // once undoes both
+  int session_id = 100;
+  EXPECT_TRUE(relay.run_until(
+      [&] {
+        const auto other = relay.establish_session(std::to_string(++session_id));
+        return relay.backend_index(other.upstream) == disabled;
+      },
+      5000));
+}
+
+TEST(DisabledBackends, TheProcessThatComesNextKeepsThemDisabled) {
+  AdminRelay relay(2);
+  EXPECT_EQ(relay.change_backend("disable", "s-1"), "HTTP/1.1 200");
+
+  config::RelayConfig next_config = relay.relay_config;
+  next_config.admin = "127.0.0.1:" + std::to_string(TestSocket::listening().port());
+  next_config.admin_address = net::parse_address(next_config.admin);
+  const admin::AdminServices next(relay.event_loop, *relay.proxy, next_config);
+
+  for (int i = 0; i < 6; ++i)
+    EXPECT_EQ(relay.backend_index(relay.establish_session(std::to_string(i)).upstream), 0u);
+}
+
+TEST(DisabledBackends, ADamagedFileIsToldAndMendedByTheNextChange) {
+  AdminRelay relay(2);
+  EXPECT_EQ(relay.change_backend("disable", "s-1"), "HTTP/1.1 200");
+  const std::string file = relay.folder.file("cherryrail-n.bans");
+  ASSERT_TRUE(std::filesystem::exists(file));
+  admin::DisabledBackends other_process(file);
+  EXPECT_TRUE(other_process.names().contains("s-1"));
+
+  std::ofstream(file) << "{\"bans\":[7";
+  EXPECT_FALSE(other_process.reload_if_changed());
+  EXPECT_NE(other_process.error().value().message().find("damaged"), std::string::npos);
+  EXPECT_TRUE(other_process.names().contains("s-1"));  // what is known stays in force
+
+  EXPECT_TRUE(other_process.set_disabled("s-0", true));
+  EXPECT_EQ(admin::DisabledBackends(file).names(), (std::set<std::string>{"s-0", "s-1"}));
+}
+
+// An operator may have called either process: neither loses what the other was told.
+TEST(DisabledBackends, TwoProcessesKeepOneSet) {
+  const TemporaryFolder folder;
+  admin::DisabledBackends first(folder.file("b"));
+  admin::DisabledBackends second(folder.file("b"));
+
+  EXPECT_TRUE(first.set_disabled("x", true));
+  EXPECT_TRUE(second.set_disabled("y", true));
+  EXPECT_TRUE(first.reload_if_changed());
+  EXPECT_EQ(first.names(), (std::set<std::string>{"x", "y"}));
+
+  EXPECT_TRUE(first.set_disabled("x", false));
+  EXPECT_TRUE(second.reload_if_changed());
+  EXPECT_EQ(second.names(), std::set<std::string>{"y"});
+  EXPECT_FALSE(second.reload_if_changed());  // nothing new
+}
+
+TEST(DisabledBackends, AChangeThatCannotBeStoredStillHoldsInThisProcess) {
+  admin::DisabledBackends disabled("/nonexistent/b");
+
+  EXPECT_FALSE(disabled.set_disabled("x", true));
+
+  EXPECT_TRUE(disabled.names().contains("x"));
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/admin/hot_restart_test.cpp
@@ -0,0 +1,113 @@
+// How two processes of one relay find each other, and what passes between them.
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <variant>
+
+#include "admin/handover_channel.hpp"
+#include "admin/hot_restart_coordinator.hpp"
+#include "admin/hot_restart_socket.hpp"
+#include "support/restarting_relay.hpp"
+#include "support/temporary_folder.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(HotRestart, WithoutAFolderThereIsNoSuccessor) {
+  admin::HotRestartSocket process("", "n");
+
+  EXPECT_FALSE(process.announce());
+  EXPECT_FALSE(process.connect_to_successor());
+}
+
+TEST(HotRestart, TheLastToAnnounceItselfIsTheSuccessorOfTheOthers) {
+  const TemporaryFolder folder;
+  admin::HotRestartSocket first(folder.path(), "n");
+  EXPECT_TRUE(first.announce());
+  EXPECT_FALSE(first.connect_to_successor());
+
+  {
+    admin::HotRestartSocket second(folder.path(), "n");
+    EXPECT_FALSE(first.connect_to_successor());  // it runs, but does not serve yet
+    EXPECT_TRUE(second.announce());
+    EXPECT_TRUE(first.connect_to_successor());
+    EXPECT_FALSE(second.connect_to_successor());
+  }
+
+  EXPECT_FALSE(first.connect_to_successor());  // it has ended
+}
+
+// The process that comes next, in a process of its own: it tells that it is there, and holds many
+// descriptors until it is told to go.
+[[noreturn]] void hold_descriptors(const std::string& folder, int ready, int go) {
+  admin::HotRestartSocket next(folder, "cherryrail-n.serves");
+  const auto predecessor = next.connect_to_successor();
+  while (admin::count_open_descriptors(getpid()) < 480) {
+    if (dup(0) < 0) break;
+  }
+  char byte = predecessor ? 'y' : 'n';
+  const bool is_done = write(ready, &byte, 1) == 1 && read(go, &byte, 1) == 1;
+  _exit(is_done ? 0 : 1);
+}
+
+TEST(HotRestart, DescriptorsOfTheOtherProcessCountTowardsTheLimit) {
+  RestartingRelay relay(1);
+  std::array<int, 2> ready{};
+  std::array<int, 2> go{};
+  ASSERT_EQ(pipe(ready.data()) + pipe(go.data()), 0);
+  const pid_t child = fork();
+  if (child == 0) hold_descriptors(relay.folder.path(), ready[1], go[0]);
+  char answer = 0;
+  ASSERT_EQ(read(ready[0], &answer, 1), 1);
+  EXPECT_EQ(answer, 'y');
+
+  relay.run_for(150);
+  TestSocket rejected = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return rejected.is_ended_by_peer(); }));
+  EXPECT_EQ(rejected.received(), "BUSY\r\n");
+
+  EXPECT_EQ(write(go[1], "g", 1), 1);
+  EXPECT_EQ(waitpid(child, nullptr, 0), child);
+  relay.run_for(50);
+  relay.establish_session("2");
+  for (const int fd : {ready[0], ready[1], go[0], go[1]}) close(fd);
+}
+
+TEST(HotRestart, TheStateArrivesAsItWas) {
+  const TemporaryFolder folder;
+  admin::HotRestartSocket first(folder.path(), "n");
+  admin::HotRestartSocket second(folder.path(), "n");
+  ASSERT_TRUE(second.announce());
+  const auto sender = first.connect_to_successor();
+  ASSERT_TRUE(sender);
+  const admin::HandoverChannel receiver(net::FileDescriptor(accept(second.descriptor(), nullptr, nullptr)));
+  proxy::OutgoingHandover handover;
+  handover.message = StateSnapshot{
+      5, 6, 7, 8, 2.5, 3, {{0xffffffffffffffffULL, 1, 2, 3, 0.5, 1e300, 4, true, false, true, -1, 9}}};
+
+  EXPECT_EQ(sender->send(handover), admin::SendResult::sent);
+  const admin::ReceiveResult received = receiver.receive();
+
+  ASSERT_TRUE(received.handover);
+  const auto* state = std::get_if<StateSnapshot>(&received.handover->message);
+  ASSERT_TRUE(state && state->backends.size() == 1);
+  EXPECT_EQ(state->new_sessions, 8u);
+  const BackendSnapshot& backend = state->backends[0];
+  EXPECT_EQ(backend.name, 0xffffffffffffffffULL);
+  EXPECT_EQ(backend.capacity_limit, 1e300);
+  EXPECT_EQ(backend.admission_slot, -1);
+  EXPECT_EQ(backend.admitted_in_slot, 9u);
+  EXPECT_TRUE(backend.is_ejected && backend.is_capacity_inferred && !backend.is_unresponsive);
+
+  // What cannot be understood costs nothing but itself.
+  EXPECT_EQ(send(sender->descriptor(), "rubbish", 7, 0), 7);
+  const admin::ReceiveResult malformed = receiver.receive();
+  EXPECT_FALSE(malformed.handover);
+  EXPECT_FALSE(malformed.is_peer_gone);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/admin/session_handover_test.cpp
@@ -0,0 +1,143 @@
+// What becomes of a relay's clients when a second process takes its place.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <string>
+#include <utility>
+
+#include "support/restarting_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(SessionHandover, EstablishedSessionsGoOnUnnoticed) {
+  RestartingRelay relay(2);
+  auto session = relay.establish_session("1");
+  auto torn = relay.establish_session("2");
+  torn.upstream.send("half a li");
+  ASSERT_TRUE(relay.run_until([&] { return torn.client.received().ends_with("half a li"); }));
+
+  relay.replace();
+  relay.run_for(60);
+  torn.upstream.send("ne\r\n");
+  relay.run_for(60);
+  EXPECT_TRUE(relay.first->is_empty());
+
+  session.client.send("to you\r\n");
+  session.upstream.send("to you, too\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return session.upstream.received().ends_with("to you\r\n"); }));
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nto you, too\r\n"; }));
+
+  torn.upstream.send("BYE\r\n");
+  torn.upstream.close();
+  EXPECT_TRUE(relay.run_until([&] { return torn.client.is_ended_by_peer(); }));
+  EXPECT_EQ(torn.client.received(), "UP r\r\nhalf a line\r\nBYE\r\n");
+
+  TestSocket other = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return other.received() == "ERR\r\n"; }));  // the id is in use here, too
+}
+
+// Some of the first process's clients have sent half a request, some wait for their answer.
+TEST(SessionHandover, ClientsWithoutASessionAreServedAllTheSame) {
+  RestartingRelay relay(1);
+  TestSocket slow = relay.connect_client("OPEN 5 5 c=ta");
+  const TestSocket silent = relay.connect_client("");
+  TestSocket waiting = relay.connect_client("OPEN 6 6 c=talk,d=1200\r\n");
+  TestSocket waiting_upstream = relay.accept_attempt();
+  relay.run_for(30);
+
+  relay.replace();
+  relay.run_for(60);
+  slow.send("lk,d=1200\r\n");
+  TestSocket slow_upstream = relay.accept_attempt();
+  slow_upstream.send("UP 5\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return slow.received() == "UP 5\r\n"; }));
+
+  waiting_upstream.send("UP 6\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return waiting.received() == "UP 6\r\n"; }));
+  relay.run_for(60);
+  EXPECT_TRUE(relay.first->is_empty());
+  waiting.send("still\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return waiting_upstream.received().ends_with("still\r\n"); }));
+
+  silent.send("OPEN 7 7 c=talk,d=1200\r\n");
+  EXPECT_TRUE(relay.accept_attempt());
+}
+
+// It was sent the listening socket and died: sessions that it was not given are migrated, not lost.
+TEST(SessionHandover, ASuccessorThatDiesLeavesTheSessionsToBeMigrated) {
+  RestartingRelay relay(1);
+  auto session = relay.establish_session("1");
+  session.upstream.send("half a li");
+  ASSERT_TRUE(relay.run_until([&] { return session.client.received().ends_with("half a li"); }));
+
+  relay.replace();
+  relay.second->admin_services.reset();
+  session.upstream.send("ne\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.is_ended_by_peer(); }, 1000));
+  EXPECT_EQ(session.client.received(), "UP r\r\nhalf a line\r\nMOVE\r\n");
+}
+
+TEST(SessionHandover, WithoutASuccessorTheSessionsAreMigrated) {
+  RestartingRelay relay(1);
+  auto session = relay.establish_session("1");
+
+  relay.first->admin_services->shut_down();
+  auto late = relay.establish_session("2");  // new clients are still served for a moment
+
+  EXPECT_TRUE(
+      relay.run_until([&] { return session.client.is_ended_by_peer() && late.client.is_ended_by_peer(); }));
+  EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
+}
+
+// An established session as a process hands it over, with the far ends of its connections.
+struct HandedOverSession {
+  TestSocket client_listener = TestSocket::listening();
+  TestSocket client = TestSocket::connected_to(client_listener.port());
+  TestSocket downstream = client_listener.accept();
+  TestSocket backend_listener = TestSocket::listening();
+  TestSocket upstream = TestSocket::connected_to(backend_listener.port());
+  proxy::IncomingHandover handover;
+
+  explicit HandedOverSession(const std::string& backend) {
+    handover.message = proxy::OpenSession{"OPEN 9 9 c=talk,d=1200", backend};
+    handover.downstream = net::FileDescriptor(dup(downstream.fd()));
+    handover.upstream = net::FileDescriptor(dup(upstream.fd()));
+  }
+};
+
+TEST(SessionHandover, TheSuccessorMigratesASessionWhoseBackendIsNoLongerListed) {
+  RestartingRelay relay(2);
+  auto listed = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(listed.upstream);
+  relay.second = relay.start_process();
+  HandedOverSession unlisted("s-left");
+  unlisted.downstream.close();
+
+  relay.second->proxy.receive_handover(std::move(unlisted.handover));
+
+  EXPECT_TRUE(relay.run_until([&] { return unlisted.client.received() == "MOVE\r\n"; }));
+  EXPECT_FALSE(listed.client.is_ended_by_peer()) << index;
+}
+
+// A session may come over before the list names its backend.
+TEST(SessionHandover, ABackendKnownFromASessionFirstStaysDisabled) {
+  RestartingRelay relay(1);
+  relay.backends.push_back(TestSocket::listening());
+  relay.first->proxy.set_disabled_backends({"s-1"});
+  HandedOverSession session("s-1");
+
+  relay.first->proxy.receive_handover(std::move(session.handover));
+  relay.watch = std::move(relay.watches.back());
+  relay.publish_endpoints(endpoint_changes(6, {relay.endpoint(1, "active")}));
+  relay.run_for(50);
+
+  for (int i = 1; i < 9; ++i) {
+    const auto other = relay.establish_session(std::to_string(i + 20));
+    EXPECT_EQ(relay.backend_index(other.upstream), 0u);
+  }
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/net/event_loop_test.cpp
@@ -0,0 +1,31 @@
+#include "net/event_loop.hpp"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <iterator>
+
+#include "support/loopback_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+// A second thread that is stopped while it holds a lock would stop the relay for good.
+TEST(EventLoop, HandlesSignalsOnTheRelaysOnlyThread) {
+  LoopbackRelay relay(1);
+  int terminations = 0;
+  int reloads = 0;
+  relay.event_loop.on_terminate([&] { ++terminations; });
+  relay.event_loop.on_reload([&] { ++reloads; });
+
+  for (const int signal : {SIGTERM, SIGHUP, SIGINT}) std::raise(signal);
+
+  EXPECT_TRUE(relay.run_until([&] { return terminations == 2 && reloads == 1; }))
+      << terminations << " terminations, " << reloads << " reloads";
+  const auto threads = std::filesystem::directory_iterator("/proc/self/task");
+  EXPECT_EQ(std::distance(begin(threads), end(threads)), 1);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- a/tests/proxy/discovery_test.cpp
+++ b/tests/proxy/discovery_test.cpp
@@ -1,6 +1,7 @@
 // How a relay follows discovery on sockets.
 #include <gtest/gtest.h>
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -9,6 +10,25 @@
 namespace cherryrail::testing {
 namespace {
 
+constexpr const char* kPushedLists =
+    R"(,"discovery":"pushed","invariants":{"warm_up":9000,"fall":3000,"stop_sending_within":400})";
+
+TEST(Discovery, ReadsAnIndentedListTornAtAnyByte) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+  const std::string list =
+      R"(  { "rev" : 5,  "all":false,	"targets" : [ )" + relay.endpoint(index, "leaving") + " ] }\n";
+  relay.accept_watch();
+
+  for (const char byte : http_chunk(list)) {
+    relay.watch.send({&byte, 1});
+    relay.event_loop.run_once();
+  }
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
+}
+
 // As large as endpoint lists may be: 1,200 backends, each in a zone of its own, and as many relays.
 TEST(Discovery, ReadsTwelveHundredEndpointsWithinASecond) {
   constexpr std::size_t kEndpoints = 1200;
@@ -32,5 +52,157 @@
   EXPECT_LT(relay.event_loop.now() - published_at, 1'000'000);
 }
 
+// Discovery that sends nonsense, or is down, leaves the old list in force and is asked again.
+TEST(Discovery, AfterAMalformedListTheOldOneStaysInForceAndIsAskedForAgain) {
+  LoopbackRelay relay(1);
+
+  relay.publish_endpoints("{\"rev\":5,\"targets\":[{\"no\":\"uid\"}]}");
+  EXPECT_TRUE(relay.run_until([&] { return relay.watch.is_ended_by_peer(); }));
+  relay.establish_session("1");
+
+  relay.watch = TestSocket();
+  relay.watch = relay.accept_from(relay.discovery);
+  EXPECT_TRUE(relay.watch);
+  EXPECT_TRUE(relay.run_until([&] { return relay.watch.received().find("after=4 ") != std::string::npos; }));
+}
+
+// A server that lags would bring back what is gone; one that counts from the start must be believed in the
+// end.
+TEST(Discovery, TakesALowerRevisionOnlyOnceItIsRepeated) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+  const std::string lower = endpoint_snapshot(2, {relay.endpoint(1 - index, "active")});
+
+  relay.publish_endpoints(lower);
+  EXPECT_TRUE(relay.run_until([&] { return relay.watch.is_ended_by_peer(); }));
+  EXPECT_EQ(session.client.received(), "UP r\r\n");
+
+  EXPECT_TRUE(relay.run_until(
+      [&] {
+        if (relay.watch.is_ended_by_peer()) {
+          EXPECT_NE(relay.accept_watch().find("after=0 "), std::string::npos);
+          relay.publish_endpoints(lower);
+        }
+        return session.client.received() == "UP r\r\nMOVE\r\n";
+      },
+      4000));
+}
+
+// What a silent watch misses counts as known six seconds after its last word, at 300 relays as at one.
+TEST(Discovery, RenewsAWatchThatFellSilentWithinTheTimeThatIsLeft) {
+  LoopbackRelay relay(1, 500, R"(,"balancers":300,"discovery":"on_request",
+      "invariants":{"warm_up":9000,"fall":3000,"ask_within":20000})");
+  relay.publish_endpoints(endpoint_changes(5, {}));
+  relay.run_for(20);
+  const Micros last_word_at = relay.event_loop.now();
+
+  EXPECT_TRUE(relay.run_until([&] { return relay.watch.is_ended_by_peer(); }, 3500));
+  const TestSocket renewed = relay.accept_from(relay.discovery, 2500);
+  EXPECT_TRUE(renewed);
+
+  EXPECT_LT(relay.event_loop.now() - last_word_at, 5'500'000);
+}
+
+// A call that hangs while discovery returns is given up, waited for and made again within the six seconds
+// each time, with two left for the answer.
+TEST(Discovery, RenewsACallThatHangsInTimeHoweverOftenThatFailed) {
+  LoopbackRelay relay(1, 500, R"(,"balancers":350,"discovery":"on_request",
+      "invariants":{"warm_up":9000,"fall":3000,"ask_within":20000})");
+  TestSocket hanging = relay.accept_from(relay.discovery);
+  ASSERT_TRUE(hanging);
+
+  for (int round = 0; round < 3; ++round) {
+    const Micros called_at = relay.event_loop.now();
+    TestSocket renewed = relay.accept_from(relay.discovery, 5500);
+    EXPECT_TRUE(renewed) << round;
+    EXPECT_LE(relay.event_loop.now() - called_at, 5'200'000);
+    EXPECT_TRUE(hanging.is_ended_by_peer());
+    hanging = std::move(renewed);
+  }
+}
+
+TEST(Discovery, RenewsAPushedWatchThatBringsNoFirstLine) {
+  LoopbackRelay relay(1, 500, kPushedLists);
+
+  TestSocket first = relay.accept_from(relay.discovery);
+  EXPECT_TRUE(first);
+  const TestSocket renewed = relay.accept_from(relay.discovery, 1800);
+
+  EXPECT_TRUE(renewed);
+  EXPECT_TRUE(first.is_ended_by_peer());
+}
+
+// From a process's first moment on: what it knew may be old, and all its backends may be draining.
+TEST(Discovery, WhereListsArePushedClientsWaitForTheFirstList) {
+  LoopbackRelay relay(3, 500, kPushedLists);
+  std::vector<TestSocket> clients;
+  for (int i = 0; i < 6; ++i)
+    clients.push_back(relay.connect_client("OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n"));
+
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(0, "leaving"), relay.endpoint(1, "leaving")}));
+
+  std::vector<TestSocket> attempts;
+  EXPECT_TRUE(relay.run_until([&] {
+    TestSocket attempt = relay.backends[2].accept();
+    if (attempt) attempts.push_back(std::move(attempt));
+    return attempts.size() == 6;
+  }));
+  EXPECT_FALSE(relay.backends[0].accept());
+  EXPECT_FALSE(relay.backends[1].accept());
+}
+
+TEST(Discovery, WhereNoPushedListComesClientsAreServedByTheKnownOne) {
+  LoopbackRelay relay(1, 500, kPushedLists);
+
+  relay.establish_session("1");
+}
+
+TEST(Discovery, WithoutAnyListClientsAreRejectedAtOnceAndServedOnceOneComes) {
+  LoopbackRelay relay(1, 500, "", false);
+  std::string config = relay.config_text(500);
+  const std::string known = relay.endpoint(0, "active");
+  config.replace(config.find(known), known.size(), "");
+  relay.relay_config = config::parse_relay_config(config);
+  relay.proxy = std::make_unique<proxy::ProxyServer>(relay.event_loop, relay.relay_config);
+
+  TestSocket client = relay.connect_client("OPEN 9b1f 7f3a c=talk,d=1200\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }, 100));
+  EXPECT_EQ(client.received(), "BUSY\r\n");
+
+  relay.publish_endpoints(endpoint_snapshot(5, {relay.endpoint(0, "active")}));
+  relay.run_for(20);
+  relay.establish_session("2");
+}
+
+enum class DiscoveryFault { says_nothing, refuses, answers_busy };
+
+// Nine in ten of the processes that start have to be ready within ten seconds; this one is within two.
+void expect_ready_in_time(const std::string& extra_settings, DiscoveryFault fault) {
+  LoopbackRelay relay(1, 500, extra_settings, false);
+  if (fault == DiscoveryFault::refuses) relay.discovery.close();
+  const proxy::ProxyServer proxy(relay.event_loop, relay.relay_config);
+  TestSocket client = relay.connect_client("PING\r\n");
+
+  std::vector<TestSocket> calls;
+  EXPECT_TRUE(relay.run_until([&] {
+    TestSocket call = fault == DiscoveryFault::refuses ? TestSocket() : relay.discovery.accept();
+    if (call) {
+      if (fault == DiscoveryFault::answers_busy) call.send("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+      calls.push_back(std::move(call));
+    }
+    return client.received() == "PONG\r\n";
+  })) << extra_settings
+      << ", fault " << static_cast<int>(fault);
+}
+
+TEST(Discovery, AProcessIsReadyInTimeWhileDiscoveryHangsRefusesOrIsBusy) {
+  for (const char* extra_settings : {kPushedLists, R"(,"balancers":350,"discovery":"on_request")"}) {
+    for (const DiscoveryFault fault :
+         {DiscoveryFault::says_nothing, DiscoveryFault::refuses, DiscoveryFault::answers_busy})
+      expect_ready_in_time(extra_settings, fault);
+  }
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/proxy/downstream_test.cpp
@@ -0,0 +1,142 @@
+// What clients send and how they are answered, up to the established session.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "support/loopback_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(Downstream, AnswersAPingAndReadsAnOpenRequestInPieces) {
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("PI");
+  relay.run_for(20);
+
+  client.send("NG\r\nOPEN 9b1f 7f3a c=ta");
+  EXPECT_TRUE(relay.run_until([&] { return client.received() == "PONG\r\n"; }));
+
+  client.send("lk,d=1200\r\n");
+  EXPECT_TRUE(relay.accept_attempt());
+}
+
+TEST(Downstream, ALineThatIsNotUnderstoodEndsThatConnectionOnly) {
+  LoopbackRelay relay(1);
+
+  for (const std::string& line : {std::string("GET / HTTP/1.1\r\n"), std::string("OPEN 1 2 c=none,d=5\r\n"),
+                                  std::string("OPEN 1 2 c=talk,d=-1\r\n"), std::string(5000, 'x')}) {
+    TestSocket client = relay.connect_client(line);
+    EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
+    EXPECT_EQ(client.received(), "ERR\r\n");
+  }
+
+  relay.establish_session("8");
+}
+
+// Whoever is on call reads from the log why clients were rejected.
+TEST(Downstream, TheLogNamesTheReasonOfEachRejection) {
+  LoopbackRelay relay(1);
+  ::testing::internal::CaptureStderr();
+
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(0, "leaving")}));
+  relay.run_for(20);
+  TestSocket without_backend = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return without_backend.is_ended_by_peer(); }));
+
+  relay.publish_endpoints(endpoint_changes(6, {relay.endpoint(0, "active")}));
+  relay.run_for(20);
+  TestSocket with_failed_attempts = relay.connect_client("OPEN 2 2 c=talk,d=1200\r\n");
+  TestSocket upstream = relay.accept_attempt();
+  upstream.send("BUSY\r\n");
+  upstream.close();
+  EXPECT_TRUE(relay.run_until([&] { return with_failed_attempts.is_ended_by_peer(); }));
+
+  relay.proxy->begin_graceful_shutdown();
+  relay.run_for(600);
+  TestSocket during_shutdown = relay.connect_client("OPEN 3 3 c=talk,d=1200\r\n");
+  relay.run_until([&] { return during_shutdown.is_ended_by_peer(); });
+
+  const std::string log = ::testing::internal::GetCapturedStderr();
+  for (const char* line :
+       {"session=1 result=rejected reason=no_backend", "session=2 result=rejected reason=attempts_failed",
+        "session=3 result=rejected reason=shutting_down"})
+    EXPECT_NE(log.find(line), std::string::npos) << line << " in\n" << log;
+}
+
+// Closing with unread bytes would reset the connection, and the client would lose the answer.
+TEST(Downstream, AClientThatSendsWithoutEndStillReceivesItsError) {
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("OPEN ");
+  const std::string much(100000, 'k');
+
+  std::size_t sent = 0;
+  EXPECT_TRUE(relay.run_until(
+      [&] {
+        sent += client.send_some(much);
+        return sent > 20'000'000;
+      },
+      3000));
+
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
+  EXPECT_EQ(client.received(), "ERR\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return client.send_some(much) > 0; }));  // it has not been reset
+}
+
+TEST(Downstream, RefusesASessionIdInUseBeforeAnyBackendIsAsked) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("77");
+
+  TestSocket other = relay.connect_client("OPEN 77 1 c=talk,d=1200\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return other.is_ended_by_peer(); }));
+  EXPECT_EQ(other.received(), "ERR\r\n");
+  for (const TestSocket& backend : relay.backends) EXPECT_FALSE(backend.accept());
+  session.client.send("x\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return session.upstream.received().ends_with("x\r\n"); }));
+}
+
+TEST(Downstream, RefusesAClientThatSendsManyRequestsAtOnce) {
+  LoopbackRelay relay(1);
+  std::string requests;
+  for (int i = 0; i < 300; ++i) requests += "OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n";
+
+  TestSocket client = relay.connect_client(requests);
+
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
+  EXPECT_EQ(client.received(), "ERR\r\n");
+  EXPECT_FALSE(relay.backends[0].accept());
+}
+
+TEST(Downstream, RefusesAClientThatSendsMoreBeforeItsAnswer) {
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("OPEN 700 1 c=talk,d=1200\r\n");
+  TestSocket upstream = relay.accept_attempt();
+
+  client.send("and now?\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer() && upstream.is_ended_by_peer(); }));
+  EXPECT_EQ(client.received(), "ERR\r\n");
+}
+
+// Sound clients on poor links write slowly: in a crowd they must not be closed before those that write
+// nothing.
+TEST(Downstream, ASlowWriterOutlastsACrowdThatNeverFinishesItsLine) {
+  LoopbackRelay relay(1, 60);
+  const std::string request = "OPEN 1 1 c=talk,d=1200\r\n";
+  TestSocket slow_client = relay.connect_client(request.substr(0, 1));
+
+  std::vector<TestSocket> crowd;
+  for (std::size_t at = 1; at < request.size(); ++at) {
+    for (int i = 0; i < 8; ++i) crowd.push_back(relay.connect_client(i % 2 != 0 ? "OPEN 2 2" : ""));
+    relay.run_for(10);
+    slow_client.send(request.substr(at, 1));
+  }
+
+  TestSocket upstream = relay.accept_attempt();
+  upstream.send("UP r\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return slow_client.received() == "UP r\r\n"; }));
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/proxy/proxy_session_test.cpp
@@ -0,0 +1,145 @@
+// An established session: lines both ways, each side's end, migration, slow readers.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "support/loopback_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(ProxySession, PassesLinesBothWaysAndTheOpenRequestWithItsWaitChanged) {
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("OPEN 9b1f 7f3a c=talk,d=1200,g=5c,x=new\r\n");
+  TestSocket upstream = relay.accept_attempt();
+  const std::string request = upstream.received();
+  EXPECT_TRUE(request.starts_with("OPEN 9b1f 7f3a c=talk,d=")) << request;
+  EXPECT_TRUE(request.ends_with(",g=5c,x=new\r\n")) << request;
+
+  upstream.send("UP 77 some receipt\r\n");
+  ASSERT_TRUE(relay.run_until([&] { return client.received() == "UP 77 some receipt\r\n"; }));
+  client.send("hello\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return upstream.received() == request + "hello\r\n"; }));
+  upstream.send("LOAD 5\r\nBYE\r\n");
+  upstream.close();
+
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
+  EXPECT_EQ(client.received(), "UP 77 some receipt\r\nLOAD 5\r\nBYE\r\n");
+}
+
+TEST(ProxySession, AClientThatFinishesSendingStillReceivesItsBackendsLastLines) {
+  LoopbackRelay relay(1);
+  auto session = relay.establish_session("1");
+
+  session.client.finish_sending();
+  EXPECT_TRUE(relay.run_until([&] { return session.upstream.is_ended_by_peer(); }));
+  session.upstream.send("BYE\r\n");
+  session.upstream.close();
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.is_ended_by_peer(); }));
+  EXPECT_EQ(session.client.received(), "UP r\r\nBYE\r\n");
+}
+
+TEST(ProxySession, AResetOfTheClientEndsItsBackendsConnection) {
+  LoopbackRelay relay(1);
+  auto session = relay.establish_session("2");
+
+  session.client.reset();
+
+  EXPECT_TRUE(relay.run_until([&] { return session.upstream.is_ended_by_peer(); }));
+}
+
+TEST(ProxySession, AResetOfTheBackendEndsItsClientsConnection) {
+  LoopbackRelay relay(1);
+  auto session = relay.establish_session("3");
+
+  session.upstream.reset();
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.is_ended_by_peer(); }, 1000));
+}
+
+// A backend's last lines and its end in one read; what looks like a second answer is a line like another.
+TEST(ProxySession, LastLinesReadTogetherWithTheEndReachTheClient) {
+  LoopbackRelay relay(1);
+  auto session = relay.establish_session("1");
+
+  session.upstream.send("UP again\r\nline\r\nBYE\r\n");
+  session.upstream.finish_sending();
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.is_ended_by_peer(); }));
+  EXPECT_EQ(session.client.received(), "UP r\r\nUP again\r\nline\r\nBYE\r\n");
+}
+
+TEST(ProxySession, MigrationWaitsForTheEndOfTheLine) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+
+  session.upstream.send("half a li");
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received().ends_with("half a li"); }));
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(index, "leaving")}));
+  relay.run_for(50);
+  session.upstream.send("ne\r\n");
+
+  EXPECT_TRUE(relay.run_until(
+      [&] { return session.client.is_ended_by_peer() && session.upstream.is_ended_by_peer(); }));
+  EXPECT_EQ(session.client.received(), "UP r\r\nhalf a line\r\nMOVE\r\n");
+}
+
+TEST(ProxySession, AClientWhoseLinesBringNothingBackIsMigratedInTime) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+
+  session.client.send("anyone?\r\n");
+
+  // Within two attempt objectives and the interval at which sessions are looked at.
+  EXPECT_TRUE(relay.run_until([&] { return session.client.is_ended_by_peer(); }, 1100));
+  EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
+}
+
+// Where backends report message latency and not their load, the figure of a LOAD line is milliseconds.
+TEST(ProxySession, ReportedMessageLatencyPastTheObjectiveMigratesSomeClients) {
+  LoopbackRelay relay(1, 500, R"(,"domain":{"tells_load":false,"tells_delay":true})");
+  std::vector<EstablishedSession> sessions;
+  for (int i = 0; i < 8; ++i) sessions.push_back(relay.establish_session(std::to_string(i)));
+
+  sessions[0].upstream.send("LOAD 900.5\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] {
+    return std::any_of(sessions.begin(), sessions.end(),
+                       [](auto& session) { return session.client.is_ended_by_peer(); });
+  }));
+}
+
+// A client that reads nothing must neither fill the relay's memory nor hold others up.
+TEST(ProxySession, ASlowReaderHoldsItsOwnBackendBackAndNobodyElse) {
+  LoopbackRelay relay(1);
+  TestSocket client = TestSocket::connected_to(relay.port, 4096);
+  client.send("OPEN 1 1 c=talk,d=1200\r\n");
+  TestSocket upstream = relay.accept_attempt();
+  upstream.send("UP r\r\n");
+  const std::string line = std::string(998, 'x') + "\r\n";
+  std::size_t taken = 0;
+  relay.run_until(
+      [&] {
+        taken += upstream.send_some(line);
+        return false;
+      },
+      50);
+
+  const auto is_full = [&] {  // the kernel's buffers and the relay's share of them
+    std::size_t sent = 0;
+    for (int i = 0; i < 100; ++i) sent += upstream.send_some(line);
+    taken += sent;
+    return sent == 0;
+  };
+  EXPECT_TRUE(relay.run_until(is_full, 5000));
+
+  relay.establish_session("2");
+  EXPECT_TRUE(relay.run_until([&] { return client.received().size() >= taken + 6; }, 5000));
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/proxy/proxy_shutdown_test.cpp
@@ -0,0 +1,139 @@
+// A relay told to terminate: every client is answered or migrated before the platform kills the process.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "support/loopback_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+// The platform kills the process 0.7 s after the longest that a client waits.
+constexpr Micros kKilledAfter = 1'900'000;
+
+// Runs the relay from SIGTERM to its end, and gives how long that took.
+Micros terminate(LoopbackRelay& relay) {
+  relay.event_loop.on_terminate([&] { relay.proxy->begin_graceful_shutdown(); });
+  std::raise(SIGTERM);
+  const Micros began_at = relay.event_loop.now();
+  relay.event_loop.run();
+  relay.proxy.reset();
+  return relay.event_loop.now() - began_at;
+}
+
+void call_after(LoopbackRelay& relay, int milliseconds, std::function<void()> callback) {
+  relay.event_loop.call_at(relay.event_loop.now() + milliseconds * Micros{1000}, std::move(callback));
+}
+
+TEST(ProxyShutdown, MigratesEveryClientAndRejectsThoseThatStillCome) {
+  LoopbackRelay relay(2);
+  std::vector<EstablishedSession> sessions;
+  for (int i = 0; i < 12; ++i) sessions.push_back(relay.establish_session(std::to_string(i)));
+
+  relay.event_loop.on_terminate([&] { relay.proxy->begin_graceful_shutdown(); });
+  std::raise(SIGTERM);
+  sessions.push_back(relay.establish_session("12"));  // still served, and migrated with the rest
+
+  EXPECT_TRUE(relay.run_until([&] {
+    return std::all_of(sessions.begin(), sessions.end(),
+                       [](auto& session) { return session.client.is_ended_by_peer(); });
+  }));
+  for (auto& session : sessions) EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
+
+  TestSocket late = relay.connect_client("OPEN 9b1f 7f3a c=talk,d=1200,g=5c,x=new\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return late.is_ended_by_peer(); }));
+  EXPECT_EQ(late.received(), "BUSY\r\n");
+}
+
+TEST(ProxyShutdown, AnswersAClientWhoseRequestIsNotWhole) {
+  LoopbackRelay relay(1);
+  TestSocket slow = relay.connect_client("OPEN 1 1 c=ta");
+  TestSocket never_whole = relay.connect_client("OPEN 2 2 c");
+  ASSERT_FALSE(relay.run_until([] { return false; }, 20));
+
+  bool has_sent_the_rest = false;
+  call_after(relay, 1200, [&] {
+    EXPECT_EQ(slow.received(), "");  // it might never read an answer that comes while it writes
+    slow.send("lk,d=1200\r\n");
+    has_sent_the_rest = true;
+  });
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_TRUE(has_sent_the_rest);
+  EXPECT_EQ(slow.received(), "BUSY\r\n");
+  EXPECT_EQ(never_whole.received(), "BUSY\r\n");
+}
+
+// A client that got a connection gets an answer, to the last one that did.
+TEST(ProxyShutdown, AnswersEveryClientInTheBacklog) {
+  LoopbackRelay relay(1);
+  std::vector<TestSocket> clients;
+  std::size_t connected = 0;  // the first so many; the listener is closed to the others
+  std::function<void()> connect = [&] {
+    clients.push_back(TestSocket::connected_to(relay.port));
+    const std::string request = "OPEN " + std::to_string(clients.size()) + " 1 c=talk,d=1200\r\n";
+    connected += clients.back().send_some(request) == request.size() ? 1 : 0;
+    call_after(relay, 1, connect);
+  };
+
+  call_after(relay, 500, connect);
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  ASSERT_GT(connected, 50u);
+  for (std::size_t i = 0; i < connected; ++i)
+    EXPECT_EQ(clients[i].received(), "BUSY\r\n") << i << " of " << connected;
+}
+
+TEST(ProxyShutdown, AnswersAClientWhoseAttemptHangs) {
+  LoopbackRelay relay(1, 500,
+                      R"(,"profiles":[{"name":"talk","setup_goal":4000.0,"client_timeout":1200.0,"payoff":1.0,
+      "semantics":"idempotent"}])");
+  TestSocket client = relay.connect_client("OPEN 1 1 c=talk,d=9000\r\n");
+  TestSocket upstream = relay.accept_attempt();
+
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(client.received(), "BUSY\r\n");
+  EXPECT_TRUE(upstream.is_ended_by_peer());
+}
+
+TEST(ProxyShutdown, MigratesASessionThatIsRestoredMeanwhile) {
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("OPEN 1 5 c=talk,d=20000,at=s-0\r\n");
+  TestSocket upstream = relay.accept_attempt();
+
+  call_after(relay, 700, [&] { upstream.send("UP 9\r\n"); });
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(client.received(), "UP 9\r\nMOVE\r\n");
+}
+
+TEST(ProxyShutdown, IsNotHeldUpByAMigrationThatWaitsForTheEndOfALine) {
+  LoopbackRelay relay(1);
+  std::vector<EstablishedSession> sessions;
+  for (int i = 0; i < 4; ++i) sessions.push_back(relay.establish_session(std::to_string(i)));
+  for (const auto& session : sessions) session.upstream.send("half a li");
+
+  call_after(relay, 1600, [&] {
+    for (const auto& session : sessions) session.upstream.send_some("ne\r\n");
+  });
+  EXPECT_LT(terminate(relay), kKilledAfter);
+}
+
+TEST(ProxyShutdown, HappensOnceWhenToldTwiceAndAfterAReload) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  call_after(relay, 300, [] { std::raise(SIGTERM); });
+
+  relay.reload_config(relay.config_text(400));
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- /dev/null
+++ b/tests/proxy/reload_test.cpp
@@ -0,0 +1,92 @@
+// A new configuration on SIGHUP: sessions stay, and of two discovery servers one is followed at a time.
+#include <gtest/gtest.h>
+
+#include <string>
+#include <utility>
+
+#include "support/loopback_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+TEST(Reload, KeepsSessionsAndFollowsTheOldDiscoveryServerUntilTheNewOneSpeaks) {
+  LoopbackRelay relay(3);
+  auto session = relay.establish_session("1");
+  relay.publish_endpoints(endpoint_changes(6, {}));
+  TestSocket old_watch = std::exchange(relay.watch, TestSocket());
+  relay.discovery.close();
+
+  TestSocket next_discovery = TestSocket::listening();
+  relay.discovery = TestSocket::listening();
+  const int port_without_server = relay.discovery.port();
+  const std::string unusable_server = relay.config_text(500);
+  relay.discovery.close();
+  relay.reload_config(unusable_server);
+  EXPECT_FALSE(old_watch.is_ended_by_peer()) << port_without_server;
+
+  relay.discovery = std::move(next_discovery);
+  relay.reload_config(relay.config_text(500));
+  EXPECT_NE(relay.accept_watch().find("after=6 "), std::string::npos);
+  EXPECT_FALSE(old_watch.is_ended_by_peer());
+
+  relay.publish_endpoints(endpoint_changes(7, {}));
+  EXPECT_TRUE(relay.run_until([&] { return old_watch.is_ended_by_peer(); }));
+  session.client.send("still there\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return session.upstream.received().ends_with("still there\r\n"); }));
+
+  const std::size_t index = relay.backend_index(session.upstream);
+  relay.publish_endpoints(endpoint_changes(8, {relay.endpoint(index, "leaving")}));
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
+}
+
+TEST(Reload, AConfigurationThatCannotBeUsedLeavesTheOldOneInForce) {
+  LoopbackRelay relay(1);
+  std::string faulty = relay.config_text(500);
+  faulty.replace(faulty.find("300.0"), 5, "\"x\"");
+
+  ::testing::internal::CaptureStderr();
+  relay.reload_config(faulty);
+  relay.reload_config(faulty.substr(0, 90));
+  const std::string log = ::testing::internal::GetCapturedStderr();
+
+  EXPECT_NE(log.find("not reloaded: setting profiles.0.setup_goal"), std::string::npos) << log;
+  EXPECT_NE(log.find("not reloaded: the configuration is not JSON"), std::string::npos) << log;
+  relay.establish_session("1");
+}
+
+TEST(Reload, FollowsTheOldDiscoveryServerWhileTheNewOneAcceptsAndNeverSpeaks) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+  relay.publish_endpoints(endpoint_changes(5, {}));
+  TestSocket old_watch = std::exchange(relay.watch, TestSocket());
+  const TestSocket old_discovery = std::exchange(relay.discovery, TestSocket::listening());
+
+  relay.reload_config(relay.config_text(500));
+  relay.watch = relay.accept_from(relay.discovery);
+  EXPECT_TRUE(relay.watch);
+  relay.reload_config(relay.config_text(500));
+  EXPECT_FALSE(relay.discovery.accept());  // two reloads within a second make one call
+
+  old_watch.send(http_chunk(std::string(511, ' ') + "\n"));
+  old_watch.send(http_chunk(endpoint_changes(6, {relay.endpoint(index, "leaving")}) + "\n"));
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
+}
+
+TEST(Reload, AsksTheNewDiscoveryServerAtOnceHoweverOftenTheOldOneFailed) {
+  LoopbackRelay relay(2, 500,
+                      R"(,"balancers":300,"discovery":"on_request","invariants":{"ask_within":20000})");
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+  TestSocket old_discovery = std::exchange(relay.discovery, TestSocket::listening());
+  old_discovery.close();
+  relay.run_for(50);
+
+  relay.reload_config(relay.config_text(500));
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(index, "leaving")}));
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }, 500));
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- a/tests/support/loopback_relay.cpp
+++ b/tests/support/loopback_relay.cpp
@@ -4,10 +4,12 @@
 #include <poll.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
+#include <utility>
 
 namespace cherryrail::testing {
 namespace {
@@ -105,7 +107,30 @@
   return connection;
 }
 
-std::pair<TestSocket, TestSocket> LoopbackRelay::establish_session(const std::string& session_id) {
+TestSocket LoopbackRelay::accept_from(const TestSocket& listener, int milliseconds) {
+  TestSocket connection;
+  run_until(
+      [&] {
+        connection = listener.accept();
+        return static_cast<bool>(connection);
+      },
+      milliseconds);
+  return connection;
+}
+
+bool LoopbackRelay::has_unaccepted_attempt() const {
+  return std::any_of(backends.begin(), backends.end(), [](const TestSocket& backend) {
+    TestSocket connection = backend.accept();
+    return connection && !connection.received().empty();
+  });
+}
+
+void LoopbackRelay::expect_ended_unused(TestSocket& connection) {
+  EXPECT_TRUE(run_until([&] { return connection.is_ended_by_peer(); }));
+  EXPECT_EQ(connection.received(), "");
+}
+
+EstablishedSession LoopbackRelay::establish_session(const std::string& session_id) {
   TestSocket client = connect_client("OPEN " + session_id + " " + session_id + " c=talk,d=1200\r\n");
   TestSocket upstream = accept_attempt();
   upstream.send("UP r\r\n");
@@ -121,12 +146,7 @@
 
 std::string LoopbackRelay::accept_watch() {
   watch = TestSocket();
-  run_until(
-      [&] {
-        watch = discovery.accept();
-        return static_cast<bool>(watch);
-      },
-      3000);
+  watch = accept_from(discovery, 3000);
   run_until([&] { return watch.received().find("\r\n\r\n") != std::string::npos; });
   watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
   return watch.received();
--- a/tests/support/loopback_relay.hpp
+++ b/tests/support/loopback_relay.hpp
@@ -6,7 +6,6 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 #include "balancer/time.hpp"
@@ -22,6 +21,12 @@
 std::string endpoint_changes(int revision, const std::vector<std::string>& endpoints);
 std::string endpoint_snapshot(int revision, const std::vector<std::string>& endpoints);
 
+// The far ends of a session's two connections.
+struct EstablishedSession {
+  TestSocket client;
+  TestSocket upstream;
+};
+
 struct LoopbackRelay {
   std::vector<TestSocket> backends;
   TestSocket discovery = TestSocket::listening();
@@ -50,8 +55,13 @@
   // The connection of the next attempt at any backend, at the instant in which the relay has asked for it:
   // the relay learns at its next turn that it is up.
   TestSocket accept_connection();
-  // A client and its backend's connection, with a session established between them.
-  std::pair<TestSocket, TestSocket> establish_session(const std::string& session_id);
+  // The next connection at a listener, empty where none comes in time.
+  TestSocket accept_from(const TestSocket& listener, int milliseconds = 2000);
+  // Whether an attempt has reached a backend that the test has not accepted.
+  bool has_unaccepted_attempt() const;
+  // The relay must close this connection without having sent a byte on it.
+  void expect_ended_unused(TestSocket& connection);
+  EstablishedSession establish_session(const std::string& session_id);
   // Whose connection that is, as an index of `backends`.
   std::size_t backend_index(const TestSocket& connection) const;
 
