--- a/tests/tools/fleet_count_test.py
+++ b/tests/tools/fleet_count_test.py
@@ -1,29 +1,29 @@
 #!/usr/bin/env python3
-"""What tools/fleet_count.py reads from a fleet's logs."""
+"""What tools/fleet_count.py counts in the logs of several relays."""
 import pathlib
 import subprocess
 import sys
 import tempfile
 import unittest
 
-COUNT = pathlib.Path(__file__).resolve().parent.parent.parent / "tools" / "fleet_count.py"
-ONE = """0.1 1796126648.429 connection attempt=4 session=5f backend=81 result=timed_out duration_ms=511
+SCRIPT = pathlib.Path(__file__).resolve().parent.parent.parent / "tools" / "fleet_count.py"
+FIRST_LOG = """0.1 1796126648.429 connection attempt=4 session=5f backend=81 result=timed_out duration_ms=511
 1796126648.500 connection downstream=4 session=5f result=rejected reason=no_capacity duration_ms=511
 1796126650.100 connection downstream=5 session=60 result=rejected reason=backends_warming_up duration_ms=0
 1796126650.200 connection downstream=6 session=61 result=served duration_ms=9
 """
-TWO = """1796126648.900 connection downstream=4 session=5f result=rejected reason=no_capacity duration_ms=511
+SECOND_LOG = """1796126648.900 connection downstream=4 session=5f result=rejected reason=no_capacity duration_ms=511
 1796126650.000 balancer migrating sessions: backend 81 is draining
-not a line of ours
+not a line of the log
 """
 
 
 class FleetCount(unittest.TestCase):
-    def test_a_column_an_event_a_row_a_second(self):
+    def test_counts_events_by_second(self):
         with tempfile.TemporaryDirectory() as folder:
-            for name, text in (("n0.log", ONE), ("n1.log", TWO)):
+            for name, text in (("n0.log", FIRST_LOG), ("n1.log", SECOND_LOG)):
                 pathlib.Path(folder, name).write_text(text)
-            done = subprocess.run([sys.executable, COUNT, folder], capture_output=True, text=True, check=True)
+            done = subprocess.run([sys.executable, SCRIPT, folder], capture_output=True, text=True, check=True)
         rows = [line.split("\t") for line in done.stdout.splitlines()]
         seconds = {row[0]: dict(zip(rows[0][1:], row[1:])) for row in rows[1:]}
         self.assertEqual(seconds["0"]["downstream:no_capacity"], "2")
