Balancer: one place for the reductions, penalties' relapse and the endpoint scan; dead code goes

Cause: the split left two pairs of constants and one condition standing twice, a scan of the fleet made twice for each endpoint, and four accessors that nothing calls. Change: kSlightReduction and kDeepReduction stand once, LatencyPenalty::impose asks ended_recently, has_restarted compares the times before it scans, and the accessors are gone.

--- a/src/balancer/backend_status.cpp
+++ b/src/balancer/backend_status.cpp
@@ -15,8 +15,7 @@
 
 void LatencyPenalty::impose(Micros latency, Micros now) {
   if (!is_active(now)) {
-    const bool is_relapse = now - until_ < 4 * duration_;
-    duration_ = is_relapse ? std::min(2 * duration_, kLongestPenalty) : kShortestPenalty;
+    duration_ = ended_recently(now) ? std::min(2 * duration_, kLongestPenalty) : kShortestPenalty;
   }
   latency_ = latency;
   until_ = now + duration_;
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -25,7 +25,7 @@
   if (fleet_.has_restarted(*backend, started_at)) forget_failures(*backend);
   fleet_.record_endpoint(backend, state, size, started_at, actions_.now());
   update_state(*backend);
-  if (state == EndpointState::gone) fleet_.erase_if_gone(backend);
+  fleet_.erase_if_gone(backend);
 }
 
 void Balancer::update_state(Backend& backend) {
--- a/src/balancer/capacity.hpp
+++ b/src/balancer/capacity.hpp
@@ -64,8 +64,6 @@
  private:
   static constexpr Micros kReduceInterval = 9 * kSecond / 10;  // a second reduction sees what the first did
   static constexpr double kFewKnown = 3;                       // of fewer backends nothing is said of all
-  static constexpr double kSlightReduction = 0.93;
-  static constexpr double kDeepReduction = 0.7;
   static constexpr double kExtraReduction = 0.1;   // of a session: many round up what they shed, one cannot
   static constexpr double kUnknownCapacity = 0.5;  // of the known capacity left
 
--- a/src/balancer/capacity_limit.hpp
+++ b/src/balancer/capacity_limit.hpp
@@ -11,8 +11,6 @@
   static constexpr double kUnlimited = 1e300;
 
   bool is_limited() const { return limit_ < kUnlimited; }
-  // Whether the limit was taken over from other backends' overload, with no evidence from this one.
-  bool is_inferred() const { return is_inferred_; }
   double load_at_overload() const { return load_at_overload_; }
 
   void remove() { limit_ = kUnlimited; }
@@ -26,7 +24,7 @@
   double load_at_overload_ = 0;  // what the backend held when overload began
   Micros reduced_at_ = 0;
   Micros spare_capacity_reported_at_ = 0;  // its latest report of a utilization that is not high
-  bool is_inferred_ = false;
+  bool is_inferred_ = false;  // taken over from other backends' overload, with no evidence from this one
 };
 
 }  // namespace cherryrail
--- a/src/balancer/fleet.cpp
+++ b/src/balancer/fleet.cpp
@@ -67,7 +67,7 @@
 }
 
 bool Fleet::has_restarted(const Backend& backend, Micros started_at) const {
-  return contains(backend) && started_at > backend.reported_started_at;
+  return started_at > backend.reported_started_at && contains(backend);
 }
 
 void Fleet::record_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
--- a/src/balancer/fleet.hpp
+++ b/src/balancer/fleet.hpp
@@ -56,7 +56,6 @@
   void mark_migration_queued(Session& session);
 
   std::size_t session_count() const { return session_count_; }
-  std::size_t established_count() const { return established_count_; }
   std::size_t migration_queued_count() const { return migration_queued_count_; }
   // Established sessions that are not waiting to migrate.
   std::size_t settled_count() const { return established_count_ - migration_queued_count_; }
--- a/src/balancer/load_figures.hpp
+++ b/src/balancer/load_figures.hpp
@@ -9,6 +9,11 @@
 constexpr double kFullUtilization = 0.8;
 constexpr double kOverloadUtilization = 0.9;
 
+// What a capacity limit keeps of the load: where messages are past the shortest objective, and past twice the
+// longest.
+constexpr double kSlightReduction = 0.93;
+constexpr double kDeepReduction = 0.7;  // the most at once
+
 // Over the ready backends that are neither ejected nor late by themselves, where nothing else is said.
 struct FleetLoad {
   double new_session_rate = 0;  // a microsecond, in the long run
--- a/src/balancer/load_shedding.hpp
+++ b/src/balancer/load_shedding.hpp
@@ -32,10 +32,6 @@
     std::tuple<bool, bool, double> stays_by;
   };
 
-  static constexpr double kSlightReduction =
-      0.93;  // of the load, where messages are past the shortest objective
-  static constexpr double kDeepReduction = 0.7;  // past twice the longest; the most at once
-
   void handle_overload(Backend& backend, double share);
   void shed_excess_load(Backend& backend);
   // In the order in which they stay.
--- a/src/balancer/outlier_status.hpp
+++ b/src/balancer/outlier_status.hpp
@@ -17,7 +17,6 @@
   bool is_unresponsive() const { return is_unresponsive_; }
   // The sequential test's log odds that it fails by itself, and not as its peers do.
   double failure_log_odds() const { return failure_log_odds_; }
-  unsigned consecutive_no_responses() const { return consecutive_no_responses_; }
   Micros last_response_at() const { return last_response_at_; }
   // Failures in the latest two seconds.
   double recent_failures(Micros now) const { return failures_.sum(now, 2); }
--- a/src/balancer/token_bucket.hpp
+++ b/src/balancer/token_bucket.hpp
@@ -10,7 +10,6 @@
   TokenBucket(double capacity, double tokens) : capacity_(capacity), tokens_(tokens) {}
 
   double tokens() const { return tokens_; }
-  double capacity() const { return capacity_; }
   void add(double tokens) { tokens_ = std::min(capacity_, tokens_ + tokens); }
   void take_one() { tokens_ -= 1; }
   void set(double tokens) { tokens_ = std::clamp(tokens, 0.0, capacity_); }
