--- a/src/protocol/backend_reply.cpp
+++ b/src/protocol/backend_reply.cpp
@@ -1,5 +1,6 @@
 #include "protocol/backend_reply.hpp"
 
+#include <array>
 #include <utility>
 
 #include "protocol/text_fields.hpp"
@@ -7,10 +8,14 @@
 namespace cherryrail::protocol {
 namespace {
 
-constexpr std::pair<std::string_view, ReplyKind> kReplyWords[] = {
-    {"UP", ReplyKind::up},     {"BYE", ReplyKind::bye},   {"MOVE", ReplyKind::move},
-    {"ERR", ReplyKind::error}, {"BUSY", ReplyKind::busy}, {"LOAD", ReplyKind::load},
-    {"PONG", ReplyKind::pong}};
+constexpr auto kReplyWords =
+    std::to_array<std::pair<std::string_view, ReplyKind>>({{"UP", ReplyKind::up},
+                                                           {"BYE", ReplyKind::bye},
+                                                           {"MOVE", ReplyKind::move},
+                                                           {"ERR", ReplyKind::error},
+                                                           {"BUSY", ReplyKind::busy},
+                                                           {"LOAD", ReplyKind::load},
+                                                           {"PONG", ReplyKind::pong}});
 
 }  // namespace
 
