--- a/src/protocol/open_request.hpp
+++ b/src/protocol/open_request.hpp
@@ -25,6 +25,7 @@
   explicit OpenRequest(std::string_view line);
   OpenRequest(const OpenRequest&) = delete;
   OpenRequest& operator=(const OpenRequest&) = delete;
+  ~OpenRequest() = default;
 
   // Empty if the line has the form of an open request. The fields' values are not checked here.
   std::optional<OpenRequestFault> fault() const { return fault_; }
