--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,151 @@
+#!/usr/bin/env python3
+"""A randomized fault soak: real relay processes on loopback, several troubles at once, and an oracle of the rules.
+
+    tests/soak/soak.py --seed 1 --count 5
+
+plays the seeds 1 to 5, one after the other, and exits with 1 if a rule was broken on any of them. The seed draws the
+site's settings, the troubles and the clients; the machine's own timing is not drawn, so a seed that fails may need
+some plays to fail again. The journal of each play stays in its folder, which is printed where it failed.
+"""
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import shutil
+import sys
+import tempfile
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent))
+
+from clients import Clients  # noqa: E402
+from oracle import Oracle  # noqa: E402
+from relays import Relay  # noqa: E402
+from troubles import Troubles  # noqa: E402
+from world import World  # noqa: E402
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+RATE = 60.0  # clients a second, over all relays
+BACKENDS = 10
+USUAL_UTILIZATION = 0.25
+CLOSING_TIME = 7.0  # after the last trouble: what is owed comes in this time
+
+
+def draw_settings(rng, relay_count):
+    """A site's settings, as a relay finds them in its configuration."""
+    window_ms = rng.choice([700, 1500, 5000])
+    profiles = [
+        {"name": "talk", "semantics": "idempotent", "payoff": 1, "setup_goal": 250, "client_timeout": 1400},
+        {"name": "once", "semantics": "at_most_once", "payoff": 3, "setup_goal": 250, "client_timeout": 1600},
+        {"name": "keyed", "semantics": "deduplicated", "key_scope": "all", "window": window_ms, "payoff": 2,
+         "setup_goal": 250, "client_timeout": 1600}]
+    return {
+        "balancers": relay_count, "zone": 0, "zones": ["a", "b"], "step": 1.0, "discovery": "on_request",
+        "permissions": {"max_setups": rng.choice([2, 3, 5]), "may_cancel": rng.random() < 0.7, "connect_timeout": 120,
+                        "probing": rng.random() < 0.5, "retry_after": rng.random() < 0.5, "max_retry_after": 1000},
+        "invariants": {"warm_up": 4000, "fall": 1500, "fall_multiple": 3, "cold_from": 0.33, "ask_within": 10000,
+                       "stop_sending_within": 500, "answer_slack": 8},
+        "profiles": profiles}
+
+
+def rules_of(settings, loop):
+    """The figures by which the oracle judges, in seconds."""
+    invariants = settings["invariants"]
+    window = invariants["fall"] / 1000
+    return {
+        "drain_grace": invariants["stop_sending_within"] / 1000, "window": settings["profiles"][2]["window"] / 1000,
+        "overload_window": window, "overload_factor": invariants["fall_multiple"],
+        "initial_factor": invariants["cold_from"], "warm_up": invariants["warm_up"] / 1000,
+        "capacity_in_window": RATE * window / BACKENDS / USUAL_UTILIZATION, "call_later": loop.call_later}
+
+
+def note_exception(loop, context, world):
+    """A fault of the soak itself counts as a violation; connections that are cancelled at the end do not."""
+    exception = context.get("exception")
+    if isinstance(exception, asyncio.CancelledError) or world.is_over():
+        return
+    loop.default_exception_handler(context)
+    if world.oracle:
+        world.oracle.violate("the soak itself", f"{context.get('message')}: {exception!r}")
+
+
+async def play(seed, options, report):
+    """Plays one seed: the oracle, with all that it found."""
+    world = World(seed, BACKENDS)
+    world.loop.set_exception_handler(lambda loop, context: note_exception(loop, context, world))
+    world.began_at = world.now()
+    settings = draw_settings(world.rng, options.relays)
+    world.oracle = Oracle(rules_of(settings, world.loop), world.now, lambda: world.lateness, report)
+    longest_timeout = max(profile["client_timeout"] for profile in settings["profiles"]) / 1000
+    lateness = asyncio.create_task(world.measure_lateness())
+    await world.start()
+    world.relays = [Relay(world, index, options, settings, longest_timeout) for index in range(options.relays)]
+    for relay in world.relays:
+        await relay.prepare()
+        relay.start()
+    clients = Clients(world, RATE)
+    arrivals = asyncio.create_task(clients.run())
+    try:
+        await asyncio.sleep(1.5)
+        await Troubles(world, clients, report).run(options.seconds, options.gap)
+        arrivals.cancel()
+        await asyncio.sleep(CLOSING_TIME)
+    finally:
+        for task in [lateness, arrivals, *clients.tasks]:
+            task.cancel()
+        world.end()
+        for relay in world.relays:
+            relay.stop_all()
+            relay.check_logs()
+    return world.oracle
+
+
+def play_seed(seed, options):
+    """One seed in a folder of its own; whether all rules held."""
+    options.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"cherryrail-soak-{seed}-"))
+    journal = open(options.folder / "journal.txt", "w", buffering=1)
+
+    def report(line):
+        print(line, file=journal)
+        if line.startswith("VIOLATION") or options.verbose:
+            print(f"  {line[:300]}", flush=True)
+
+    oracle = asyncio.run(play(seed, options, report))
+    for name, count in sorted(oracle.counts.items()):
+        report(f"{count:7} {name}")
+    journal.close()
+    answers = ", ".join(f"{word} {oracle.counts['answer ' + word]}" for word in ("UP", "BUSY", "ERR"))
+    print(f"seed {seed}: {oracle.counts['requests']} requests ({answers}), {oracle.counts['attempts']} attempts, "
+          f"{oracle.counts['starts']} processes, {len(oracle.violations)} violations", flush=True)
+    if oracle.violations:
+        print(f"  its journal and logs: {options.folder}")
+    else:
+        shutil.rmtree(options.folder)
+    return not oracle.violations and oracle.counts["answer UP"] > 0
+
+
+def parse_arguments():
+    parser = argparse.ArgumentParser(description="A randomized fault soak of real relay processes.")
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--count", type=int, default=1, help="how many seeds")
+    parser.add_argument("--seconds", type=float, default=20, help="how long troubles go on")
+    parser.add_argument("--gap", type=float, default=0.5, help="the mean time between two troubles, in seconds")
+    parser.add_argument("--relays", type=int, default=12, help="how many relays")
+    parser.add_argument("--relay", default=ROOT / "build" / "cherryrail", help="the program")
+    parser.add_argument("--shim", default=ROOT / "build-tests" / "libcherryrail_fault_shim.so", type=pathlib.Path)
+    parser.add_argument("--verbose", action="store_true", help="print the troubles, too")
+    return parser.parse_args()
+
+
+def main():
+    options = parse_arguments()
+    for path in (options.relay, options.shim):
+        if not pathlib.Path(path).exists():
+            sys.exit(f"{path} is not there: build it first (make build, and the tests' build folder)")
+    with contextlib.suppress(KeyboardInterrupt):
+        failed = [seed for seed in range(options.seed, options.seed + options.count) if not play_seed(seed, options)]
+        print(f"{options.count - len(failed)} passed, {len(failed)} failed")
+        sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
