The log neither throws nor waits: a line that is not taken at once is left out

Cause: Log::emit used fmt::print, which throws std::system_error when its stream takes nothing (ENOSPC, EIO, EPIPE, EAGAIN). Thrown from within a step it left objects half closed; the loop's handler then logged the failure, threw again, and crossed GLib's frames: the process ended. At start it ended with exit code 1. A pipe that nobody reads would have held the whole relay up in a blocking write.

Change: one poll, then one write of the whole line; what fails is counted and noted with the next line that gets through. The rate limit uses the steady clock, so that a wall clock set back does not empty it.

--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -17,7 +17,9 @@
 
 // Writes "SECONDS.MILLISECONDS TOPIC TEXT" lines to standard error. Each topic may write a burst of 500 lines
 // and 100 a second in the long run, so that a storm of events does not cost the time that sessions need; what
-// is over the rate is counted, and the next line that gets through tells how many were left out. The event
+// is over the rate is counted, and the next line that gets through tells how many were left out. A line that
+// standard error does not take at once (a full disk, a pipe that nobody reads) is left out as well: the log
+// neither throws nor waits. The event
 // loop owns the log of its process; it is used from that thread alone.
 class Log {
  public:
@@ -28,11 +30,18 @@
     emit(topic, fmt::format(form, std::forward<Values>(values)...));
   }
 
+  // Lines that standard error has not taken since the start.
+  std::uint64_t lost_lines() const { return lost_lines_; }
+
  private:
+  // Lines of one topic at once, and in the long run: enough to follow a relay's usual day line by line.
+  static constexpr double kBurst = 500;
+  static constexpr double kLinesPerSecond = 100;
+
   // A token bucket for one topic.
   struct RateLimit {
-    double lines = 0;          // that may be written now
-    double refilled_at = 0;    // in seconds of Unix time; at first so long ago that the bucket fills up
+    double lines = kBurst;     // that may be written now
+    double refilled_at = 0;    // in seconds of the steady clock
     std::size_t left_out = 0;  // lines since the last one that got through
   };
 
@@ -40,6 +49,7 @@
   void emit(Topic topic, std::string_view text);
 
   std::array<RateLimit, kTopicCount> limits_{};
+  std::uint64_t lost_lines_ = 0;
 };
 
 }  // namespace cherryrail::net
--- a/tests/net/log_test.cpp
+++ b/tests/net/log_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <array>
 #include <string>
 
 #include "support/loopback_relay.hpp"
@@ -20,6 +21,31 @@
   EXPECT_NO_THROW(log.write(net::Topic::error, "nobody can read this"));
 }
 
+// A pipe whose reader has stopped: a write would wait for it, and the relay with it.
+TEST(Log, AFullPipeUnderItHoldsNothingUpAndTheNextLineTellsWhatIsMissing) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(pipe(ends.data()), 0);
+  net::Log log;
+  const std::string line(1000, 'x');
+  std::string received(1 << 17, '\0');
+
+  {
+    const RedirectedStderr to_pipe(dup(ends[1]));
+    for (int i = 0; i < 200; ++i) log.write(net::Topic::error, "{}", line);
+    EXPECT_GT(log.lost_lines(), 0u);
+    EXPECT_GT(read(ends[0], received.data(), received.size()), 0);
+    log.write(net::Topic::error, "the reader is back");
+  }
+  const ssize_t size = read(ends[0], received.data(), received.size());
+  close(ends[0]);
+  close(ends[1]);
+
+  ASSERT_GT(size, 0);
+  received.resize(static_cast<std::size_t>(size));
+  const std::string note = fmt::format("({} lines left out before)", log.lost_lines());
+  EXPECT_NE(received.find("the reader is back " + note), std::string::npos) << received.substr(0, 200);
+}
+
 TEST(Log, ClientsAreServedWhileItCannotBeWritten) {
   const RedirectedStderr full(open("/dev/full", O_WRONLY));
   LoopbackRelay relay(1);
