--- a/tests/proxy/proxy_shutdown_test.cpp
+++ b/tests/proxy/proxy_shutdown_test.cpp
@@ -2,11 +2,13 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <csignal>
 #include <functional>
 #include <string>
 #include <vector>
 
+#include "support/fault_plan.hpp"
 #include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
@@ -88,6 +90,40 @@
     EXPECT_EQ(clients[i].received(), "BUSY\r\n") << i << " of " << connected;
 }
 
+// The relay stops accepting some 730 ms after SIGTERM and ends 100 ms later. Whoever waits in the backlog
+// while the system has no descriptor left is answered in between.
+TEST(ProxyShutdown, AnswersTheBacklogThoughAcceptFailsAtTheEnd) {
+  for (const int error : {ENFILE, ENOBUFS}) {
+    const FaultPlanScope scope;
+    LoopbackRelay relay(1);
+    std::vector<TestSocket> clients;
+
+    call_after(relay, 600, [&] {
+      fault_plan().accept.error_number = error;
+      fault_plan().accept.per_mille = 1000;
+      for (int i = 0; i < 5; ++i)
+        clients.push_back(relay.connect_client("OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n"));
+    });
+    call_after(relay, 770, [] { fault_plan().accept.error_number = 0; });
+    EXPECT_LT(terminate(relay), kKilledAfter);
+
+    ASSERT_EQ(clients.size(), 5u);
+    for (TestSocket& client : clients) EXPECT_EQ(client.received(), "BUSY\r\n") << error;
+  }
+}
+
+// A process that follows another has its clients from the first moment, and may be told to stop at once.
+TEST(ProxyShutdown, AnswersClientsThatConnectedBeforeItAccepted) {
+  LoopbackRelay relay(1, 500,
+                      R"(,"discovery":"pushed","invariants":{"warm_up":9000,"fall":3000,
+      "stop_sending_within":400})");
+  TestSocket client = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(client.received(), "BUSY\r\n");
+}
+
 TEST(ProxyShutdown, AnswersAClientWhoseAttemptHangs) {
   LoopbackRelay relay(1, 500,
                       R"(,"profiles":[{"name":"talk","setup_goal":4000.0,"client_timeout":1200.0,"payoff":1.0,
