A shutdown answers all of the backlog, though accepting fails or had not begun

Cause: Listener::close took any failure of accept for an empty queue and closed the socket over the clients behind it (ECONNABORTED concerns one connection, ENFILE and ENOBUFS pass); and it accepted nobody if SIGTERM came before the relay had begun to accept (the wait for the first pushed list), as when a process that follows another is told to stop at once. Those clients had written their request; they were reset.

Change: accept's failures are told apart; a lost connection costs nobody else anything, want of descriptors is tried again every 5 ms while the last answers go out, and whoever is accepted by then is answered. A relay that is told to stop begins to accept at once, unless the platform holds the socket for the next process.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -1,5 +1,8 @@
 #include "net/listener.hpp"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <stdexcept>
 #include <string>
 #include <utility>
@@ -11,6 +14,8 @@
 
 // So long nothing is accepted once that has failed, as it does with no descriptor left.
 constexpr Micros kAcceptPause = 20'000;
+// The same while the socket is about to be closed.
+constexpr Micros kDrainPause = 5'000;
 
 // A whole fleet's clients may reconnect within one round of the loop.
 constexpr int kBacklog = 4096;
@@ -43,33 +48,48 @@
   if (watch_) watch_->set_interest(is_accepting, false);
 }
 
-void Listener::close() {
-  bool may_be_more = true;
-  while (may_be_more) may_be_more = accept_some();
-  watch_.reset();
-  socket_.reset();
+// Whoever has connected counts as accepted, also if accepting fails just now.
+void Listener::close_once_drained(Micros latest) {
+  if (!socket_) return;
+  const AcceptResult result = accept_until_stopped(kBacklog);
+  if (result != AcceptResult::out_of_resources || event_loop_.now() >= latest) {
+    watch_.reset();
+    socket_.reset();
+    return;
+  }
+  watch_->set_interest(false, false);
+  event_loop_.call_at(event_loop_.now() + kDrainPause, [this, latest, alive = std::weak_ptr<bool>(alive_)] {
+    if (!alive.expired()) close_once_drained(latest);
+  });
+}
+
+void Listener::accept_some() {
+  if (!is_accepting_) return;
+  if (accept_until_stopped(kAcceptBatch) == AcceptResult::out_of_resources) pause();
 }
 
-// Whether more may be waiting.
-bool Listener::accept_some() {
-  for (int i = 0; i < kAcceptBatch && is_accepting_; ++i) {
-    if (!accept_one()) return false;
+// The first result after which accepting at once makes no sense, or that of the last of so many.
+Listener::AcceptResult Listener::accept_until_stopped(int most) {
+  AcceptResult result = AcceptResult::none_waiting;
+  for (int i = 0; i < most && socket_; ++i) {
+    result = accept_one();
+    if (result == AcceptResult::none_waiting || result == AcceptResult::out_of_resources) break;
   }
-  return is_accepting_;
+  return result;
 }
 
-bool Listener::accept_one() {
-  GlibError error;
-  SocketPtr socket(g_socket_accept(socket_.get(), nullptr, error.out()));
-  if (socket) {
-    on_accepted_(std::move(socket));
-    return true;
-  }
-  if (!error.is_would_block()) {
-    event_loop_.log().write(Topic::error, "cannot accept a connection: {}", error.message());
-    pause();
+// GIO's own call does not tell a connection that was reset in the queue from a want of descriptors.
+Listener::AcceptResult Listener::accept_one() {
+  const int fd = accept4(g_socket_get_fd(socket_.get()), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+  if (fd >= 0) {
+    on_accepted_(adopt_socket(fd));
+    return AcceptResult::accepted;
   }
-  return false;
+  const int error = errno;
+  if (error == EAGAIN || error == EWOULDBLOCK) return AcceptResult::none_waiting;
+  event_loop_.log().write(Topic::error, "cannot accept a connection: {}", g_strerror(error));
+  const bool is_resource = error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM;
+  return is_resource ? AcceptResult::out_of_resources : AcceptResult::connection_lost;
 }
 
 // With no descriptor left the socket stays ready, and the loop would spin on it.
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -1,6 +1,7 @@
 // A listening TCP socket on the event loop.
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -23,12 +24,21 @@
 
   // While it does not accept, connections wait in the kernel's queue.
   void set_accepting(bool is_accepting);
-  // Hands on what has connected by now, and closes the socket.
-  void close();
+  // Hands on what has connected by now, and closes the socket. Where the system cannot give a descriptor now,
+  // tries again until `latest`.
+  void close_once_drained(Micros latest);
 
  private:
-  bool accept_some();
-  bool accept_one();
+  enum class AcceptResult : std::uint8_t {
+    accepted,
+    connection_lost,  // of that connection alone; the next one may be sound
+    none_waiting,
+    out_of_resources,  // of the process or the system
+  };
+
+  void accept_some();
+  AcceptResult accept_until_stopped(int most);
+  AcceptResult accept_one();
   void pause();
 
   EventLoop& event_loop_;
--- a/src/proxy/downstream_listener.cpp
+++ b/src/proxy/downstream_listener.cpp
@@ -30,6 +30,9 @@
     return;
   }
   add_pending_client(std::move(socket), "", 0);
+  if (!is_shutting_down_) return;
+  const auto accepted = clients_.find(last_number_);
+  if (accepted != clients_.end()) accepted->second->shut_down();
 }
 
 DownstreamListener::ClientPtr DownstreamListener::add_client() {
@@ -88,11 +91,12 @@
 
 // A client that has written its line to this machine counts as accepted, though nobody may have read it yet
 // or even accepted its connection: what the process holds when it stops is cut off without an answer.
-void DownstreamListener::shut_down(bool has_successor) {
+void DownstreamListener::shut_down(bool has_successor, Micros latest) {
   if (has_successor) {
     listener_.set_accepting(false);
   } else {
-    listener_.close();
+    is_shutting_down_ = true;
+    listener_.close_once_drained(latest);
   }
   for (const auto& client : all_clients()) client->shut_down();
 }
--- a/src/proxy/downstream_listener.hpp
+++ b/src/proxy/downstream_listener.hpp
@@ -34,9 +34,9 @@
   DownstreamListener& operator=(const DownstreamListener&) = delete;
 
   void set_accepting(bool wanted) { listener_.set_accepting(wanted); }
-  // The process stops: every client that has connected is answered or its session migrated. Nobody is
-  // accepted any more; without a successor the socket is closed, too.
-  void shut_down(bool has_successor);
+  // The process stops: every client that has connected is answered or its session migrated. Without a
+  // successor those in the kernel's queue are, too, by `latest`, and the socket is closed.
+  void shut_down(bool has_successor, Micros latest);
 
   std::size_t session_count() const;  // established or waiting for a backend
   bool is_empty() const { return clients_.empty(); }
@@ -79,6 +79,7 @@
   std::deque<std::weak_ptr<net::Connection>> closing_;  // answered; the client may still have to read it
   std::uint64_t last_number_ = 0;
   bool is_rejecting_pending_ = false;
+  bool is_shutting_down_ = false;
   net::Listener listener_;  // last: it uses the rest
 };
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -214,6 +214,8 @@
 
 void ProxyServer::begin_graceful_shutdown() {
   if (shutdown_->has_begun()) return;
+  // Clients may have connected already. A socket that the platform holds keeps them for the next process.
+  if (!has_inherited_listener_) start_accepting();
   shutdown_->begin();
   event_loop_.log().write(net::Topic::lifecycle, "shutting down: {} sessions to migrate",
                           downstream_->session_count());
--- a/src/proxy/shutdown_sequence.cpp
+++ b/src/proxy/shutdown_sequence.cpp
@@ -18,6 +18,8 @@
 constexpr Micros kCheckInterval = kEmptyPeriod / 10;
 // How long the last lines have to go out, and a line that has begun to end.
 constexpr Micros kFlushTime = kSecond / 10;
+// Of that, what the answer to the last client that is accepted needs.
+constexpr Micros kLastAnswerTime = kFlushTime / 5;
 
 }  // namespace
 
@@ -57,9 +59,9 @@
 }
 
 void ShutdownSequence::stop() {
-  const Micros now = event_loop_.now();
-  downstream_.shut_down(has_successor_);
-  event_loop_.call_at(now + kFlushTime, [this] {
+  const Micros quit_at = event_loop_.now() + kFlushTime;
+  downstream_.shut_down(has_successor_, quit_at - kLastAnswerTime);
+  event_loop_.call_at(quit_at, [this] {
     const bool is_timeout = downstream_.session_count() > 0;
     event_loop_.log().write(net::Topic::lifecycle, "stopping: {}",
                             is_timeout ? "shutdown timeout" : "no session left");
--- a/tests/net/listener_test.cpp
+++ b/tests/net/listener_test.cpp
@@ -28,7 +28,7 @@
 
   fault_plan().accept.error_number = ECONNABORTED;
   fault_plan().accept.remaining = 2;
-  listener.close();
+  listener.close_once_drained(event_loop.now());
 
   EXPECT_EQ(accepted, 3);
 }
