--- a/src/admin/handover_codec.cpp
+++ b/src/admin/handover_codec.cpp
@@ -26,6 +26,7 @@
 constexpr const char* kHealthCheckTokensKey = "purse";
 constexpr const char* kRecentRetriesKey = "further";
 constexpr const char* kBackendsKey = "backends";
+constexpr const char* kClockOriginKey = "clock_origin";  // earlier builds neither send nor read it
 
 // No client waits longer for a line; a larger figure comes from a process whose clock is wrong.
 constexpr Micros kLongestWait = 60'000'000;
@@ -77,13 +78,15 @@
 json encode_state(const StateSnapshot& state) {
   json backends = json::array();
   for (const BackendSnapshot& backend : state.backends) backends.push_back(encode_backend(backend));
-  return {{kStartedAtKey, state.balancer_started_at},
-          {kAdmissionSlotsFromKey, state.admission_slots_from},
-          {kOverloadedUntilKey, state.general_overload_until},
-          {kNewSessionsKey, state.new_sessions},
-          {kHealthCheckTokensKey, state.health_check_tokens},
-          {kRecentRetriesKey, state.recent_retries},
-          {kBackendsKey, std::move(backends)}};
+  json map = {{kStartedAtKey, state.balancer_started_at},
+              {kAdmissionSlotsFromKey, state.admission_slots_from},
+              {kOverloadedUntilKey, state.general_overload_until},
+              {kNewSessionsKey, state.new_sessions},
+              {kHealthCheckTokensKey, state.health_check_tokens},
+              {kRecentRetriesKey, state.recent_retries},
+              {kBackendsKey, std::move(backends)}};
+  if (state.clock_origin > 0) map[kClockOriginKey] = state.clock_origin;
+  return map;
 }
 
 StateSnapshot decode_state(const json& map) {
@@ -94,6 +97,7 @@
   map.at(kNewSessionsKey).get_to(state.new_sessions);
   map.at(kHealthCheckTokensKey).get_to(state.health_check_tokens);
   state.recent_retries = map.value(kRecentRetriesKey, 0.0);  // earlier builds do not send it
+  state.clock_origin = map.value(kClockOriginKey, Micros{0});
   for (const json& backend : map.at(kBackendsKey)) state.backends.push_back(decode_backend(backend));
   return state;
 }
--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -19,6 +19,8 @@
   virtual ~BalancerActions() = default;
 
   virtual Micros now() const = 0;
+  // How far the system's wall clock, by which other machines state times, has been stepped since the start.
+  virtual Micros wall_clock_step() const { return 0; }
   // Sends the session's open request to a backend and gives it up after `timeout`.
   virtual void start_attempt(Session& session, Backend& backend, Micros timeout) = 0;
   // Ends the attempt that is under way: nobody waits for it any longer.
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -4,6 +4,8 @@
 #include <string>
 #include <utility>
 
+#include "balancer/start_time.hpp"
+
 namespace cherryrail {
 namespace {
 
@@ -23,7 +25,9 @@
 void Balancer::update_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
                                Micros started_at) {
   if (fleet_.has_restarted(*backend, started_at)) forget_failures(*backend);
-  fleet_.record_endpoint(backend, state, size, started_at, actions_.now());
+  const Micros now = actions_.now();
+  const BackendStart start{started_at, local_start_time(started_at, actions_.wall_clock_step(), now)};
+  fleet_.record_endpoint(backend, state, size, start, now);
   update_state(*backend);
   fleet_.erase_if_gone(backend);
 }
@@ -50,7 +54,8 @@
     backend.disabled_at = actions_.now();
   } else {
     // It was most likely restarted meanwhile: it warms up, unless discovery told of a start since.
-    if (backend.reported_started_at < backend.disabled_at) backend.slow_start.set_started_at(actions_.now());
+    if (backend.slow_start.started_at() < backend.disabled_at)
+      backend.slow_start.set_started_at(actions_.now());
     forget_failures(backend);
   }
   update_state(backend);
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -45,7 +45,8 @@
   bool is_shutting_down() const { return placement_.is_stopped(); }
 
   // The endpoint list. The caller makes one Backend for each name and then changes it only through these.
-  // `size` is the capacity relative to other backends, `started_at` the backend's latest start (0: long ago).
+  // `size` is the capacity relative to other backends, `started_at` the backend's latest start by the wall
+  // clock (0: long ago).
   void update_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
                        Micros started_at);
   void set_disabled(Backend& backend, bool is_disabled);
--- a/src/balancer/fleet.cpp
+++ b/src/balancer/fleet.cpp
@@ -66,21 +66,22 @@
   return std::any_of(backends_.begin(), backends_.end(), is_same);
 }
 
-bool Fleet::has_restarted(const Backend& backend, Micros started_at) const {
-  return started_at > backend.reported_started_at && contains(backend);
+// A restart may be stated with an earlier time than the start before it, if the wall clock was set back.
+bool Fleet::has_restarted(const Backend& backend, Micros reported_started_at) const {
+  return reported_started_at > 0 && reported_started_at != backend.reported_started_at && contains(backend);
 }
 
 void Fleet::record_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
-                            Micros started_at, Micros now) {
+                            const BackendStart& start, Micros now) {
   const bool is_known = contains(*backend);
   if (!is_known && state != EndpointState::gone) backends_.push_back(backend);
   backend->name_hash = mix_hash(backend->name + kNameSalt);
   backend->size = size > 0 ? size : 0;
   backend->reported_state = state;
   if (!is_known && backend->disabled_by_operator) backend->disabled_at = now;
-  if (is_known && started_at == backend->reported_started_at) return;
-  backend->slow_start.set_started_at(started_at);
-  backend->reported_started_at = started_at;
+  if (is_known && start.reported == backend->reported_started_at) return;
+  backend->slow_start.set_started_at(start.local);
+  backend->reported_started_at = start.reported;
 }
 
 std::shared_ptr<Backend> Fleet::find(std::uint64_t name) const {
--- a/src/balancer/fleet.hpp
+++ b/src/balancer/fleet.hpp
@@ -34,6 +34,13 @@
   double unit_ = 1;  // reported load for one unit of priority share
 };
 
+// When a backend started: as discovery states it, which tells one start from another, and by this process's
+// clock, which tells how long ago that was. 0: long ago.
+struct BackendStart {
+  Micros reported = 0;
+  Micros local = 0;
+};
+
 class Fleet {
  public:
   explicit Fleet(const BalancerParameters& parameters);
@@ -42,11 +49,11 @@
   const std::vector<std::shared_ptr<Backend>>& backends() const { return backends_; }
   bool contains(const Backend& backend) const;
   std::shared_ptr<Backend> find(std::uint64_t name) const;
-  // Whether discovery tells of a later start of a backend that it told of before.
-  bool has_restarted(const Backend& backend, Micros started_at) const;
+  // Whether discovery tells of another start of a backend that it told of before.
+  bool has_restarted(const Backend& backend, Micros reported_started_at) const;
   // Takes in what discovery tells of a backend, and adds it if it is new.
   void record_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
-                       Micros started_at, Micros now);
+                       const BackendStart& start, Micros now);
   void erase_if_gone(const std::shared_ptr<Backend>& backend);
 
   // A session is held by a backend from the start of its attempt to the end of that, or of the session.
--- a/src/balancer/state_snapshot.cpp
+++ b/src/balancer/state_snapshot.cpp
@@ -1,8 +1,30 @@
 #include "balancer/state_snapshot.hpp"
 
+#include <limits>
+
 #include "balancer/balancer.hpp"
 
 namespace cherryrail {
+namespace {
+
+// 0 stands for never, or for long ago, on any clock, and what is this far ahead for always.
+constexpr Micros kAlways = std::numeric_limits<Micros>::max() / 2;
+
+void shift_time(Micros& time, Micros shift) {
+  if (time > 0 && time < kAlways) time += shift;
+}
+
+}  // namespace
+
+void shift_times(StateSnapshot& snapshot, Micros shift) {
+  shift_time(snapshot.balancer_started_at, shift);
+  shift_time(snapshot.admission_slots_from, shift);
+  shift_time(snapshot.general_overload_until, shift);
+  for (BackendSnapshot& backend : snapshot.backends) {
+    shift_time(backend.started_at, shift);
+    shift_time(backend.capacity_reduced_at, shift);
+  }
+}
 
 StateSnapshot Balancer::export_state() {
   StateSnapshot snapshot;
--- a/src/balancer/state_snapshot.hpp
+++ b/src/balancer/state_snapshot.hpp
@@ -24,6 +24,7 @@
   unsigned admitted_in_slot = 0;
 };
 
+// Times are by the clock of the process that took the snapshot, but for `reported_started_at`.
 struct StateSnapshot {
   Micros balancer_started_at = 0;
   Micros admission_slots_from = 0;
@@ -32,6 +33,10 @@
   double health_check_tokens = 0;
   double recent_retries = 0;  // within the retry budget's last window
   std::vector<BackendSnapshot> backends;
+  Micros clock_origin = 0;  // Unix time at which that clock's steady part was 0; 0: not known
 };
 
+// Moves all times by `shift`: from the clock of the process that took the snapshot to that of another.
+void shift_times(StateSnapshot& snapshot, Micros shift);
+
 }  // namespace cherryrail
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -57,8 +57,7 @@
 EventLoop::EventLoop()
     : main_loop_(g_main_loop_new(nullptr, FALSE)), io_source_(*this, &EventLoop::dispatch_io),
       timer_source_(*this, &EventLoop::dispatch_timers),
-      unix_time_offset_(clock_micros<std::chrono::system_clock>() -
-                        clock_micros<std::chrono::steady_clock>()) {
+      clock_origin_(clock_micros<std::chrono::system_clock>() - clock_micros<std::chrono::steady_clock>()) {
   // GLib's own poll would walk every socket in every round, so it gets one descriptor that stands for all.
   g_source_add_unix_fd(io_source_.get(), poller_.descriptor(), G_IO_IN);
   std::signal(SIGPIPE, SIG_IGN);  // NOLINT(cert-err33-c): a socket without a reader is found out by the write
@@ -74,7 +73,9 @@
   sigprocmask(SIG_UNBLOCK, &handled_signals_, nullptr);
 }
 
-Micros EventLoop::now() const { return clock_micros<std::chrono::steady_clock>() + unix_time_offset_; }
+Micros EventLoop::now() const { return clock_micros<std::chrono::steady_clock>() + clock_origin_; }
+
+Micros EventLoop::wall_clock_step() const { return clock_micros<std::chrono::system_clock>() - now(); }
 
 void EventLoop::call_at(Micros when, Callback callback) {
   const bool is_earliest = timers_.empty() || when < timers_.begin()->first;
@@ -89,7 +90,7 @@
 
 void EventLoop::arm_timer_source() {
   gint64 ready_time = kNever;
-  if (!timers_.empty()) ready_time = std::max(kAtOnce, timers_.begin()->first - unix_time_offset_);
+  if (!timers_.empty()) ready_time = std::max(kAtOnce, timers_.begin()->first - clock_origin_);
   if (!posted_.empty()) ready_time = kAtOnce;
   g_source_set_ready_time(timer_source_.get(), ready_time);
 }
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -33,6 +33,11 @@
 
   // Unix time in microseconds that never jumps: the steady clock, set by the system clock at the start.
   Micros now() const;
+  // What now() adds to the steady clock: the Unix time at which that was 0, as the wall clock had it at the
+  // start.
+  Micros clock_origin() const { return clock_origin_; }
+  // How far the wall clock has been stepped since then.
+  Micros wall_clock_step() const;
   // Calls back once `when` has come. It cannot be taken back; callbacks for one moment go in the order asked.
   void call_at(Micros when, Callback callback);
   // Calls back after what is under way, in the order asked.
@@ -92,7 +97,7 @@
   // In this order: after a stall both are ready, and timers would fail attempts whose answers have come.
   LoopSource io_source_;
   LoopSource timer_source_;
-  Micros unix_time_offset_;  // from the steady clock
+  Micros clock_origin_;
   std::multimap<Micros, Callback> timers_;
   std::deque<Callback> posted_;
   sigset_t handled_signals_{};
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -231,7 +231,9 @@
   event_loop_.log().write(net::Topic::lifecycle, "shutting down: {} sessions to hand over",
                           downstream_->session_count());
   downstream_->set_accepting(false);
-  return balancer_.export_state();
+  StateSnapshot state = balancer_.export_state();
+  state.clock_origin = event_loop_.clock_origin();
+  return state;
 }
 
 bool ProxyServer::hand_over(const Give& give) {
@@ -249,8 +251,8 @@
 void ProxyServer::stop_when_empty() { shutdown_->stop_when_empty(); }
 
 void ProxyServer::receive_handover(IncomingHandover handover) {
-  if (const auto* state = std::get_if<StateSnapshot>(&handover.message)) {
-    balancer_.import_state(*state);
+  if (auto* state = std::get_if<StateSnapshot>(&handover.message)) {
+    import_state(std::move(*state));
     return;
   }
   net::SocketPtr client = net::adopt_socket(handover.downstream.release());
@@ -262,6 +264,13 @@
   resume_session(std::get<OpenSession>(handover.message), std::move(client), std::move(server));
 }
 
+// The wall clock may have been stepped between the starts of the two processes, by which each dates its
+// times.
+void ProxyServer::import_state(StateSnapshot state) {
+  if (state.clock_origin > 0) shift_times(state, event_loop_.clock_origin() - state.clock_origin);
+  balancer_.import_state(state);
+}
+
 void ProxyServer::resume_session(const OpenSession& handover, net::SocketPtr client, net::SocketPtr server) {
   const auto session = std::make_shared<ProxySession>(event_loop_, balancer_, handover.open_request);
   if (const auto fault = request_reader_.read(*session, event_loop_.now())) {
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -66,6 +66,7 @@
 
   // BalancerActions
   Micros now() const override { return event_loop_.now(); }
+  Micros wall_clock_step() const override { return event_loop_.wall_clock_step(); }
   void start_attempt(Session& session, Backend& backend, Micros time_limit) override;
   void cancel_attempt(Session& session) override;
   void reject_session(Session& session, Micros retry_after) override;
@@ -84,6 +85,7 @@
   void on_endpoint_list(const protocol::EndpointList& list);
   void on_session_requested(const std::shared_ptr<ProxySession>& session);
   void place(const std::shared_ptr<ProxySession>& session);
+  void import_state(StateSnapshot state);
   void resume_session(const OpenSession& handover, net::SocketPtr client, net::SocketPtr server);
 
   net::EventLoop& event_loop_;
--- /dev/null
+++ b/tests/balancer/start_time_test.cpp
@@ -0,0 +1,38 @@
+// Starts of other machines by this process's clock, whatever became of the wall clock.
+#include "balancer/start_time.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cherryrail::testing {
+namespace {
+
+constexpr Micros kNow = 1'800'000'000 * kSecond;
+constexpr Micros kHour = 3600 * kSecond;
+
+TEST(StartTime, IsWhatIsReportedWhereTheWallClockWasNotStepped) {
+  EXPECT_EQ(local_start_time(kNow - 3 * kSecond, 0, kNow), kNow - 3 * kSecond);
+  EXPECT_EQ(local_start_time(0, 0, kNow), 0);
+  EXPECT_EQ(local_start_time(0, kHour, kNow), 0);
+}
+
+TEST(StartTime, AfterAStepIsReadByTheSteppedClock) {
+  for (const Micros step : {-kHour, -5 * kSecond, kHour})
+    EXPECT_EQ(local_start_time(kNow + step - kSecond, step, kNow), kNow - kSecond) << step;
+}
+
+TEST(StartTime, OfBeforeAStepStaysWhatItWasWhereTheOtherReadingLiesInTheFuture) {
+  EXPECT_EQ(local_start_time(kNow - 3 * kSecond, -kHour, kNow), kNow - 3 * kSecond);
+  EXPECT_EQ(local_start_time(kNow - 2 * kHour, kHour, kNow), kNow - 2 * kHour);
+}
+
+TEST(StartTime, ThatIsPossibleByNoClockIsNow) {
+  EXPECT_EQ(local_start_time(kNow + 7 * kHour, 0, kNow), kNow);
+  EXPECT_EQ(local_start_time(kNow + 7 * kHour, kHour, kNow), kNow);
+}
+
+TEST(StartTime, ALittleAheadOfThisMachinesClockIsNow) {
+  EXPECT_EQ(local_start_time(kNow + kSecond / 10, 0, kNow), kNow);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- a/tests/balancer/state_snapshot_test.cpp
+++ b/tests/balancer/state_snapshot_test.cpp
@@ -1,6 +1,8 @@
 // What a process hands to its successor, and what it leaves to it from then on.
 #include <gtest/gtest.h>
 
+#include <limits>
+
 #include "support/balancer_fixture.hpp"
 
 namespace cherryrail::testing {
@@ -49,5 +51,25 @@
   EXPECT_FALSE(better_informed.backends[0]->outlier.is_ejected());
 }
 
+// The two processes read the wall clock at their starts, and it was set back by an hour in between.
+TEST(StateSnapshot, TimesMoveToTheSuccessorsClockAndWhatIsNoTimeStays) {
+  constexpr Micros kShift = -3600 * kSecond;
+  StateSnapshot snapshot;
+  snapshot.balancer_started_at = 9000 * kSecond;
+  snapshot.admission_slots_from = std::numeric_limits<Micros>::max();
+  snapshot.backends.resize(1);
+  snapshot.backends[0].started_at = 9001 * kSecond;
+  snapshot.backends[0].reported_started_at = 9001 * kSecond;
+
+  shift_times(snapshot, kShift);
+
+  EXPECT_EQ(snapshot.balancer_started_at, 5400 * kSecond);
+  EXPECT_EQ(snapshot.admission_slots_from, std::numeric_limits<Micros>::max());
+  EXPECT_EQ(snapshot.general_overload_until, 0);
+  EXPECT_EQ(snapshot.backends[0].started_at, 5401 * kSecond);
+  EXPECT_EQ(snapshot.backends[0].reported_started_at, 9001 * kSecond);
+  EXPECT_EQ(snapshot.backends[0].capacity_reduced_at, 0);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
