--- a/tests/admin/disabled_backends_test.cpp
+++ b/tests/admin/disabled_backends_test.cpp
@@ -2,13 +2,17 @@
 #include "admin/disabled_backends.hpp"
 
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
 #include <set>
 #include <string>
 
 #include "support/admin_relay.hpp"
+#include "support/fault_plan.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -95,5 +99,59 @@
   EXPECT_TRUE(disabled.names().contains("x"));
 }
 
+// The operator was told yes; the next process has only the file to know of it.
+TEST(DisabledBackends, AChangeThatTheDiskRefusesIsStoredOnceItTakesIt) {
+  for (const int error : {ENOSPC, EIO}) {
+    const FaultPlanScope scope;
+    AdminRelay relay(2);
+    fault_plan().storage.error_number = error;
+    fault_plan().storage.per_mille = 1000;
+    EXPECT_EQ(relay.change_backend("disable", "s-1"), "HTTP/1.1 200");
+
+    fault_plan().storage.error_number = 0;
+    relay.run_for(400);
+
+    const admin::DisabledBackends next_process(relay.folder.file("cherryrail-n.bans"));
+    EXPECT_TRUE(next_process.names().contains("s-1")) << error;
+  }
+}
+
+TEST(DisabledBackends, AChangeThatTheDiskRefusedOutlivesThatOfAnotherProcess) {
+  const FaultPlanScope scope;
+  const TemporaryFolder folder;
+  admin::DisabledBackends first(folder.file("b"));
+  admin::DisabledBackends second(folder.file("b"));
+  fault_plan().storage.error_number = ENOSPC;
+  fault_plan().storage.per_mille = 1000;
+  EXPECT_FALSE(first.set_disabled("x", true));
+
+  fault_plan().storage.error_number = 0;
+  EXPECT_TRUE(second.set_disabled("y", true));
+  first.reload_if_changed();
+
+  EXPECT_EQ(first.names(), (std::set<std::string>{"x", "y"}));
+}
+
+// A process that starts while the system has no descriptor for it would enable every backend again.
+TEST(DisabledBackends, AFileThatCannotBeReadAtTheStartIsReadOnceItCan) {
+#ifdef __SANITIZE_ADDRESS__
+  GTEST_SKIP() << "the sanitizers' own checks need descriptors and end the process without them";
+#endif
+  const TemporaryFolder folder;
+  EXPECT_TRUE(admin::DisabledBackends(folder.file("b")).set_disabled("x", true));
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest_free = dup(0);
+  close(lowest_free);
+  const rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
+
+  setrlimit(RLIMIT_NOFILE, &none_left);
+  admin::DisabledBackends next_process(folder.file("b"));
+  setrlimit(RLIMIT_NOFILE, &before);
+  EXPECT_TRUE(next_process.reload_if_changed());
+
+  EXPECT_EQ(next_process.names(), std::set<std::string>{"x"});
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
