What an operator disables is stored as soon as the disk takes it

Cause: set_disabled wrote the file once; when that failed, the change stayed in the process's memory, was lost with the process, and was overwritten by the next change of the other process. A reading that failed (no descriptor left, EIO) counted as done until the file changed, so a process that started then enabled every backend. A short write counted as a full disk, nothing was synced, and a stopped process with the lock would have stopped the other one for good.

--- a/src/admin/disabled_backends.cpp
+++ b/src/admin/disabled_backends.cpp
@@ -1,6 +1,7 @@
 #include "admin/disabled_backends.hpp"
 
 #include <fcntl.h>
+#include <poll.h>
 #include <sys/file.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -21,6 +22,9 @@
 // Some ten thousand names; what is longer was not written by a relay.
 constexpr std::size_t kLargestFile = std::size_t{1} << 20;
 constexpr mode_t kOwnerOnly = 0600;
+// Writing the file takes a millisecond or two.
+constexpr int kLockAttempts = 20;
+constexpr int kLockPauseMilliseconds = 1;
 // The file's one key, in the word of the build that first wrote it. Builds before and after share the file.
 constexpr const char* kNamesKey = "bans";
 
@@ -33,16 +37,38 @@
   return text;
 }
 
+// The kernel may take a part, or be interrupted.
+std::error_code write_all(int fd, std::string_view text) {
+  while (!text.empty()) {
+    const ssize_t written = write(fd, text.data(), text.size());
+    if (written < 0 && errno == EINTR) continue;
+    if (written < 0) return last_system_error();
+    if (written == 0) return make_error_code(std::errc::no_space_on_device);
+    text.remove_prefix(static_cast<std::size_t>(written));
+  }
+  return {};
+}
+
+// On the disk, not only on its way there: the file takes another's place next.
 std::error_code write_file(const std::string& path, std::string_view text) {
   net::FileDescriptor file(open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, kOwnerOnly));
   if (!file) return last_system_error();
-  const ssize_t written = write(file.get(), text.data(), text.size());
-  if (written < 0) return last_system_error();
-  if (static_cast<std::size_t>(written) != text.size()) return make_error_code(std::errc::no_space_on_device);
+  if (const std::error_code code = write_all(file.get(), text)) return code;
+  if (fsync(file.get()) != 0) return last_system_error();
   if (close(file.release()) != 0) return last_system_error();
   return {};
 }
 
+// Waits for the lock for a moment only: a process that was stopped while it had it must not stop this one.
+net::FileDescriptor lock_file(const std::string& path) {
+  net::FileDescriptor lock(open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, kOwnerOnly));
+  for (int attempt = 0; lock && attempt < kLockAttempts; ++attempt) {
+    if (flock(lock.get(), LOCK_EX | LOCK_NB) == 0) break;
+    poll(nullptr, 0, kLockPauseMilliseconds);
+  }
+  return lock;
+}
+
 }  // namespace
 
 std::string StorageError::message() const {
@@ -72,42 +98,61 @@
   return load();
 }
 
-// A file that is damaged must neither end the process nor enable a backend again: the names stay as they
-// were.
+// A file that is damaged or cannot be read must neither end the process nor enable a backend again: the names
+// stay as they were, and it is read again at the next call.
 bool DisabledBackends::load() {
+  const bool is_expected_to_exist = loaded_version_->size >= 0;
   error_.reset();
   std::ifstream file(path_);
   if (!file) {
     const std::error_code code = last_system_error();
-    const bool is_expected_to_exist = loaded_version_.size >= 0;
-    if (is_expected_to_exist) error_ = StorageError{StorageError::Operation::read, path_, code, ""};
+    if (!is_expected_to_exist) return false;
+    error_ = StorageError{StorageError::Operation::read, path_, code, ""};
+    loaded_version_.reset();
     return false;
   }
   try {
     names_ = nlohmann::json::parse(read_text(file)).at(kNamesKey).get<std::set<std::string>>();
-    return true;
   } catch (const nlohmann::json::exception& error) {
     error_ = StorageError{StorageError::Operation::parse, path_, {}, error.what()};
+    loaded_version_.reset();
     return false;
   }
+  apply_pending_changes();
+  return true;
+}
+
+// What the file does not know of yet holds all the same.
+void DisabledBackends::apply_pending_changes() {
+  for (const auto& [name, is_disabled] : pending_changes_) {
+    if (is_disabled)
+      names_.insert(name);
+    else
+      names_.erase(name);
+  }
 }
 
 bool DisabledBackends::set_disabled(const std::string& name, bool is_disabled) {
-  // Held while the file is read, changed and replaced: operators may call two processes at once.
-  net::FileDescriptor lock;
-  if (!path_.empty())
-    lock = net::FileDescriptor(open((path_ + ".lock").c_str(), O_CREAT | O_RDWR | O_CLOEXEC, kOwnerOnly));
-  if (lock) flock(lock.get(), LOCK_EX);
-  // Otherwise what another process stored a moment ago would be overwritten.
   reload_if_changed();
-  const bool is_changed = is_disabled ? names_.insert(name).second : names_.erase(name) > 0;
-  if (path_.empty()) return true;
-  if (!is_changed && !error_) return true;
+  if (names_.contains(name) == is_disabled && pending_changes_.empty() && !error_) return true;
+  pending_changes_[name] = is_disabled;
+  apply_pending_changes();
+  return store_pending_changes();
+}
+
+bool DisabledBackends::store_pending_changes() {
+  if (path_.empty()) pending_changes_.clear();
+  if (pending_changes_.empty()) return true;
+  // Held while the file is read, changed and replaced: operators may call two processes at once, and what the
+  // other one has stored a moment ago must not be overwritten.
+  const net::FileDescriptor lock = lock_file(path_ + ".lock");
+  reload_if_changed();
   if (const std::error_code code = store()) {
     error_ = StorageError{StorageError::Operation::write, path_, code, ""};
     return false;
   }
   error_.reset();
+  pending_changes_.clear();
   loaded_version_ = current_version();
   return true;
 }
--- a/src/admin/disabled_backends.hpp
+++ b/src/admin/disabled_backends.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -24,20 +25,28 @@
 };
 
 // The set in this process, and the file behind it. Several processes may change the file at once: a lock
-// beside it keeps one from losing what the other has stored.
+// beside it keeps one from losing what the other has stored. A change that the file does not take holds in
+// this process and is kept until the file takes it.
 class DisabledBackends {
  public:
   // Reads the file. With an empty path nothing is kept beyond this process.
   explicit DisabledBackends(std::string path);
 
+  // Whether each of these backends is disabled, by uid.
+  using Changes = std::map<std::string, bool>;
+
   // The uids of the backends.
   [[nodiscard]] const std::set<std::string>& names() const { return names_; }
   // True if the file had changed and was read. False if it had not, or cannot be used: then error() tells why
   // and the names stay as they were.
   bool reload_if_changed();
   // Adds or removes one backend, here and in the file. False if the file could not be written: then the
-  // change holds for this process alone, and error() tells why.
+  // change holds for this process alone until it can be, and error() tells why.
   bool set_disabled(const std::string& name, bool is_disabled);
+  // Tries again to write what could not be written. True if nothing is left.
+  bool store_pending_changes();
+  // What the file does not have yet.
+  [[nodiscard]] const Changes& pending_changes() const { return pending_changes_; }
   // Of the last use of the file; none if that went well.
   [[nodiscard]] const std::optional<StorageError>& error() const { return error_; }
 
@@ -53,12 +62,14 @@
 
   [[nodiscard]] FileVersion current_version() const;
   bool load();
+  void apply_pending_changes();
   [[nodiscard]] std::error_code store() const;
 
   std::string path_;
   std::set<std::string> names_;
+  Changes pending_changes_;
   std::optional<StorageError> error_;
-  FileVersion loaded_version_;
+  std::optional<FileVersion> loaded_version_ = FileVersion{};  // none if the file could not be read
 };
 
 }  // namespace cherryrail::admin
--- a/src/admin/disabled_backends_sync.cpp
+++ b/src/admin/disabled_backends_sync.cpp
@@ -24,7 +24,8 @@
                                                                       bool is_disabled) {
   if (disabled_backends_.reload_if_changed()) apply();
   if (!proxy_.knows_backend(uid)) return ChangeResult::unknown_backend;
-  // The result is not asked for: a full disk must not keep an operator from disabling a backend.
+  // The result is not asked for: a full disk must not keep an operator from disabling a backend. What is not
+  // stored is tried again with each look at the file.
   disabled_backends_.set_disabled(uid, is_disabled);
   apply();
   return ChangeResult::applied;
@@ -41,7 +42,9 @@
 
 void DisabledBackendsSync::poll_file() {
   const bool is_reloaded = disabled_backends_.reload_if_changed();
-  if (is_reloaded || disabled_backends_.error()) apply();
+  const bool had_pending_changes = !disabled_backends_.pending_changes().empty();
+  disabled_backends_.store_pending_changes();
+  if (is_reloaded || had_pending_changes || disabled_backends_.error()) apply();
   event_loop_.call_at(event_loop_.now() + kPollInterval, [this] { poll_file(); });
 }
 
