--- a/tests/admin/hot_restart_test.cpp
+++ b/tests/admin/hot_restart_test.cpp
@@ -5,11 +5,15 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
+#include <string>
 #include <variant>
 
 #include "admin/handover_channel.hpp"
 #include "admin/hot_restart_coordinator.hpp"
 #include "admin/hot_restart_socket.hpp"
+#include "support/admin_relay.hpp"
+#include "support/fault_plan.hpp"
 #include "support/restarting_relay.hpp"
 #include "support/temporary_folder.hpp"
 
@@ -109,5 +113,49 @@
   EXPECT_FALSE(malformed.is_peer_gone);
 }
 
+// The disk fails through the whole of the restart, and the socket between the two is full at first.
+TEST(HotRestart, ABackendDisabledWhileTheDiskFailsStaysDisabledInTheSuccessor) {
+  const FaultPlanScope scope;
+  RestartingRelay relay(2, true);
+  fault_plan().storage.error_number = ENOSPC;
+  fault_plan().storage.per_mille = 1000;
+  TestSocket caller = TestSocket::connected_to(relay.admin_ports[0]);
+  caller.send(http_post("/backends/disable", R"({"who":"s-1"})"));
+  ASSERT_TRUE(relay.run_until([&] { return caller.received().starts_with("HTTP/1.1 200"); }));
+
+  fault_plan().hand_over.error_number = EAGAIN;
+  fault_plan().hand_over.remaining = 3;
+  relay.replace();
+  relay.run_for(150);
+
+  for (int i = 0; i < 8; ++i)
+    EXPECT_EQ(relay.backend_index(relay.establish_session(std::to_string(i)).upstream), 0u);
+}
+
+// As a fleet of 2,000 backends has it: 170 KB.
+TEST(HotRestart, ALargeStateArrivesWhole) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK, 0, ends.data()), 0);
+  const admin::HandoverChannel sender{net::FileDescriptor(ends[0])};
+  const admin::HandoverChannel receiver{net::FileDescriptor(ends[1])};
+  StateSnapshot state;
+  state.backends.resize(2000);
+  for (BackendSnapshot& backend : state.backends) {
+    backend.name = 0xffffffffffffffffULL;
+    backend.started_at = 1733119200000001;
+    backend.reported_started_at = 1733119200000001;
+    backend.capacity_reduced_at = 1733119200000001;
+    backend.failure_log_odds = 0.1;
+    backend.capacity_limit = 0.1;
+    backend.load_at_overload = 0.1;
+  }
+
+  EXPECT_EQ(sender.send({state}), admin::SendResult::sent);
+  const admin::ReceiveResult received = receiver.receive();
+
+  ASSERT_TRUE(received.handover);
+  EXPECT_EQ(std::get<StateSnapshot>(received.handover->message).backends.size(), 2000u);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -5,10 +5,10 @@
 
 CALL_SIZE = 12
 CALL_OFFSETS = {name: 8 + CALL_SIZE * place
-                for place, name in enumerate(["accept", "socket", "connect", "storage", "wait", "receive"])}
-SHORT_IO_OFFSET = 80
-HOLD_UP_OFFSET = 84
-PLAN_SIZE = 88
+                for place, name in enumerate(["accept", "socket", "connect", "storage", "wait", "receive", "hand_over"])}
+SHORT_IO_OFFSET = 92
+HOLD_UP_OFFSET = 96
+PLAN_SIZE = 104
 
 # What each kind of call may fail with, as its manual page has it.
 POSSIBLE_ERRORS = {
@@ -18,6 +18,7 @@
     "storage": [errno.ENOSPC, errno.EIO],
     "wait": [errno.EINTR],
     "receive": [errno.EINTR],
+    "hand_over": [errno.EAGAIN, errno.ENOBUFS, errno.EINTR],
 }
 
 
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -142,7 +142,7 @@
             relay.plan.offset_wall_clock(0)
 
     async def fail_calls(self):
-        call = self._rng.choice(["accept", "socket", "connect", "wait", "receive"])
+        call = self._rng.choice(["accept", "socket", "connect", "wait", "receive", "hand_over"])
         error = self._rng.choice(POSSIBLE_ERRORS[call])
         relays = self._rng.sample(self._world.relays, self._rng.randint(1, 3))
         self._note(f"fail_calls {call} errno {error} at {[relay.index for relay in relays]}")
--- a/tests/support/fault_shim.cpp
+++ b/tests/support/fault_shim.cpp
@@ -62,10 +62,17 @@
   return true;
 }
 
-bool is_tcp(int fd) {
+bool has_domain(int fd, int wanted) {
   int domain = 0;
   socklen_t size = sizeof(domain);
-  return getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == AF_INET;
+  return getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == wanted;
+}
+
+bool is_tcp(int fd) { return has_domain(fd, AF_INET); }
+
+bool hand_over_fails(int fd) {
+  CallFaults& faults = fault_plan().hand_over;
+  return faults.error_number.load() != 0 && has_domain(fd, AF_UNIX) && fails(faults);
 }
 
 bool is_regular_file(int fd) {
@@ -115,7 +122,7 @@
   FaultPlan& plan = fault_plan();
   plan.wall_clock_offset_us = 0;
   for (CallFaults* faults :
-       {&plan.accept, &plan.socket, &plan.connect, &plan.storage, &plan.wait, &plan.receive})
+       {&plan.accept, &plan.socket, &plan.connect, &plan.storage, &plan.wait, &plan.receive, &plan.hand_over})
     reset(*faults);
   plan.short_io_per_mille = 0;
   plan.hold_up_ms = 0;
@@ -166,6 +173,7 @@
 
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
   static const auto call = original<ssize_t(int, const msghdr*, int)>("sendmsg");
+  if (cherryrail::testing::hand_over_fails(fd)) return -1;
   if (message->msg_iovlen == 0) return call(fd, message, flags);
   const std::size_t first = message->msg_iov[0].iov_len;
   const std::size_t part = cherryrail::testing::cut(fd, first);
--- a/tests/support/restarting_relay.cpp
+++ b/tests/support/restarting_relay.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <string>
 #include <utility>
 
 namespace cherryrail::testing {
@@ -15,7 +16,8 @@
   return proxy.hand_over([](const proxy::OutgoingHandover&) { return false; });
 }
 
-RestartingRelay::RestartingRelay(std::size_t backend_count) : LoopbackRelay(backend_count, 500, "", false) {
+RestartingRelay::RestartingRelay(std::size_t backend_count, bool has_an_admin)
+    : LoopbackRelay(backend_count, 500, "", false), has_admin(has_an_admin) {
   port = listener.port();
   relay_config = config::parse_relay_config(config_text(500));
   relay_config.state_directory = folder.path();
@@ -24,6 +26,11 @@
 
 std::unique_ptr<RestartingRelay::Process> RestartingRelay::start_process() {
   relay_config.inherited_listener = dup(listener.fd());
+  if (has_admin) {
+    admin_ports.push_back(TestSocket::listening().port());
+    relay_config.admin = "127.0.0.1:" + std::to_string(admin_ports.back());
+    relay_config.admin_address = net::parse_address(relay_config.admin);
+  }
   auto process = std::make_unique<Process>(event_loop, relay_config);
   accept_watch();
   publish_endpoints(endpoint_changes(5, {}));
--- a/tests/support/restarting_relay.hpp
+++ b/tests/support/restarting_relay.hpp
@@ -24,10 +24,13 @@
   TemporaryFolder folder;
   TestSocket listener = TestSocket::listening();
   std::vector<TestSocket> watches;  // of each process, in the order of their start
+  bool has_admin = false;
+  std::vector<int> admin_ports;  // of each process, in the order of their start
   std::unique_ptr<Process> first;
   std::unique_ptr<Process> second;
 
-  explicit RestartingRelay(std::size_t backend_count);
+  // With `has_an_admin` each process has an admin server of its own.
+  explicit RestartingRelay(std::size_t backend_count, bool has_an_admin = false);
 
   // A process that is ready and has its endpoint list.
   std::unique_ptr<Process> start_process();
