A successor gets the whole state, in parts, and what the disk has refused

Cause: the state went in one message; the receiver had room for 1500 backends and the socket for some 2400, and what did not go at once was left out, so the successor began with a new retry budget and admission slots of its own. A backend that an operator had disabled while the disk failed was known to the predecessor alone.

Change: the state goes in parts of 1000 backends, before the sessions, until the successor has it; a message kind of its own brings changes that the file does not have (earlier builds pass over it). ENOBUFS and ENOMEM do not end the connection between the two.

--- a/src/admin/admin_services.cpp
+++ b/src/admin/admin_services.cpp
@@ -21,7 +21,7 @@
 AdminServices::AdminServices(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
                              const config::RelayConfig& relay_config)
     : disabled_backends_(event_loop, proxy, disabled_backends_path(relay_config)),
-      hot_restart_(event_loop, proxy, relay_config) {
+      hot_restart_(event_loop, proxy, disabled_backends_, relay_config) {
   if (relay_config.admin.empty()) return;
   disabled_backends_.start();
   proxy.reserve_descriptors(AdminServer::kMaxConnections);
--- a/src/admin/disabled_backends_sync.cpp
+++ b/src/admin/disabled_backends_sync.cpp
@@ -31,6 +31,11 @@
   return ChangeResult::applied;
 }
 
+void DisabledBackendsSync::take_over(const DisabledBackends::Changes& changes) {
+  for (const auto& [uid, is_disabled] : changes) disabled_backends_.set_disabled(uid, is_disabled);
+  apply();
+}
+
 void DisabledBackendsSync::apply() {
   const auto& error = disabled_backends_.error();
   const bool is_news = error != std::exchange(logged_error_, error);
--- a/src/admin/disabled_backends_sync.hpp
+++ b/src/admin/disabled_backends_sync.hpp
@@ -25,6 +25,10 @@
   // An operator's call. If the file cannot be written, the change holds for this process alone and the log
   // says so.
   ChangeResult set_disabled(const std::string& uid, bool is_disabled);
+  // What the predecessor was told and could not store.
+  void take_over(const DisabledBackends::Changes& changes);
+  // What this process was told and could not store yet.
+  const DisabledBackends::Changes& pending_changes() const { return disabled_backends_.pending_changes(); }
 
  private:
   void apply();
--- a/src/admin/handover_channel.cpp
+++ b/src/admin/handover_channel.cpp
@@ -20,8 +20,9 @@
 namespace cherryrail::admin {
 namespace {
 
-// The longest kind is the state, some 80 bytes a backend: this holds more than 1500 backends.
-constexpr std::size_t kLongestMessage = 131'072;
+// The longest kind is the state, some 90 bytes a backend. This process sends it in parts, earlier builds as a
+// whole: this holds more than 5000 backends.
+constexpr std::size_t kLongestMessage = 524'288;
 constexpr std::size_t kMostDescriptors = 2;  // the client's and the backend's
 constexpr std::size_t kSizeOfAll = kMostDescriptors * sizeof(int);
 
@@ -64,8 +65,14 @@
   return {net::FileDescriptor(descriptors[0]), net::FileDescriptor(descriptors[1])};
 }
 
+// An error of receiving after which the next call may bring a message.
+bool is_passing(int error) {
+  return error == EAGAIN || error == EINTR || error == ENOBUFS || error == ENOMEM;
+}
+
 bool descriptors_fit(const proxy::IncomingHandover& handover) {
   if (std::holds_alternative<StateSnapshot>(handover.message)) return true;
+  if (std::holds_alternative<proxy::DisabledBackendChanges>(handover.message)) return true;
   const bool needs_upstream = std::holds_alternative<proxy::OpenSession>(handover.message);
   return handover.downstream && needs_upstream == static_cast<bool>(handover.upstream);
 }
@@ -82,6 +89,7 @@
   msghdr header = message_header(content, control, descriptors_size > 0 ? CMSG_SPACE(descriptors_size) : 0);
   attach_descriptors(header, handover, descriptors_size);
   if (sendmsg(socket_.get(), &header, MSG_NOSIGNAL | MSG_DONTWAIT) >= 0) return SendResult::sent;
+  if (errno == EMSGSIZE) return SendResult::too_large;
   const bool is_peer_gone = errno == EPIPE || errno == ECONNRESET || errno == ENOTCONN;
   return is_peer_gone ? SendResult::peer_gone : SendResult::try_again;
 }
@@ -92,7 +100,7 @@
   iovec content{bytes->data(), bytes->size()};
   msghdr header = message_header(content, control, control.bytes.size());
   const ssize_t size = recvmsg(socket_.get(), &header, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
-  if (size < 0) return {{}, errno != EAGAIN && errno != EINTR};
+  if (size < 0) return {{}, !is_passing(errno)};
   if (size == 0) return {{}, true};
   auto [downstream, upstream] = take_descriptors(header);
   auto message = decode_handover(std::span(bytes->data(), static_cast<std::size_t>(size)));
--- a/src/admin/handover_channel.hpp
+++ b/src/admin/handover_channel.hpp
@@ -12,6 +12,7 @@
 enum class SendResult : std::uint8_t {
   sent,
   try_again,  // the socket's buffer is full, or too many descriptors are on their way
+  too_large,  // for the socket: it never goes
   peer_gone,
 };
 
--- a/src/admin/handover_codec.cpp
+++ b/src/admin/handover_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
@@ -17,6 +18,7 @@
 constexpr const char* kBackendKey = "backend";
 constexpr const char* kWaitedKey = "waited";
 constexpr const char* kStateKey = "memory";
+constexpr const char* kDisabledBackendsKey = "disabled_backends";  // earlier builds pass over such a message
 
 // And those of the state.
 constexpr const char* kStartedAtKey = "born";
@@ -118,6 +120,11 @@
   json operator()(const proxy::OpenSession& session) const {
     return message_map("", session.open_request, session.backend, session.waited);
   }
+  json operator()(const proxy::DisabledBackendChanges& changes) const {
+    json map = message_map("", "", "", 0);
+    map[kDisabledBackendsKey] = changes.is_disabled;
+    return map;
+  }
   json operator()(const StateSnapshot& state) const {
     json map = message_map("", "", "", 0);
     map[kStateKey] = encode_state(state);
@@ -127,6 +134,8 @@
 
 proxy::HandoverMessage decode_message(const json& map) {
   if (const auto state = map.find(kStateKey); state != map.end()) return decode_state(*state);
+  if (const auto changes = map.find(kDisabledBackendsKey); changes != map.end())
+    return proxy::DisabledBackendChanges{changes->get<std::map<std::string, bool>>()};
   std::string received = text_at(map, kReceivedKey);
   std::string open_request = text_at(map, kOpenRequestKey);
   std::string backend = text_at(map, kBackendKey);
--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -8,8 +8,10 @@
 #include <string>
 #include <system_error>
 #include <utility>
+#include <variant>
 
 #include "admin/state_files.hpp"
+#include "balancer/state_snapshot.hpp"
 
 namespace cherryrail::admin {
 namespace {
@@ -19,6 +21,8 @@
 constexpr Micros kRetryInterval = 20'000;
 // So that a predecessor with thousands of sessions does not keep the loop from clients.
 constexpr int kMessagesAtOnce = 64;
+// Some 90 KB: earlier builds have room for 128, and the socket for more.
+constexpr std::size_t kBackendsPerMessage = 1000;
 // How late this process may know of descriptors that the other has opened.
 constexpr Micros kPeerCountInterval = 100'000;
 
@@ -42,8 +46,9 @@
 };
 
 HotRestartCoordinator::HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
+                                             DisabledBackendsSync& disabled_backends,
                                              const config::RelayConfig& relay_config)
-    : event_loop_(event_loop), proxy_(proxy),
+    : event_loop_(event_loop), proxy_(proxy), disabled_backends_(disabled_backends),
       socket_(folder_of(relay_config), state_file_name(relay_config.name, kServingProcessSuffix)) {
   if (!relay_config.inherited_listener) return;
   // Connected from the start, so that each process counts the other's descriptors.
@@ -104,6 +109,10 @@
 }
 
 void HotRestartCoordinator::take_in(proxy::IncomingHandover handover) {
+  if (const auto* changes = std::get_if<proxy::DisabledBackendChanges>(&handover.message)) {
+    disabled_backends_.take_over(changes->is_disabled);
+    return;
+  }
   try {
     proxy_.receive_handover(std::move(handover));
   } catch (const std::runtime_error& error) {
@@ -136,24 +145,49 @@
   if (std::exchange(is_shutting_down_, true)) return;
   successor_ = socket_.connect_to_successor();
   if (!successor_) return proxy_.begin_graceful_shutdown();
-  // Not sent if the successor is gone already; then the sessions find that out as well.
-  static_cast<void>(successor_->send({proxy_.export_state()}));
+  collect_state();
   hand_over_until(event_loop_.now() + proxy_.longest_client_timeout());
 }
 
+// Disabled backends first: the successor may be serving already.
+void HotRestartCoordinator::collect_state() {
+  if (!disabled_backends_.pending_changes().empty())
+    state_.emplace_back(proxy::DisabledBackendChanges{disabled_backends_.pending_changes()});
+  for (StateSnapshot& part : split(proxy_.export_state(), kBackendsPerMessage))
+    state_.emplace_back(std::move(part));
+}
+
+// `sent` once the successor has all of it. What is too large for the socket is left out: sessions must not
+// wait for it.
+SendResult HotRestartCoordinator::hand_over_state() {
+  while (sent_state_count_ < state_.size()) {
+    const SendResult result = successor_->send({state_[sent_state_count_]});
+    if (result == SendResult::try_again || result == SendResult::peer_gone) return result;
+    if (result == SendResult::too_large)
+      event_loop_.log().write(net::Topic::error,
+                              "hot restart: a part of the state is too large to hand over");
+    ++sent_state_count_;
+  }
+  return SendResult::sent;
+}
+
 // Sessions that cannot be handed over are migrated, as without a successor: those whose line stays incomplete
 // until `deadline`, and all that are left when the successor dies.
 void HotRestartCoordinator::hand_over_until(Micros deadline) {
-  bool is_successor_gone = false;
+  const SendResult state_result = hand_over_state();
+  bool is_successor_gone = state_result == SendResult::peer_gone;
   const auto send = [this, &is_successor_gone](const proxy::OutgoingHandover& handover) {
     const SendResult result = successor_->send(handover);
     if (result == SendResult::peer_gone) is_successor_gone = true;
     return result == SendResult::sent;
   };
-  const bool is_everything_handed_over = proxy_.hand_over(send);
+  const bool is_everything_handed_over = state_result == SendResult::sent && proxy_.hand_over(send);
   if (is_everything_handed_over) return proxy_.stop_when_empty();
   // With two restarts soon after each other, a successor that is gone may have a successor of its own.
-  if (is_successor_gone) successor_ = socket_.connect_to_successor();
+  if (is_successor_gone) {
+    successor_ = socket_.connect_to_successor();
+    sent_state_count_ = 0;
+  }
   if (!successor_ || event_loop_.now() >= deadline) return proxy_.migrate_remaining_sessions();
   event_loop_.call_at(event_loop_.now() + kRetryInterval, [this, deadline] { hand_over_until(deadline); });
 }
--- a/src/admin/hot_restart_coordinator.hpp
+++ b/src/admin/hot_restart_coordinator.hpp
@@ -5,7 +5,9 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <vector>
 
+#include "admin/disabled_backends_sync.hpp"
 #include "admin/handover_channel.hpp"
 #include "admin/hot_restart_socket.hpp"
 #include "config/relay_config.hpp"
@@ -22,7 +24,7 @@
   // Hot restart works only where the clients' listening socket is inherited; otherwise shut_down() is all
   // that does anything.
   HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
-                        const config::RelayConfig& relay_config);
+                        DisabledBackendsSync& disabled_backends, const config::RelayConfig& relay_config);
   ~HotRestartCoordinator();
   HotRestartCoordinator(const HotRestartCoordinator&) = delete;
   HotRestartCoordinator& operator=(const HotRestartCoordinator&) = delete;
@@ -46,12 +48,17 @@
   void remove_peer(const Peer& peer);
   void count_peer_descriptors();
   void watch_peer_descriptors();
+  void collect_state();
+  SendResult hand_over_state();
   void hand_over_until(Micros deadline);
 
   net::EventLoop& event_loop_;
   proxy::ProxyServer& proxy_;
+  DisabledBackendsSync& disabled_backends_;
   HotRestartSocket socket_;
-  std::optional<HandoverChannel> successor_;  // that sessions are handed over to
+  std::optional<HandoverChannel> successor_;   // that sessions are handed over to
+  std::vector<proxy::HandoverMessage> state_;  // goes before the sessions
+  std::size_t sent_state_count_ = 0;           // messages of it that this successor has
   bool is_shutting_down_ = false;
   std::unique_ptr<net::IoWatch> announcement_watch_;
   std::list<std::shared_ptr<Peer>> peers_;  // the processes before and after this one
--- a/src/balancer/state_snapshot.cpp
+++ b/src/balancer/state_snapshot.cpp
@@ -1,6 +1,9 @@
 #include "balancer/state_snapshot.hpp"
 
+#include <algorithm>
 #include <limits>
+#include <span>
+#include <utility>
 
 #include "balancer/balancer.hpp"
 
@@ -26,6 +29,23 @@
   }
 }
 
+// What the first part counts must not be counted again; the other figures stand for themselves.
+std::vector<StateSnapshot> split(const StateSnapshot& snapshot, std::size_t most_backends) {
+  const std::span<const BackendSnapshot> backends(snapshot.backends);
+  std::vector<StateSnapshot> parts;
+  for (std::size_t begin = 0; parts.empty() || begin < backends.size(); begin += most_backends) {
+    StateSnapshot part = parts.empty() ? snapshot : parts.back();
+    const auto chosen = backends.subspan(begin, std::min(most_backends, backends.size() - begin));
+    part.backends.assign(chosen.begin(), chosen.end());
+    if (!parts.empty()) {
+      part.new_sessions = 0;
+      part.recent_retries = 0;
+    }
+    parts.push_back(std::move(part));
+  }
+  return parts;
+}
+
 StateSnapshot Balancer::export_state() {
   StateSnapshot snapshot;
   arrivals_.save(snapshot);
--- a/src/balancer/state_snapshot.hpp
+++ b/src/balancer/state_snapshot.hpp
@@ -36,6 +36,9 @@
   Micros clock_origin = 0;  // Unix time at which that clock's steady part was 0; 0: not known
 };
 
+// The snapshot in parts of at most so many backends, which taken in one after the other come to the same.
+std::vector<StateSnapshot> split(const StateSnapshot& snapshot, std::size_t most_backends);
+
 // Moves all times by `shift`: from the clock of the process that took the snapshot to that of another.
 void shift_times(StateSnapshot& snapshot, Micros shift);
 
--- a/src/proxy/handover_message.hpp
+++ b/src/proxy/handover_message.hpp
@@ -2,6 +2,7 @@
 // messages; the admin part carries them between the two processes.
 #pragma once
 
+#include <map>
 #include <string>
 #include <variant>
 
@@ -23,8 +24,13 @@
   Micros waited = 0;         // since a line of the client, not answered yet, was passed on
 };
 
-// The third kind is what the balancer has learned; no socket goes along.
-using HandoverMessage = std::variant<PendingClient, OpenSession, StateSnapshot>;
+// What operators changed that the file of disabled backends does not have yet; no socket goes along.
+struct DisabledBackendChanges {
+  std::map<std::string, bool> is_disabled;  // by the backend's uid
+};
+
+// A snapshot is what the balancer has learned; no socket goes along.
+using HandoverMessage = std::variant<PendingClient, OpenSession, StateSnapshot, DisabledBackendChanges>;
 
 // A message to send. The sockets stay the sender's: the process that receives gets duplicates.
 struct OutgoingHandover {
--- a/tests/admin/handover_compatibility_test.cpp
+++ b/tests/admin/handover_compatibility_test.cpp
@@ -83,6 +83,12 @@
 }
 
 // Each field in the shortest form that tells one value from another.
+std::string describe(const proxy::DisabledBackendChanges& changes) {
+  std::string text = "changes of disabled backends";
+  for (const auto& [uid, is_disabled] : changes.is_disabled) text += fmt::format(", {} {}", uid, is_disabled);
+  return text;
+}
+
 std::string describe(const StateSnapshot& state) {
   std::string text = fmt::format("{} {} {} {} {} {}", state.balancer_started_at, state.admission_slots_from,
                                  state.general_overload_until, state.new_sessions, state.health_check_tokens,
--- a/tests/balancer/state_snapshot_test.cpp
+++ b/tests/balancer/state_snapshot_test.cpp
@@ -1,7 +1,9 @@
 // What a process hands to its successor, and what it leaves to it from then on.
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <limits>
+#include <vector>
 
 #include "support/balancer_fixture.hpp"
 
@@ -71,5 +73,29 @@
   EXPECT_EQ(snapshot.backends[0].capacity_reduced_at, 0);
 }
 
+// As for the largest fleet, whose state does not go in one message.
+TEST(StateSnapshot, PartsTakenInOneAfterTheOtherComeToTheWhole) {
+  StateSnapshot snapshot;
+  snapshot.new_sessions = 7;
+  snapshot.recent_retries = 3;
+  snapshot.health_check_tokens = 2.5;
+  snapshot.admission_slots_from = 11;
+  snapshot.backends.resize(3200);
+  for (std::size_t i = 0; i < snapshot.backends.size(); ++i) snapshot.backends[i].name = i;
+
+  const std::vector<StateSnapshot> parts = split(snapshot, 1000);
+
+  ASSERT_EQ(parts.size(), 4u);
+  EXPECT_EQ(parts[0].new_sessions + parts[1].new_sessions + parts[2].new_sessions + parts[3].new_sessions,
+            7u);
+  EXPECT_EQ(parts[0].recent_retries + parts[1].recent_retries + parts[2].recent_retries, 3);
+  EXPECT_EQ(parts[3].health_check_tokens, 2.5);
+  EXPECT_EQ(parts[3].admission_slots_from, 11);
+  EXPECT_EQ(parts[0].backends.size(), 1000u);
+  EXPECT_EQ(parts[3].backends.front().name, 3000u);
+  EXPECT_EQ(parts[3].backends.back().name, 3199u);
+  EXPECT_EQ(split(StateSnapshot{}, 1000).size(), 1u);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
