--- a/tests/proxy/downstream_test.cpp
+++ b/tests/proxy/downstream_test.cpp
@@ -138,5 +138,21 @@
   EXPECT_TRUE(relay.run_until([&] { return slow_client.received() == "UP r\r\n"; }));
 }
 
+// Its request may be on its way when the relay ends the connection, and would be read by nobody.
+TEST(Downstream, ARestingClientHearsThatItIsEndedSoThatARequestOnItsWayHasAnAnswer) {
+  LoopbackRelay relay(1);
+  TestSocket silent = relay.connect_client("");
+  TestSocket after_a_ping = relay.connect_client("PING\r\n");
+
+  EXPECT_TRUE(
+      relay.run_until([&] { return silent.is_ended_by_peer() && after_a_ping.is_ended_by_peer(); }, 3000));
+  silent.send_some("OPEN 1 1 c=talk,d=1200\r\n");
+  after_a_ping.send_some("OPEN 2 2 c=talk,d=1200\r\n");
+  relay.run_for(20);
+
+  EXPECT_EQ(silent.received(), "BUSY\r\n");
+  EXPECT_EQ(after_a_ping.received(), "PONG\r\nBUSY\r\n");
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/proxy/reload_test.cpp
+++ b/tests/proxy/reload_test.cpp
@@ -1,10 +1,14 @@
 // A new configuration on SIGHUP: sessions stay, and of two discovery servers one is followed at a time.
 #include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
 
+#include <fstream>
 #include <string>
 #include <utility>
 
 #include "support/loopback_relay.hpp"
+#include "support/temporary_folder.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -88,5 +92,31 @@
   EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }, 500));
 }
 
+// The platform has written the file and told the relay of it; it does not tell again.
+TEST(Reload, AFileThatCannotBeReadAtTheSignalIsReadOnceItCan) {
+#ifdef __SANITIZE_ADDRESS__
+  GTEST_SKIP() << "the sanitizers' own checks need descriptors and end the process without them";
+#endif
+  LoopbackRelay relay(1);
+  const TemporaryFolder folder;
+  std::ofstream(folder.file("config.json")) << relay.config_text(500);
+  rlimit before{};
+  getrlimit(RLIMIT_NOFILE, &before);
+  const int lowest_free = dup(0);
+  close(lowest_free);
+  const rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
+  ::testing::internal::CaptureStderr();
+
+  setrlimit(RLIMIT_NOFILE, &none_left);
+  relay.proxy->reload(folder.file("config.json"));
+  relay.run_for(50);
+  setrlimit(RLIMIT_NOFILE, &before);
+  relay.run_for(500);
+  const std::string log = ::testing::internal::GetCapturedStderr();
+
+  EXPECT_NE(log.find("configuration not reloaded"), std::string::npos) << log;
+  EXPECT_NE(log.find("lifecycle configuration reloaded"), std::string::npos) << log;
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/proxy/upstream_test.cpp
+++ b/tests/proxy/upstream_test.cpp
@@ -3,8 +3,10 @@
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <string>
 
+#include "support/fault_plan.hpp"
 #include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
@@ -149,5 +151,28 @@
   }
 }
 
+// No port left, no buffer left: that speaks against no backend, and the attempt never began.
+TEST(Upstream, AConnectionThatThisMachineCannotMakeIsNoFailureOfTheBackend) {
+  for (const int error : {EADDRNOTAVAIL, ENOBUFS}) {
+    const FaultPlanScope scope;
+    LoopbackRelay relay(1);
+    ::testing::internal::CaptureStderr();
+
+    for (int i = 0; i < 10; ++i) {
+      TestSocket client = relay.connect_client("");
+      fault_plan().connect.error_number = error;
+      fault_plan().connect.per_mille = 1000;
+      client.send("OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n");
+      EXPECT_TRUE(relay.run_until([&] { return client.received() == "BUSY\r\n"; }));
+      fault_plan().connect.error_number = 0;
+    }
+    relay.establish_session("99");
+    const std::string log = ::testing::internal::GetCapturedStderr();
+
+    EXPECT_EQ(log.find("connect_failed"), std::string::npos) << error << log;
+    EXPECT_EQ(log.find("ejected"), std::string::npos) << error << log;
+  }
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
