Failures of this machine count against nobody, and a client's end is told before it is ended

Cause: a resting client was closed after 2.6 s without a word; a request that crossed the end was read, dropped and never answered. connect's EADDRNOTAVAIL, ENOBUFS, ENETUNREACH and the like, of attempts and health checks, counted as the backend's failures and ejected healthy backends. A watch that could not be made for such a reason was tried again after up to 4 s, though what it misses counts as told meanwhile. A configuration that could not be read at the signal was never read.

Change: a resting client is told BUSY at its end; connect's own errno decides who failed; a watch is tried again within 0.2 s; a configuration that cannot be read or ends half-way is read again for 2 s.

--- a/src/config/config_error.hpp
+++ b/src/config/config_error.hpp
@@ -42,6 +42,13 @@
   std::string value_;
 };
 
+// The configuration could not be read just now, or ends half-way: the next reading may find it whole.
+class IncompleteConfigError : public ConfigError {
+ public:
+  IncompleteConfigError(const ConfigValue& fault, std::string_view problem)
+      : ConfigError(ConfigSource::file, fault, problem) {}
+};
+
 // The problem of a value that is of the wrong kind: "'much' is not a number".
 inline std::string is_not(std::string_view value, std::string_view wanted) {
   std::string problem = "'";
--- a/src/config/relay_config.cpp
+++ b/src/config/relay_config.cpp
@@ -1,6 +1,7 @@
 #include "config/relay_config.hpp"
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -37,12 +38,21 @@
   throw ConfigError(ConfigSource::file, fault, problem);
 }
 
+// Errors of the moment: the file is there and may be read in a moment.
+[[noreturn]] void refuse_unreadable(const std::string& path, int error) {
+  const std::string problem = "the configuration file '" + path + "' cannot be read";
+  const bool is_passing =
+      error == EMFILE || error == ENFILE || error == ENOMEM || error == EIO || error == EINTR;
+  if (is_passing) throw IncompleteConfigError({"", path}, problem);
+  refuse({"", path}, problem);
+}
+
 json parse_object(const std::string& text) {
   json root;
   try {
     root = json::parse(text);
   } catch (const json::exception& error) {
-    refuse({}, std::string("the configuration is not JSON: ") + error.what());
+    throw IncompleteConfigError({}, std::string("the configuration is not JSON: ") + error.what());
   }
   if (!root.is_object()) refuse({}, "the configuration is not an object");
   return root;
@@ -134,7 +144,7 @@
 RelayConfig read_relay_config(const std::string& path) {
   if (path.empty()) refuse({}, "no configuration: name its file with --config or EDGE_CONFIG");
   const std::ifstream file(path);
-  if (!file) refuse({"", path}, "the configuration file '" + path + "' cannot be read");
+  if (!file) refuse_unreadable(path, errno);
   std::ostringstream text;
   text << file.rdbuf();
   return parse_relay_config(text.str());
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -37,10 +37,15 @@
   GlibError error;
   SocketPtr socket = create_tcp_socket(to, error);
   if (!socket) return {nullptr, true};
-  g_socket_set_blocking(socket.get(), FALSE);
-  const bool is_connected = g_socket_connect(socket.get(), to.get(), nullptr, error.out()) != FALSE;
-  if (!is_connected && !error.is_to_be_continued()) return {};
-  return {std::make_shared<Connection>(event_loop, std::move(socket), handler, true), false};
+  switch (start_connecting(socket.get(), to)) {
+    case ConnectStart::in_progress:
+      return {std::make_shared<Connection>(event_loop, std::move(socket), handler, true), false};
+    case ConnectStart::local_failure:
+      return {nullptr, true};
+    case ConnectStart::refused:
+      break;
+  }
+  return {};
 }
 
 Connection::Connection(EventLoop& event_loop, SocketPtr socket, ConnectionHandler& handler,
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -40,7 +40,7 @@
 // What came of starting to connect.
 struct ConnectAttempt {
   std::shared_ptr<Connection> connection;  // null if not even the attempt could be made
-  bool is_out_of_descriptors = false;      // that was this process's own lack of a descriptor
+  bool is_local_failure = false;           // that was this machine's own lack: a descriptor, a port, a route
 };
 
 // A connection is held by its owner and, while it lingers after close_gracefully, by a timer of the loop. The
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 #include <string>
 
@@ -20,6 +21,29 @@
   return SocketPtr(g_socket_new(family, G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error.out()));
 }
 
+// GIO's own call has one code for a port that is not to be had and a peer that refuses.
+ConnectStart start_connecting(GSocket* socket, const Address& address) {
+  sockaddr_storage native{};
+  if (g_socket_address_to_native(address.get(), &native, sizeof(native), nullptr) == FALSE)
+    return ConnectStart::refused;
+  const auto size = static_cast<socklen_t>(g_socket_address_get_native_size(address.get()));
+  if (connect(g_socket_get_fd(socket), reinterpret_cast<const sockaddr*>(&native), size) == 0)
+    return ConnectStart::in_progress;
+  switch (errno) {
+    case EINPROGRESS:
+    case EINTR:  // it goes on all the same
+      return ConnectStart::in_progress;
+    case EADDRNOTAVAIL:
+    case EAGAIN:
+    case ENOBUFS:
+    case ENOMEM:
+    case ENETUNREACH:
+      return ConnectStart::local_failure;
+    default:
+      return ConnectStart::refused;
+  }
+}
+
 SocketPtr adopt_socket(int fd) {
   GlibError error;
   SocketPtr socket(g_socket_new_from_fd(fd, error.out()));
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -4,6 +4,7 @@
 #include <gio/gio.h>
 #include <sys/types.h>
 
+#include <cstdint>
 #include <memory>
 #include <string_view>
 
@@ -17,6 +18,16 @@
 // A new TCP socket of the address's family, neither bound nor connected; null on failure, with `error` set.
 SocketPtr create_tcp_socket(const Address& address, GlibError& error);
 
+// How the start of a connection went.
+enum class ConnectStart : std::uint8_t {
+  in_progress,    // the socket becomes ready to write when it is over, well or not
+  refused,        // by the far end, or on the way there
+  local_failure,  // by this machine, for want of a port, a buffer or a route
+};
+
+// Starts to connect a socket that does not block.
+ConnectStart start_connecting(GSocket* socket, const Address& address);
+
 // Takes over a descriptor that is a socket already, such as one handed over by another process; it is closed
 // with the result, or at once on failure. Throws std::runtime_error.
 SocketPtr adopt_socket(int fd);
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -25,11 +25,11 @@
     return;
   }
   const net::ConnectAttempt attempt = net::Connection::connect(event_loop_, address, *this);
-  // A relay out of descriptors would otherwise take healthy backends for dead.
-  is_out_of_descriptors_ = attempt.is_out_of_descriptors;
+  // A relay out of descriptors or ports would otherwise take healthy backends for dead.
+  has_local_failure_ = attempt.is_local_failure;
   connection_ = attempt.connection;
   if (!connection_) {
-    post_failure(is_out_of_descriptors_ ? AttemptResult::not_sent : AttemptResult::connect_failed);
+    post_failure(has_local_failure_ ? AttemptResult::not_sent : AttemptResult::connect_failed);
     return;
   }
   schedule_timeouts(std::min(deadline_, started_at_ + connect_timeout));
@@ -185,7 +185,7 @@
   const AttemptOutcome outcome{result, event_loop_.now() - started_at_};
   const bool was_established = state_ == State::established;
   state_ = State::closed;
-  log_result(is_out_of_descriptors_ ? UpstreamResult::no_descriptors : to_upstream_result(result));
+  log_result(has_local_failure_ ? UpstreamResult::no_descriptors : to_upstream_result(result));
   session_->on_upstream_closed(was_established ? kind : CloseKind::orderly, outcome, load, last_line);
   if (connection_) connection_->close();
   owner_.on_closed(number_);
--- a/src/proxy/backend_connection.hpp
+++ b/src/proxy/backend_connection.hpp
@@ -90,7 +90,7 @@
   protocol::LineReader lines_;
   protocol::ReplyKind last_line_kind_ = protocol::ReplyKind::other;  // of the lines passed on
   State state_ = State::connecting;
-  bool is_out_of_descriptors_ = false;
+  bool has_local_failure_ = false;
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -98,8 +98,10 @@
   }
 }
 
+// A request may be on its way from a client that has written nothing yet, and would be read by nobody: this
+// line answers it.
 void ClientConnection::time_out() {
-  finish(has_partial_request() ? "ERR" : "", DownstreamResult::request_timeout);
+  finish(has_partial_request() ? "ERR" : "BUSY", DownstreamResult::request_timeout);
 }
 
 void ClientConnection::reject(DownstreamResult result) {
--- a/src/proxy/config_reloader.hpp
+++ b/src/proxy/config_reloader.hpp
@@ -1,8 +1,10 @@
 // Reads the configuration again while the relay runs.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
+#include "config/config_error.hpp"
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
 #include "proxy/descriptor_budget.hpp"
@@ -17,10 +19,14 @@
                  Discovery& discovery, DescriptorBudget& descriptors);
 
   // Applies what may change while the relay runs: where discovery is, and the limit on descriptors. A
-  // configuration that cannot be used is logged and leaves everything as it is.
+  // configuration that cannot be used is logged and leaves everything as it is; one that cannot be read just
+  // now, or ends half-way, is read again for two seconds.
   void reload(const std::string& path);
 
  private:
+  void try_to_reload(const std::string& path, int attempts);
+  void try_again_later(const std::string& path, int attempts);
+  void log_failure(const config::ConfigError& error);
   void apply(const config::RelayConfig& config);
 
   net::EventLoop& event_loop_;
@@ -29,6 +35,7 @@
   Balancer& balancer_;
   Discovery& discovery_;
   DescriptorBudget& descriptors_;
+  std::uint64_t reload_number_ = 0;  // of the latest call of reload
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -41,11 +41,15 @@
 void DiscoveryWatch::start() {
   started_at_ = event_loop_.now();
   last_received_at_ = started_at_;
-  connection_ = net::Connection::connect(event_loop_, net::parse_address(address_), *this).connection;
+  const net::ConnectAttempt attempt =
+      net::Connection::connect(event_loop_, net::parse_address(address_), *this);
+  connection_ = attempt.connection;
   if (connection_) return watch_for_silence();
+  // What this machine lacks costs discovery nothing, and the news count as told meanwhile.
+  const Micros retry_within = attempt.is_local_failure ? kShortestRetry : kNoRetryLimit;
   // Not at once: the owner does not hold this watch yet.
-  event_loop_.post([weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->end("cannot connect");
+  event_loop_.post([weak = weak_from_this(), retry_within] {
+    if (const auto self = weak.lock()) self->end("cannot connect", retry_within);
   });
 }
 
--- a/src/proxy/health_check_connection.cpp
+++ b/src/proxy/health_check_connection.cpp
@@ -23,10 +23,12 @@
   if (connection_) {
     send_request();
   } else {
-    connection_ = net::Connection::connect(event_loop_, address_, *this).connection;
+    const net::ConnectAttempt attempt = net::Connection::connect(event_loop_, address_, *this);
+    connection_ = attempt.connection;
     is_connected_ = false;
     if (!connection_) {
-      finish(AttemptResult::connect_failed, {});
+      // What this machine lacks says nothing of the backend: like a check that it rejects.
+      finish(attempt.is_local_failure ? AttemptResult::rejected : AttemptResult::connect_failed, {});
       return;
     }
     schedule_timeout(config_.connect_timeout, TimeoutScope::connecting);
--- a/tests/proxy/upstream_test.cpp
+++ b/tests/proxy/upstream_test.cpp
@@ -170,7 +170,7 @@
     const std::string log = ::testing::internal::GetCapturedStderr();
 
     EXPECT_EQ(log.find("connect_failed"), std::string::npos) << error << log;
-    EXPECT_EQ(log.find("ejected"), std::string::npos) << error << log;
+    EXPECT_EQ(log.find(" ejected"), std::string::npos) << error << log;
   }
 }
 
