Failing tests: a restored session told to repeat, a smaller limit, and tests that share a process

The tests that fail when they share a process: those of the descriptor limit at 256 and 1024, after any test that has a relay read its configuration.

--- a/tests/proxy/proxy_shutdown_test.cpp
+++ b/tests/proxy/proxy_shutdown_test.cpp
@@ -148,6 +148,19 @@
   EXPECT_EQ(client.received(), "UP 9\r\nMOVE\r\n");
 }
 
+// Its backend has the request: to be told to come again could have it run twice.
+TEST(ProxyShutdown, FailsASessionThatMayBeRestoredAndMustNotRunTwice) {
+  LoopbackRelay relay(1, 500,
+                      R"(,"profiles":[{"name":"talk","setup_goal":300.0,"client_timeout":1200.0,"payoff":1.0,
+      "semantics":"at_most_once"}])");
+  TestSocket client = relay.connect_client("OPEN 1 5 c=talk,d=20000,at=s-0\r\n");
+  const TestSocket upstream = relay.accept_attempt();
+
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(client.received(), "ERR\r\n");
+}
+
 TEST(ProxyShutdown, IsNotHeldUpByAMigrationThatWaitsForTheEndOfALine) {
   LoopbackRelay relay(1);
   std::vector<EstablishedSession> sessions;
--- a/tests/proxy/reload_test.cpp
+++ b/tests/proxy/reload_test.cpp
@@ -92,6 +92,14 @@
   EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }, 500));
 }
 
+TEST(Reload, AMuchSmallerLimitLeavesDescriptorsForClients) {
+  LoopbackRelay relay(1);
+
+  relay.reload_config(relay.config_text(20));
+
+  relay.establish_session("1");
+}
+
 // The platform has written the file and told the relay of it; it does not tell again.
 TEST(Reload, AFileThatCannotBeReadAtTheSignalIsReadOnceItCan) {
 #ifdef __SANITIZE_ADDRESS__
