--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -78,6 +78,16 @@
   place(*session);
 }
 
+void Balancer::record_requested_attempt(Session& session, const Backend& backend) const {
+  session.may_have_run_on = &backend;
+  session.may_have_run_since = actions_.now();
+}
+
+void Balancer::on_requested_attempt_ended(const std::shared_ptr<Session>& session, AttemptResult result) {
+  if (!may_have_run(result)) session->may_have_run_on = nullptr;
+  admit(session);
+}
+
 void Balancer::place(Session& session) {
   while (session.attempts < parameters_.max_attempts && retry_policy_.is_within_budget(session) &&
          session.deadline - actions_.now() > 3 * parameters_.answer_margin) {
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -61,6 +61,10 @@
   void admit(const std::shared_ptr<Session>& session);
   // Takes over a session that is established at the backend already.
   void adopt(const std::shared_ptr<Session>& session, const std::shared_ptr<Backend>& backend);
+  // An attempt that a client has asked for itself, at the backend where its session was before: its request
+  // is about to be sent, and has ended without a session. The second admits the session like any other.
+  void record_requested_attempt(Session& session, const Backend& backend) const;
+  void on_requested_attempt_ended(const std::shared_ptr<Session>& session, AttemptResult result);
   // Asked again before the first byte of an attempt leaves: its connection may have been long in coming up,
   // and what allowed the attempt may have ended meanwhile.
   bool may_still_send(const Session& session, const Backend& backend) const;
--- a/src/proxy/descriptor_budget.cpp
+++ b/src/proxy/descriptor_budget.cpp
@@ -14,16 +14,15 @@
 }  // namespace
 
 DescriptorBudget::DescriptorBudget(const net::EventLoop& event_loop, std::size_t limit)
-    : event_loop_(event_loop), limit_(limit), reserved_(std::min(kUsualReserve, max_reserve(limit))) {}
+    : event_loop_(event_loop), limit_(limit), wanted_reserve_(kUsualReserve) {}
 
-void DescriptorBudget::reserve(std::size_t count) {
-  reserved_ = std::min(reserved_ + count, max_reserve(limit_));
-}
+// The limit may change while the relay runs.
+std::size_t DescriptorBudget::reserved() const { return std::min(wanted_reserve_, max_reserve(limit_)); }
 
 std::size_t DescriptorBudget::in_use() const { return event_loop_.watch_count() + held_by_peers_; }
 
-bool DescriptorBudget::is_exhausted() const { return in_use() + reserved_ > limit_; }
+bool DescriptorBudget::is_exhausted() const { return in_use() + reserved() > limit_; }
 
-bool DescriptorBudget::allows_use_of_reserve() const { return in_use() + reserved_ / 2 <= limit_; }
+bool DescriptorBudget::allows_use_of_reserve() const { return in_use() + reserved() / 2 <= limit_; }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/descriptor_budget.hpp
+++ b/src/proxy/descriptor_budget.hpp
@@ -14,7 +14,7 @@
 
   void set_limit(std::size_t limit) { limit_ = limit; }
   // Keeps so many more back from clients.
-  void reserve(std::size_t count);
+  void reserve(std::size_t count) { wanted_reserve_ += count; }
   // Held by processes of the same relay, while one replaces the other.
   void set_held_by_peers(std::size_t count) { held_by_peers_ = count; }
 
@@ -26,10 +26,11 @@
 
  private:
   std::size_t in_use() const;
+  std::size_t reserved() const;
 
   const net::EventLoop& event_loop_;
   std::size_t limit_;
-  std::size_t reserved_;
+  std::size_t wanted_reserve_;
   std::size_t held_by_peers_ = 0;
 };
 
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -71,7 +71,10 @@
   const auto keep_alive = self();
   if (downstream_) downstream_->read_now();
   const Backend* target = previous_backend_ ? previous_backend_.get() : backend.get();
-  return downstream_ != nullptr && target != nullptr && balancer_.may_still_send(*this, *target);
+  const bool may_send =
+      downstream_ != nullptr && target != nullptr && balancer_.may_still_send(*this, *target);
+  if (may_send && previous_backend_) balancer_.record_requested_attempt(*this, *previous_backend_);
+  return may_send;
 }
 
 void ProxySession::on_upstream_established(std::string_view line, Micros duration) {
@@ -144,20 +147,11 @@
   const bool was_at_previous_backend = std::exchange(previous_backend_, nullptr) != nullptr;
   if (!was_at_previous_backend || is_answered || is_finished) {
     balancer_.on_attempt_ended(*this, outcome, is_finished, report);
-  } else if (may_try_another_backend(outcome.result)) {
-    balancer_.admit(self());
   } else {
-    fail();
+    balancer_.on_requested_attempt_ended(self(), outcome.result);
   }
 }
 
-// An attempt at the previous backend that may have run there must not be
-// repeated at another one, unless running it twice does no harm.
-bool ProxySession::may_try_another_backend(AttemptResult result) const {
-  return traffic_class->idempotency == Idempotency::idempotent || result == AttemptResult::rejected ||
-         result == AttemptResult::connect_failed || result == AttemptResult::not_sent;
-}
-
 // ---- What the balancer asks for
 // -------------------------------------------------------------------------
 
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -85,7 +85,6 @@
   void report_attempt_end(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
   void on_attempt_ended(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
   void report_cancelled(bool is_finished);
-  bool may_try_another_backend(AttemptResult result) const;
   void end_before_answer(DownstreamResult result);
   void close_for_migration();
   DownstreamResult rejection_result() const;
