Signals that come while a relay starts are heard once it runs

Cause: SIGHUP, SIGTERM and SIGINT had their default action until the event loop had been made, after the configuration was read: the process ended without a word.

Change: main holds them back before anything else; the event loop reads them once it handles them. What comes before main, some 3 ms of loading the program, cannot be held back by the program.

The test waits for the program to listen before it writes the configuration again: it had written both into one reading.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -66,6 +66,7 @@
 }  // namespace
 
 int main(int argument_count, char** arguments) {
+  cherryrail::net::hold_back_handled_signals();
   try {
     return run_command_line(argument_count, arguments);
   } catch (const std::exception& failure) {
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -64,6 +64,13 @@
   sigemptyset(&handled_signals_);
 }
 
+void hold_back_handled_signals() {
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&signals, signal);
+  sigprocmask(SIG_BLOCK, &signals, nullptr);
+}
+
 EventLoop::~EventLoop() {
   // What the callbacks hold, watches among it, goes while the loop is whole.
   posted_.clear();
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -18,6 +18,10 @@
 
 namespace cherryrail::net {
 
+// Has the signals that an event loop handles wait until there is one: at a start, each of them would end the
+// process. Called once, before anything else.
+void hold_back_handled_signals();
+
 // One for the process: it uses GLib's default context and the process's signal mask. In each round the
 // callbacks of descriptors come first, then what had been posted, then timers. A callback that throws a
 // std::exception is logged, and the loop goes on.
--- a/tests/main_test.cpp
+++ b/tests/main_test.cpp
@@ -1,6 +1,7 @@
 // The program from its first instruction on: what may happen to it before its event loop runs.
 #include <fcntl.h>
 #include <gtest/gtest.h>
+#include <poll.h>
 #include <signal.h>  // NOLINT(modernize-deprecated-headers): kill is POSIX's
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -58,6 +59,16 @@
   EXPECT_EQ(write(file.get(), text.data(), text.size()), static_cast<ssize_t>(text.size()));
 }
 
+// Until it listens; by then it has read the configuration to its end.
+bool wait_until_listening(const LoopbackRelay& surroundings) {
+  for (int attempt = 0; attempt < 2000; ++attempt) {
+    TestSocket connection = TestSocket::connected_to(surroundings.port);
+    if (!connection.is_ended_by_peer()) return true;
+    poll(nullptr, 0, 2);
+  }
+  return false;
+}
+
 TEST(Main, SignalsThatComeWhileItStartsAreHeardOnceItRuns) {
   const LoopbackRelay surroundings(1, 500, "", false);
   Program program;
@@ -65,6 +76,7 @@
   net::FileDescriptor config = program.open_config();
   program.signal(SIGHUP);
   write_config(std::move(config), surroundings);
+  ASSERT_TRUE(wait_until_listening(surroundings));
   write_config(program.open_config(), surroundings);  // read for the signal
   program.signal(SIGTERM);
 
