--- a/tests/net/listener_test.cpp
+++ b/tests/net/listener_test.cpp
@@ -33,5 +33,17 @@
   EXPECT_EQ(accepted, 3);
 }
 
+// At a start, the system may be short of descriptors for a moment.
+TEST(Listener, ASocketThatCannotBeMadeAtOnceIsMadeSoonAfter) {
+  for (const int error : {ENFILE, ENOBUFS}) {
+    const FaultPlanScope scope;
+    const int port = TestSocket::listening().port();
+    fault_plan().socket.error_number = error;
+    fault_plan().socket.remaining = 3;
+
+    EXPECT_NO_THROW(net::create_listening_socket(net::parse_address("127.0.0.1:" + std::to_string(port))));
+  }
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
