A start outlasts a moment without descriptors or with half a configuration

Cause: any failure of socket, bind, epoll_create1, signalfd or of reading the configuration ended the process.

Change: each is tried again every 20 ms for three seconds, before the loop runs; a configuration with a wrong value still ends the start at once.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,17 +4,35 @@
 #include <cstdio>
 #include <cstdlib>
 #include <exception>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include "admin/admin_services.hpp"
+#include "config/config_error.hpp"
 #include "config/descriptor_limit.hpp"
+#include "net/startup_retry.hpp"
 
 namespace {
 
 using ConfigCommand = void (*)(const std::string& config_path);
 
+// The configuration may be written, or the system be short of descriptors, just when the relay starts.
+cherryrail::config::RelayConfig read_config_at_startup(const std::string& config_path) {
+  using cherryrail::config::RelayConfig;
+  auto config = cherryrail::net::retry_at_startup([&config_path]() -> std::optional<RelayConfig> {
+    try {
+      return cherryrail::config::read_relay_config(config_path);
+    } catch (const cherryrail::config::IncompleteConfigError&) {
+      return std::nullopt;
+    }
+  });
+  if (config) return std::move(*config);
+  return cherryrail::config::read_relay_config(config_path);
+}
+
 void serve(const std::string& config_path) {
-  auto config = cherryrail::config::read_relay_config(config_path);
+  auto config = read_config_at_startup(config_path);
   config.descriptor_limit = cherryrail::config::raise_descriptor_limit(config.descriptor_limit);
   cherryrail::net::EventLoop event_loop;
   cherryrail::proxy::ProxyServer proxy(event_loop, config);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -13,6 +13,8 @@
 #include <string>
 #include <utility>
 
+#include "net/startup_retry.hpp"
+
 namespace cherryrail::net {
 namespace {
 
@@ -115,10 +117,14 @@
   signal_callbacks_[signal] = std::move(callback);
   sigaddset(&handled_signals_, signal);
   sigprocmask(SIG_BLOCK, &handled_signals_, nullptr);
-  const int fd = signalfd(signal_fd_.get(), &handled_signals_, SFD_CLOEXEC | SFD_NONBLOCK);
-  if (fd < 0) throw std::runtime_error(std::string("signalfd: ") + std::strerror(errno));
-  if (signal_fd_) return;
-  signal_fd_ = FileDescriptor(fd);
+  if (signal_fd_) {
+    // Changes what the descriptor reads, which cannot fail.
+    static_cast<void>(signalfd(signal_fd_.get(), &handled_signals_, 0));
+    return;
+  }
+  signal_fd_ = retry_at_startup(
+      [this] { return FileDescriptor(signalfd(-1, &handled_signals_, SFD_CLOEXEC | SFD_NONBLOCK)); });
+  if (!signal_fd_) throw std::runtime_error(std::string("signalfd: ") + std::strerror(errno));
   signal_watch_ = std::make_unique<IoWatch>(*this, signal_fd_.get(), [this](bool, bool) { read_signals(); });
   signal_watch_->set_interest(true, false);
 }
--- a/src/net/io_poller.cpp
+++ b/src/net/io_poller.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "net/event_loop.hpp"
+#include "net/startup_retry.hpp"
 
 namespace cherryrail::net {
 namespace {
@@ -35,7 +36,7 @@
   poller_.change_interest(*this, input | output);
 }
 
-IoPoller::IoPoller() : epoll_(epoll_create1(EPOLL_CLOEXEC)) {
+IoPoller::IoPoller() : epoll_(retry_at_startup([] { return FileDescriptor(epoll_create1(EPOLL_CLOEXEC)); })) {
   if (!epoll_) throw std::runtime_error(std::string("epoll: ") + std::strerror(errno));
 }
 
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "net/glib_handles.hpp"
+#include "net/startup_retry.hpp"
 
 namespace cherryrail::net {
 namespace {
@@ -23,16 +24,25 @@
 // Connections accepted at once, so that a crowd does not keep the sessions that stand waiting.
 constexpr int kAcceptBatch = 64;
 
-}  // namespace
-
-SocketPtr create_listening_socket(const Address& address) {
+// Null on failure, with the problem named.
+SocketPtr try_to_listen(const Address& address, std::string& problem) {
   GlibError error;
   SocketPtr socket = create_tcp_socket(address, error);
   if (socket) g_socket_set_listen_backlog(socket.get(), kBacklog);
   const bool is_listening = socket &&
                             g_socket_bind(socket.get(), address.get(), TRUE, error.out()) != FALSE &&
                             g_socket_listen(socket.get(), error.out()) != FALSE;
-  if (!is_listening) throw std::runtime_error(std::string("cannot listen: ") + error.message());
+  if (is_listening) return socket;
+  problem = error.message();
+  return nullptr;
+}
+
+}  // namespace
+
+SocketPtr create_listening_socket(const Address& address) {
+  std::string problem;
+  SocketPtr socket = retry_at_startup([&address, &problem] { return try_to_listen(address, problem); });
+  if (!socket) throw std::runtime_error("cannot listen: " + problem);
   return socket;
 }
 
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -11,7 +11,7 @@
 
 namespace cherryrail::net {
 
-// Bound and listening. Throws std::runtime_error.
+// Bound and listening. Tries for three seconds, then throws std::runtime_error.
 SocketPtr create_listening_socket(const Address& address);
 
 // Hands on each connection that comes in, while that is wanted. It wants none at first.
