One module decides what may be sent, repeated or answered; a monitor checks it at run time

Cause: the conditions stood in three methods of Balancer and one of ProxySession; nothing noticed at run time when one was broken, and why a request was not sent could not be read anywhere.

Change: SessionRules (listed under policy) names its reason for each refusal, and the log has it. GET /stats at the admin endpoint: results of connections and attempts, violations, sessions, descriptors, the wall clock's step, lost log lines, what the disk has not taken.

--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -1,8 +1,13 @@
 #include "admin/admin_api.hpp"
 
+#include <fmt/format.h>
+
+#include <cstddef>
+#include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cherryrail::admin {
 namespace {
@@ -28,6 +33,44 @@
   return {HttpStatus::ok, R"({"ready":true})"};
 }
 
+// As the log has it, as a key: "rejected reason=no_backend" is rejected_no_backend.
+std::string key_of(std::string_view result) {
+  constexpr std::string_view kSeparator = " reason=";
+  const std::size_t position = result.find(kSeparator);
+  if (position == std::string_view::npos) return std::string(result);
+  return fmt::format("{}_{}", result.substr(0, position), result.substr(position + kSeparator.size()));
+}
+
+template <class Counts>
+nlohmann::json counts_by_result(const Counts& counts) {
+  nlohmann::json object = nlohmann::json::object();
+  counts.for_each([&object](auto result, std::uint64_t count) { object[key_of(to_string(result))] = count; });
+  return object;
+}
+
+nlohmann::json violations_by_invariant(const proxy::InvariantMonitor& monitor) {
+  nlohmann::json object = nlohmann::json::object();
+  for (std::size_t i = 0; i < proxy::kInvariantCount; ++i) {
+    const auto invariant = static_cast<proxy::Invariant>(i);
+    object[std::string(to_string(invariant))] = monitor.violations(invariant);
+  }
+  return object;
+}
+
+AdminResponse get_statistics(const proxy::ProxyServer& proxy, const DisabledBackendsSync& disabled_backends) {
+  const proxy::ProxyStatistics statistics = proxy.statistics();
+  return {HttpStatus::ok,
+          nlohmann::json{{"downstream", counts_by_result(statistics.downstream)},
+                         {"attempts", counts_by_result(statistics.attempts)},
+                         {"invariant_violations", violations_by_invariant(statistics.invariants)},
+                         {"sessions", statistics.sessions},
+                         {"descriptors", statistics.descriptors},
+                         {"wall_clock_step_ms", statistics.wall_clock_step / 1000},
+                         {"lost_log_lines", statistics.lost_log_lines},
+                         {"disabled_backends_not_stored", disabled_backends.pending_changes().size()}}
+              .dump()};
+}
+
 AdminResponse set_disabled(DisabledBackendsSync& disabled_backends, const std::string& body,
                            bool is_disabled) {
   const auto uid = backend_named_in(body);
@@ -43,6 +86,8 @@
 std::vector<Route> admin_api_routes(proxy::ProxyServer& proxy, DisabledBackendsSync& disabled_backends) {
   return {
       {"GET", "/ready", [&proxy](const std::string&) { return get_ready(proxy); }},
+      {"GET", "/stats",
+       [&proxy, &disabled_backends](const std::string&) { return get_statistics(proxy, disabled_backends); }},
       {"POST", "/backends/disable",
        [&disabled_backends](const std::string& body) { return set_disabled(disabled_backends, body, true); }},
       {"POST", "/backends/enable", [&disabled_backends](const std::string& body) {
--- a/src/admin/admin_api.hpp
+++ b/src/admin/admin_api.hpp
@@ -9,7 +9,8 @@
 
 namespace cherryrail::admin {
 
-// GET /ready, POST /backends/disable and POST /backends/enable. Both arguments have to outlive the routes.
+// GET /ready, GET /stats, POST /backends/disable and POST /backends/enable. Both arguments have to outlive
+// the routes.
 std::vector<Route> admin_api_routes(proxy::ProxyServer& proxy, DisabledBackendsSync& disabled_backends);
 
 }  // namespace cherryrail::admin
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -7,15 +7,6 @@
 #include "balancer/start_time.hpp"
 
 namespace cherryrail {
-namespace {
-
-bool may_have_run(AttemptResult result) {
-  return result != AttemptResult::rejected && result != AttemptResult::connect_failed &&
-         result != AttemptResult::not_sent;
-}
-
-}  // namespace
-
 Balancer::Balancer(BalancerActions& actions, const BalancerConfig& config, std::uint64_t seed)
     : actions_(actions), parameters_(config), random_(seed) {
   if (parameters_.must_request_endpoints) actions_.watch_endpoints();
@@ -100,8 +91,7 @@
 }
 
 bool Balancer::start_attempt(Session& session, Backend& backend) {
-  if (session.backend != nullptr || session.attempts >= parameters_.max_attempts) return false;
-  if (!may_still_send(session, backend) || !retry_policy_.is_within_budget(session)) return false;
+  if (rules_.refuse_attempt(session, backend) != Refusal::none) return false;
   if (!slow_start_.may_admit(session, backend, placement_.fleet_load())) return false;
   session.attempt_started_at = actions_.now();
   ++session.attempts;
@@ -116,11 +106,6 @@
   return true;
 }
 
-bool Balancer::may_still_send(const Session& session, const Backend& backend) const {
-  return !session.is_answered && backend.state == EndpointState::ready &&
-         retry_policy_.is_safe(session, backend);
-}
-
 void Balancer::on_attempt_ended(Session& session, const AttemptOutcome& outcome, bool is_finished,
                                 const LoadReport& report) {
   if (session.backend == nullptr) return;
@@ -197,14 +182,14 @@
 }
 
 void Balancer::give_up(Session& session) {
-  if (session.is_answered) return;
+  if (rules_.refuse_answer(session) != Refusal::none) return;
   if (session.backend != nullptr && may_cancel_attempts()) actions_.cancel_attempt(session);
   const bool is_harmless = retry_policy_.is_rejection_harmless(session);
   answer(session, is_harmless ? FinalAnswer::rejected : FinalAnswer::failed);
 }
 
 void Balancer::answer(Session& session, FinalAnswer final_answer) {
-  if (session.is_answered) return;
+  if (rules_.refuse_answer(session) != Refusal::none) return;
   session.is_answered = true;
   if (final_answer == FinalAnswer::failed) actions_.fail_session(session);
   if (final_answer != FinalAnswer::rejected) return;
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -24,6 +24,7 @@
 #include "balancer/placement.hpp"
 #include "balancer/random_source.hpp"
 #include "balancer/retry_policy.hpp"
+#include "balancer/session_rules.hpp"
 #include "balancer/slow_start.hpp"
 #include "balancer/state_snapshot.hpp"
 
@@ -67,7 +68,9 @@
   void on_requested_attempt_ended(const std::shared_ptr<Session>& session, AttemptResult result);
   // Asked again before the first byte of an attempt leaves: its connection may have been long in coming up,
   // and what allowed the attempt may have ended meanwhile.
-  bool may_still_send(const Session& session, const Backend& backend) const;
+  Refusal refuse_request(const Session& session, const Backend& backend) const {
+    return rules_.refuse_request(session, backend);
+  }
   void on_established(Session& session, Micros duration);
   // The attempt or the established session ended at its backend; `is_finished` if the session ended with it.
   void on_attempt_ended(Session& session, const AttemptOutcome& outcome, bool is_finished,
@@ -126,6 +129,7 @@
   SlowStart slow_start_{actions_, parameters_, fleet_, arrivals_};
   AttemptStatistics attempts_{actions_, parameters_};
   RetryPolicy retry_policy_{actions_, parameters_, attempts_};
+  SessionRules rules_{parameters_, retry_policy_};
   CapacityLimiter capacity_{actions_, parameters_, fleet_, slow_start_};
   LocalZonePreference local_zone_{actions_, parameters_, fleet_, arrivals_, capacity_};
   FleetLoadMeter meter_{actions_,    parameters_, fleet_,     arrivals_,
--- a/src/balancer/types.hpp
+++ b/src/balancer/types.hpp
@@ -35,6 +35,12 @@
   not_sent         // it was no longer wanted, or could not be made by this process
 };
 
+// Whether an attempt that ended so may have taken effect at its backend.
+constexpr bool may_have_run(AttemptResult result) {
+  return result != AttemptResult::rejected && result != AttemptResult::connect_failed &&
+         result != AttemptResult::not_sent;
+}
+
 // An operator's class of sessions, such as chat or telemetry, with what it promises.
 struct TrafficClass {
   Micros attempt_latency_objective = 0;
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -185,10 +185,12 @@
   const AttemptOutcome outcome{result, event_loop_.now() - started_at_};
   const bool was_established = state_ == State::established;
   state_ = State::closed;
-  log_result(has_local_failure_ ? UpstreamResult::no_descriptors : to_upstream_result(result));
+  const UpstreamResult upstream_result =
+      has_local_failure_ ? UpstreamResult::no_descriptors : to_upstream_result(result);
+  log_result(upstream_result);
   session_->on_upstream_closed(was_established ? kind : CloseKind::orderly, outcome, load, last_line);
   if (connection_) connection_->close();
-  owner_.on_closed(number_);
+  owner_.on_closed(number_, upstream_result);
 }
 
 void BackendConnection::abandon() {
@@ -205,7 +207,7 @@
   if (std::exchange(state_, State::closed) == State::closed) return;
   log_result(result);
   session_->set_upstream(nullptr);
-  owner_.on_closed(number_);
+  owner_.on_closed(number_, result);
 }
 
 void BackendConnection::log_result(UpstreamResult result) {
--- a/src/proxy/backend_connection.hpp
+++ b/src/proxy/backend_connection.hpp
@@ -23,7 +23,7 @@
   virtual LoadReport parse_load_report(std::string_view fields) const = 0;
   virtual void on_load_line(ProxySession& session, double value) = 0;
   // The object may be removed, though not within this call.
-  virtual void on_closed(std::uint64_t number) = 0;
+  virtual void on_closed(std::uint64_t number, UpstreamResult result) = 0;
 
  protected:
   ~BackendConnectionOwner() = default;
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -160,7 +160,7 @@
   event_loop_.log().write(net::Topic::connection, "downstream={} session={} result={} duration_ms={}",
                           number_, id, to_string(result), (event_loop_.now() - connected_at_) / 1000);
   if (session_) session_->set_downstream(nullptr);
-  owner_.on_closed(number_);
+  owner_.on_closed(number_, result);
 }
 
 // ---- Hot restart ----------------------------------------------------------------------------------------
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -28,7 +28,7 @@
   // The connection is over for the session, and stays until the client has read its last line.
   virtual void on_closing(const std::shared_ptr<net::Connection>& connection) = 0;
   // The object may be removed, though not within this call.
-  virtual void on_closed(std::uint64_t number) = 0;
+  virtual void on_closed(std::uint64_t number, DownstreamResult result) = 0;
 
  protected:
   ~ClientConnectionOwner() = default;
--- a/src/proxy/connection_result.hpp
+++ b/src/proxy/connection_result.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "balancer/balancer.hpp"
+#include "proxy/result_counts.hpp"
 
 namespace cherryrail::proxy {
 
@@ -50,6 +51,9 @@
 
 UpstreamResult to_upstream_result(AttemptResult result);
 
+using DownstreamCounts = ResultCounts<DownstreamResult, DownstreamResult::rejected_no_backend>;
+using UpstreamCounts = ResultCounts<UpstreamResult, UpstreamResult::handed_over>;
+
 // The texts of the log's `result` field.
 std::string_view to_string(DownstreamResult result);
 std::string_view to_string(UpstreamResult result);
--- a/src/proxy/downstream_listener.cpp
+++ b/src/proxy/downstream_listener.cpp
@@ -177,7 +177,8 @@
   closing_.push_back(connection);
 }
 
-void DownstreamListener::on_closed(std::uint64_t number) {
+void DownstreamListener::on_closed(std::uint64_t number, DownstreamResult result) {
+  result_counts_.add(result);
   pending_.erase(number);
   event_loop_.post([this, number] { clients_.erase(number); });
 }
--- a/src/proxy/downstream_listener.hpp
+++ b/src/proxy/downstream_listener.hpp
@@ -40,6 +40,7 @@
 
   std::size_t session_count() const;  // established or waiting for a backend
   bool is_empty() const { return clients_.empty(); }
+  const DownstreamCounts& result_counts() const { return result_counts_; }
   bool has_partial_requests() const;  // some client has written part of its first line
 
   // Hot restart. `give` returns whether the successor has got the message; at the first false the rest stays.
@@ -70,13 +71,14 @@
   void on_request_received(std::uint64_t number) override { pending_.erase(number); }
   void on_session_requested(const std::shared_ptr<ProxySession>& session) override;
   void on_closing(const std::shared_ptr<net::Connection>& connection) override;
-  void on_closed(std::uint64_t number) override;
+  void on_closed(std::uint64_t number, DownstreamResult result) override;
 
   net::EventLoop& event_loop_;
   DownstreamCallbacks callbacks_;
   std::map<std::uint64_t, ClientPtr> clients_;          // by number, which is the order of their coming
   std::set<std::uint64_t> pending_;                     // those that have not asked for a session yet
   std::deque<std::weak_ptr<net::Connection>> closing_;  // answered; the client may still have to read it
+  DownstreamCounts result_counts_;
   std::uint64_t last_number_ = 0;
   bool is_rejecting_pending_ = false;
   bool is_shutting_down_ = false;
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -47,7 +47,7 @@
 }  // namespace
 
 ProxyServer::ProxyServer(net::EventLoop& event_loop, const config::RelayConfig& config)
-    : event_loop_(event_loop), settings_(config.settings),
+    : event_loop_(event_loop), settings_(config.settings), invariants_(event_loop.log()),
       has_inherited_listener_(config.inherited_listener.has_value()),
       descriptors_(event_loop, config.descriptor_limit),
       discovery_(
@@ -84,7 +84,7 @@
 DownstreamCallbacks ProxyServer::downstream_callbacks() {
   DownstreamCallbacks callbacks;
   callbacks.create_session = [this](std::string_view line) {
-    return std::make_shared<ProxySession>(event_loop_, balancer_, line);
+    return std::make_shared<ProxySession>(event_loop_, balancer_, invariants_, line);
   };
   callbacks.on_session_requested = [this](const auto& session) { on_session_requested(session); };
   callbacks.are_descriptors_short = [this] { return descriptors_.is_exhausted(); };
@@ -158,7 +158,7 @@
 // A client that names the backend where its session was goes there, unless that takes nothing new now.
 void ProxyServer::place(const std::shared_ptr<ProxySession>& session) {
   const auto previous = endpoints_.find(session->request().value("at"));
-  if (!previous || !balancer_.may_still_send(*session, *previous)) {
+  if (!previous || balancer_.refuse_request(*session, *previous) != Refusal::none) {
     balancer_.admit(session);
     return;
   }
@@ -210,6 +210,12 @@
 
 void ProxyServer::log(const std::string& line) { event_loop_.log().write(net::Topic::balancer, "{}", line); }
 
+ProxyStatistics ProxyServer::statistics() const {
+  return {downstream_->result_counts(),  upstream_.result_counts(), invariants_,
+          downstream_->session_count(),  event_loop_.watch_count(), event_loop_.wall_clock_step(),
+          event_loop_.log().lost_lines()};
+}
+
 // ---- Shutdown and hot restart ---------------------------------------------------------------------------
 
 void ProxyServer::begin_graceful_shutdown() {
@@ -272,7 +278,8 @@
 }
 
 void ProxyServer::resume_session(const OpenSession& handover, net::SocketPtr client, net::SocketPtr server) {
-  const auto session = std::make_shared<ProxySession>(event_loop_, balancer_, handover.open_request);
+  const auto session =
+      std::make_shared<ProxySession>(event_loop_, balancer_, invariants_, handover.open_request);
   if (const auto fault = request_reader_.read(*session, event_loop_.now())) {
     event_loop_.log().write(net::Topic::error, "bad open request in a handover: {}",
                             describe(*fault, session->request()));
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -17,6 +17,7 @@
 #include "proxy/health_checker.hpp"
 #include "proxy/load_report_reader.hpp"
 #include "proxy/open_request_reader.hpp"
+#include "proxy/proxy_statistics.hpp"
 #include "proxy/session_id_registry.hpp"
 #include "proxy/shutdown_sequence.hpp"
 #include "proxy/unresponsive_session_monitor.hpp"
@@ -44,6 +45,7 @@
   // disabled from now on.
   bool knows_backend(const std::string& uid) const { return endpoints_.knows(uid); }
   void set_disabled_backends(const std::set<std::string>& uids) { endpoints_.set_disabled(uids); }
+  ProxyStatistics statistics() const;
   // Keeps so many more descriptors back from clients.
   void reserve_descriptors(std::size_t count) { descriptors_.reserve(count); }
   void reload(const std::string& path) { config_reloader_.reload(path); }
@@ -90,6 +92,7 @@
 
   net::EventLoop& event_loop_;
   const config::SiteSettings settings_;
+  InvariantMonitor invariants_;
   const bool has_inherited_listener_;  // the clients' listening socket: a successor inherits it, too
   DescriptorBudget descriptors_;
   Discovery discovery_;
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -23,6 +23,15 @@
   if (upstream_) upstream_->set_reading(wanted);
 }
 
+void ProxySession::set_upstream(UpstreamConnection* upstream) {
+  upstream_ = upstream;
+  if (upstream) {
+    invariants_.on_attempt_started(id());
+  } else {
+    invariants_.on_attempt_ended();
+  }
+}
+
 Micros ProxySession::time_unanswered(Micros now) const {
   return unanswered_since_ > 0 ? now - unanswered_since_ : 0;
 }
@@ -71,10 +80,16 @@
   const auto keep_alive = self();
   if (downstream_) downstream_->read_now();
   const Backend* target = previous_backend_ ? previous_backend_.get() : backend.get();
-  const bool may_send =
-      downstream_ != nullptr && target != nullptr && balancer_.may_still_send(*this, *target);
-  if (may_send && previous_backend_) balancer_.record_requested_attempt(*this, *previous_backend_);
-  return may_send;
+  if (downstream_ == nullptr || target == nullptr) return false;
+  const Refusal refusal = balancer_.refuse_request(*this, *target);
+  if (refusal != Refusal::none) {
+    event_loop_.log().write(net::Topic::connection, "request not sent: session={} backend={} reason={}", id(),
+                            target->name, to_string(refusal));
+    return false;
+  }
+  if (previous_backend_) balancer_.record_requested_attempt(*this, *previous_backend_);
+  invariants_.on_request(*this, id(), *target, !has_client_left_);
+  return true;
 }
 
 void ProxySession::on_upstream_established(std::string_view line, Micros duration) {
@@ -83,6 +98,7 @@
     abandon_attempt();
     return;
   }
+  check_final_answer(false);
   downstream_->send(line, "\r\n");
   if (const auto previous = std::exchange(previous_backend_, nullptr)) {
     balancer_.adopt(keep_alive, previous);
@@ -112,10 +128,12 @@
 void ProxySession::on_upstream_closed(CloseKind kind, const AttemptOutcome& outcome, const LoadReport& report,
                                       std::string_view last_line) {
   const auto keep_alive = self();
-  upstream_ = nullptr;
+  set_upstream(nullptr);
   const bool has_succeeded = outcome.result == AttemptResult::succeeded;
   const bool is_finished = is_established || has_succeeded;
+  if (!may_have_run(outcome.result)) invariants_.on_request_not_run();
   if (downstream_ && is_finished) {
+    if (!is_established) check_final_answer(false);
     const auto result = has_succeeded ? DownstreamResult::served : DownstreamResult::backend_closed;
     if (kind == CloseKind::orderly) {
       downstream_->finish(last_line, result);
@@ -171,7 +189,13 @@
 }
 
 void ProxySession::refuse(std::string_view last_line, DownstreamResult result) {
-  if (downstream_) downstream_->finish(last_line, result);
+  if (!downstream_) return;
+  check_final_answer(last_line.starts_with("BUSY"));
+  downstream_->finish(last_line, result);
+}
+
+void ProxySession::check_final_answer(bool invites_retry) {
+  invariants_.on_final_answer(*this, id(), event_loop_.now(), invites_retry);
 }
 
 void ProxySession::fail() { refuse("ERR", DownstreamResult::failed); }
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -12,6 +12,7 @@
 #include "proxy/connection_result.hpp"
 #include "proxy/downstream_connection.hpp"
 #include "proxy/handover_message.hpp"
+#include "proxy/invariant_monitor.hpp"
 #include "proxy/upstream_connection.hpp"
 
 namespace cherryrail::proxy {
@@ -24,8 +25,10 @@
 // within the balancer's own step.
 class ProxySession final : public Session {
  public:
-  ProxySession(net::EventLoop& event_loop, Balancer& balancer, std::string_view open_request_line)
-      : request_(open_request_line), event_loop_(event_loop), balancer_(balancer) {}
+  ProxySession(net::EventLoop& event_loop, Balancer& balancer, InvariantMonitor& invariant_monitor,
+               std::string_view open_request_line)
+      : request_(open_request_line), event_loop_(event_loop), balancer_(balancer),
+        invariants_(invariant_monitor) {}
   ProxySession(const ProxySession&) = delete;
   ProxySession& operator=(const ProxySession&) = delete;
   ~ProxySession() = default;
@@ -35,7 +38,7 @@
 
   // Each end registers itself while it is there; null takes it back.
   void set_downstream(DownstreamConnection* downstream) { downstream_ = downstream; }
-  void set_upstream(UpstreamConnection* upstream) { upstream_ = upstream; }
+  void set_upstream(UpstreamConnection* upstream);
   // Each end pauses and resumes the other when its own peer reads slowly.
   void set_downstream_reading(bool wanted);
   void set_upstream_reading(bool wanted);
@@ -85,6 +88,7 @@
   void report_attempt_end(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
   void on_attempt_ended(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
   void report_cancelled(bool is_finished);
+  void check_final_answer(bool invites_retry);
   void end_before_answer(DownstreamResult result);
   void close_for_migration();
   DownstreamResult rejection_result() const;
@@ -92,6 +96,7 @@
   const protocol::OpenRequest request_;
   net::EventLoop& event_loop_;
   Balancer& balancer_;
+  SessionInvariants invariants_;
   DownstreamConnection* downstream_ = nullptr;
   UpstreamConnection* upstream_ = nullptr;
   std::shared_ptr<Backend> previous_backend_;  // until the session is established again
--- /dev/null
+++ b/src/proxy/proxy_statistics.hpp
@@ -0,0 +1,22 @@
+// What a relay tells of itself: figures since its process started, and those of the moment.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "proxy/connection_result.hpp"
+#include "proxy/invariant_monitor.hpp"
+
+namespace cherryrail::proxy {
+
+struct ProxyStatistics {
+  DownstreamCounts downstream;
+  UpstreamCounts attempts;
+  InvariantMonitor invariants;
+  std::size_t sessions = 0;     // established or waiting for a backend
+  std::size_t descriptors = 0;  // in use, by the relay's own account
+  Micros wall_clock_step = 0;   // since the start
+  std::uint64_t lost_log_lines = 0;
+};
+
+}  // namespace cherryrail::proxy
--- a/src/proxy/upstream_connector.cpp
+++ b/src/proxy/upstream_connector.cpp
@@ -44,7 +44,8 @@
   callbacks_.on_load_line(session, value);
 }
 
-void UpstreamConnector::on_closed(std::uint64_t number) {
+void UpstreamConnector::on_closed(std::uint64_t number, UpstreamResult result) {
+  result_counts_.add(result);
   event_loop_.post([this, number] { connections_.erase(number); });
 }
 
--- a/src/proxy/upstream_connector.hpp
+++ b/src/proxy/upstream_connector.hpp
@@ -31,6 +31,7 @@
   void add_established(const std::shared_ptr<ProxySession>& session, net::SocketPtr socket);
   // Calls `visit` for each session whose client has waited at least so long for any line.
   void for_each_unanswered(Micros waited, const std::function<void(ProxySession&)>& visit);
+  const UpstreamCounts& result_counts() const { return result_counts_; }
 
  private:
   using BackendConnectionPtr = std::shared_ptr<BackendConnection>;
@@ -40,12 +41,13 @@
   // BackendConnectionOwner
   LoadReport parse_load_report(std::string_view fields) const override;
   void on_load_line(ProxySession& session, double value) override;
-  void on_closed(std::uint64_t number) override;
+  void on_closed(std::uint64_t number, UpstreamResult result) override;
 
   net::EventLoop& event_loop_;
   Micros connect_timeout_;
   UpstreamCallbacks callbacks_;
   std::map<std::uint64_t, BackendConnectionPtr> connections_;  // by number
+  UpstreamCounts result_counts_;
   std::uint64_t last_number_ = 0;
 };
 
--- a/tests/admin/admin_server_test.cpp
+++ b/tests/admin/admin_server_test.cpp
@@ -1,6 +1,7 @@
 // The operators' HTTP endpoint.
 #include <gtest/gtest.h>
 
+#include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
@@ -78,5 +79,27 @@
   }
 }
 
+TEST(AdminServer, TheStatisticsCountHowConnectionsEndedAndWhatWasBroken) {
+  AdminRelay relay(1);
+  EstablishedSession session = relay.establish_session("1");
+  session.client.close();
+  ASSERT_TRUE(relay.run_until([&] { return session.upstream.is_ended_by_peer(); }));
+  session.upstream.close();
+  TestSocket bad = relay.connect_client("nonsense\r\n");
+  ASSERT_TRUE(relay.run_until([&] { return bad.is_ended_by_peer(); }));
+  relay.run_for(50);
+
+  TestSocket caller = relay.connect_operator("GET /stats HTTP/1.1\r\n\r\n");
+  ASSERT_TRUE(relay.run_until([&] { return caller.is_ended_by_peer(); }));
+
+  const std::string response = caller.received();
+  const auto statistics = nlohmann::json::parse(response.substr(response.find("\r\n\r\n")));
+  EXPECT_EQ(statistics.at("downstream").at("bad_request"), 1);
+  EXPECT_EQ(statistics.at("downstream").at("rejected_no_backend"), 0);
+  EXPECT_EQ(statistics.at("attempts").at("cancelled"), 1);
+  EXPECT_EQ(statistics.at("invariant_violations").at("one_final_answer"), 0);
+  EXPECT_EQ(statistics.at("disabled_backends_not_stored"), 0);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
