--- a/tests/proxy/upstream_test.cpp
+++ b/tests/proxy/upstream_test.cpp
@@ -174,5 +174,19 @@
   }
 }
 
+// On a link that is cut, the system would go on sending the request after a plain close, and the backend
+// would have it once the link is back: perhaps when its deduplication window has passed.
+TEST(Upstream, AnAttemptThatIsGivenUpLeavesNothingBehindToBeSentLater) {
+  LoopbackRelay relay(2);
+  TestSocket client = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  TestSocket hanging = relay.accept_attempt();
+
+  TestSocket next = relay.accept_attempt();
+  next.send("UP r\r\n");
+  EXPECT_TRUE(relay.run_until([&] { return client.received() == "UP r\r\n"; }));
+
+  EXPECT_TRUE(hanging.is_reset_by_peer());
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/support/test_socket.hpp
+++ b/tests/support/test_socket.hpp
@@ -42,11 +42,14 @@
   const std::string& received();
   // Whether the peer has ended the connection, in whichever way.
   bool is_ended_by_peer();
+  // Whether it has done so with a TCP reset.
+  bool is_reset_by_peer();
 
  private:
   int fd_;
   std::string received_;
   bool is_ended_by_peer_ = false;
+  bool is_reset_by_peer_ = false;
 };
 
 }  // namespace cherryrail::testing
