An attempt that is given up ends with a reset, so that its request goes nowhere later

Cause: after a plain close the system goes on sending what it has not delivered: on a link that was cut, a backend gets the request once the link is back, perhaps beside the attempt that followed or after the deduplication window.

Change: an attempt that timed out or is abandoned before its answer is reset. Established sessions end as before.

--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -184,17 +184,29 @@
   const LoadReport load = owner_.parse_load_report(report);
   const AttemptOutcome outcome{result, event_loop_.now() - started_at_};
   const bool was_established = state_ == State::established;
+  const bool is_given_up = result == AttemptResult::timed_out && has_sent_request();
   state_ = State::closed;
   const UpstreamResult upstream_result =
       has_local_failure_ ? UpstreamResult::no_descriptors : to_upstream_result(result);
   log_result(upstream_result);
   session_->on_upstream_closed(was_established ? kind : CloseKind::orderly, outcome, load, last_line);
-  if (connection_) connection_->close();
+  close_connection(is_given_up);
   owner_.on_closed(number_, upstream_result);
 }
 
+// A request that nobody waits for any longer must not be delivered later: after a plain close the system
+// would go on sending it.
+void BackendConnection::close_connection(bool is_request_given_up) {
+  if (!connection_) return;
+  if (is_request_given_up) {
+    connection_->reset();
+  } else {
+    connection_->close();
+  }
+}
+
 void BackendConnection::abandon() {
-  if (connection_) connection_->close();
+  close_connection(has_sent_request());
   detach(UpstreamResult::abandoned);
 }
 
--- a/src/proxy/backend_connection.hpp
+++ b/src/proxy/backend_connection.hpp
@@ -77,6 +77,7 @@
   bool has_said_last_line() const;
   void finish_attempt(CloseKind kind, AttemptResult result, std::string_view report = {},
                       std::string_view last_line = {});
+  void close_connection(bool is_request_given_up);
   void detach(UpstreamResult result);
   void log_result(UpstreamResult result);
 
