--- a/tests/proxy/wall_clock_test.cpp
+++ b/tests/proxy/wall_clock_test.cpp
@@ -92,5 +92,22 @@
   EXPECT_GE(once_warm, kSessions / 4);
 }
 
+// Its clock was an hour ahead when the relay started, so every later start seems to be an hour old. But it
+// was news on a watch that had told of no such start a moment before.
+TEST(WallClock, ThatWasAheadAtTheRelaysStartMakesNoBackendWarm) {
+  const FaultPlanScope scope;
+  fault_plan().wall_clock_offset_us = kHour;
+  LoopbackRelay relay(2, 500, kSlowStart);
+  SessionHolder sessions(relay);
+  relay.publish_endpoints(endpoint_changes(5, {}));
+  sessions.count_at(1, kSessions / 2);
+
+  const std::int64_t started_at = wall_clock_milliseconds() - kHour / 1000;
+  relay.publish_endpoints(endpoint_changes(6, {started_endpoint(relay, 1, started_at)}));
+  relay.run_for(20);
+
+  EXPECT_LE(sessions.count_at(1, kSessions), kSessions / 4);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
