News of a start that is older than any list is late comes from a wrong clock: it is now

Cause: a relay that started while its wall clock was ahead dates itself by it for good; every backend that starts later seems as old as the clock was wrong, and gets no slow start.

Change: Discovery knows until when the list was current (every line, heartbeats too); news of a start more than 20 s before that counts as a start now. Errors of up to 20 s at a relay's start stay unnoticed: lists may be that late, and nothing else tells the two apart.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -14,10 +14,11 @@
 }
 
 void Balancer::update_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
-                               Micros started_at) {
+                               Micros started_at, Micros current_until) {
   if (fleet_.has_restarted(*backend, started_at)) forget_failures(*backend);
   const Micros now = actions_.now();
-  const BackendStart start{started_at, local_start_time(started_at, actions_.wall_clock_step(), now)};
+  const Micros local_start = local_start_time(started_at, actions_.wall_clock_step(), now);
+  const BackendStart start{started_at, local_start_time_of_news(local_start, current_until, now)};
   fleet_.record_endpoint(backend, state, size, start, now);
   update_state(*backend);
   fleet_.erase_if_gone(backend);
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -47,9 +47,10 @@
 
   // The endpoint list. The caller makes one Backend for each name and then changes it only through these.
   // `size` is the capacity relative to other backends, `started_at` the backend's latest start by the wall
-  // clock (0: long ago).
+  // clock (0: long ago), `current_until` when the endpoint list was last known to be current before (0:
+  // never).
   void update_endpoint(const std::shared_ptr<Backend>& backend, EndpointState state, double size,
-                       Micros started_at);
+                       Micros started_at, Micros current_until = 0);
   void set_disabled(Backend& backend, bool is_disabled);
   // A list has been read to its end.
   void on_endpoints_updated() { endpoint_list_refresh_.on_updated(); }
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -1,5 +1,6 @@
 #include "proxy/discovery.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cherryrail::proxy {
@@ -54,7 +55,16 @@
   }
   if (!is_current(list)) return watch.end("endpoint list older than the current one");
   version_ = list.version;
-  on_list_(list);
+  on_list_(list, last_line_at());
+}
+
+// Each line, the heartbeat too, tells that nothing else has changed until then.
+Micros Discovery::last_line_at() const {
+  Micros latest = last_line_of_ended_watches_;
+  for (const auto* watch : {watch_.get(), previous_watch_.get()}) {
+    if (watch) latest = std::max(latest, watch->last_line_at());
+  }
+  return latest;
 }
 
 // A discovery server that lags names backends that have gone and leaves out those that came since. A lower
@@ -75,6 +85,7 @@
 
 void Discovery::on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) {
   event_loop_.log().write(net::Topic::discovery, "watch ended: {}", reason);
+  last_line_of_ended_watches_ = std::max(last_line_of_ended_watches_, watch.last_line_at());
   if (&watch == previous_watch_.get()) previous_watch_.reset();
   if (&watch != watch_.get()) return;
   watch_.reset();
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -18,7 +18,8 @@
 // to.
 class Discovery final : private DiscoveryWatchOwner {
  public:
-  using OnList = std::function<void(const protocol::EndpointList&)>;
+  // `current_until`: when the list was last known to be current before this one; 0: never.
+  using OnList = std::function<void(const protocol::EndpointList&, Micros current_until)>;
   using OnFailed = std::function<void(Micros retry_within)>;
 
   // Starts from the version that is known. `on_list` gets each list that is not older than the one before;
@@ -39,6 +40,7 @@
   void on_first_line(const DiscoveryWatch& watch) override;
   void on_list_line(DiscoveryWatch& watch, const std::string& line) override;
   void on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) override;
+  Micros last_line_at() const;
   bool is_current(const protocol::EndpointList& list);
 
   net::EventLoop& event_loop_;
@@ -50,6 +52,7 @@
   std::shared_ptr<DiscoveryWatch> watch_;  // at the current address
   std::shared_ptr<DiscoveryWatch>
       previous_watch_;                         // at the address before, until the current one's first line
+  Micros last_line_of_ended_watches_ = 0;      // 0: none has had a line
   std::optional<Micros> lower_version_since_;  // the current address has sent a lower version since then
 };
 
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -130,6 +130,7 @@
   state_ = State::streaming;
   if (is_first) owner_.on_first_line(*this);
   if (!is_blank(line)) owner_.on_list_line(*this, line);
+  last_line_at_ = event_loop_.now();
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/discovery_watch.hpp
+++ b/src/proxy/discovery_watch.hpp
@@ -52,6 +52,8 @@
   // Closes the connection and tells the owner.
   void end(const std::string& reason, Micros retry_within = kNoRetryLimit);
   [[nodiscard]] bool has_received_line() const { return state_ == State::streaming; }
+  // When the latest line came, but for one that is being handed on; 0 if none has.
+  [[nodiscard]] Micros last_line_at() const { return last_line_at_; }
 
   void on_connected() override;
   void on_received(std::string_view bytes) override;
@@ -79,6 +81,7 @@
   State state_ = State::connecting;
   Micros started_at_ = 0;
   Micros last_received_at_ = 0;
+  Micros last_line_at_ = 0;
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/endpoint_registry.cpp
+++ b/src/proxy/endpoint_registry.cpp
@@ -26,7 +26,7 @@
                                    std::vector<std::string> zone_names)
     : event_loop_(event_loop), balancer_(balancer), zone_names_(std::move(zone_names)) {}
 
-void EndpointRegistry::apply(const protocol::EndpointList& list) {
+void EndpointRegistry::apply(const protocol::EndpointList& list, Micros current_until) {
   if (list.skipped_entries > 0) {
     event_loop_.log().write(net::Topic::discovery, "{} endpoints in an unknown state skipped",
                             list.skipped_entries);
@@ -34,21 +34,21 @@
   std::set<std::string_view> listed;
   for (const protocol::EndpointEntry& entry : list.entries) {
     listed.insert(entry.uid);
-    apply_entry(entry);
+    apply_entry(entry, current_until);
   }
   // An entry that was skipped has no uid here, and its backend would be taken for removed.
   if (list.is_complete && list.skipped_entries == 0) remove_unlisted(listed);
   balancer_.on_endpoints_updated();
 }
 
-void EndpointRegistry::apply_entry(const protocol::EndpointEntry& entry) {
+void EndpointRegistry::apply_entry(const protocol::EndpointEntry& entry, Micros current_until) {
   const BackendPtr& backend = find_or_add(entry.uid);
   if (const net::Address address = net::parse_address(entry.address)) backend->address = address;
   backend->zone = zone_number(entry.zone);
   backend->cell = entry.cell;
   event_loop_.log().write(net::Topic::discovery, "backend {} is {}: {}", backend->name, entry.uid,
                           to_string(entry.state));
-  balancer_.update_endpoint(backend, entry.state, entry.capacity_hint, entry.started_at);
+  balancer_.update_endpoint(backend, entry.state, entry.capacity_hint, entry.started_at, current_until);
 }
 
 void EndpointRegistry::remove_unlisted(const std::set<std::string_view>& listed) {
--- a/src/proxy/endpoint_registry.hpp
+++ b/src/proxy/endpoint_registry.hpp
@@ -24,7 +24,7 @@
   EndpointRegistry(net::EventLoop& event_loop, Balancer& balancer, std::vector<std::string> zone_names);
 
   // Tells the balancer what an endpoint list says. A complete list removes the backends that it leaves out.
-  void apply(const protocol::EndpointList& list);
+  void apply(const protocol::EndpointList& list, Micros current_until = 0);
   // Those, and no others, are disabled from now on. A uid may be one that no list has named yet.
   void set_disabled(const std::set<std::string>& uids);
 
@@ -38,7 +38,7 @@
 
  private:
   const BackendPtr& find_or_add(const std::string& uid);
-  void apply_entry(const protocol::EndpointEntry& entry);
+  void apply_entry(const protocol::EndpointEntry& entry, Micros current_until);
   void remove_unlisted(const std::set<std::string_view>& listed);
   unsigned zone_number(const std::string& name);
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -53,7 +53,7 @@
       discovery_(
           event_loop, config.discovery, config.known_endpoints.version,
           config.is_list_pushed ? kAgentDiscoveryTimeout : kSharedDiscoveryTimeout,
-          [this](const protocol::EndpointList& list) { on_endpoint_list(list); },
+          [this](const auto& list, Micros current_until) { on_endpoint_list(list, current_until); },
           [this](Micros ask_again_within) { balancer_.on_discovery_failed(ask_again_within); }),
       health_checker_(event_loop, health_check_config(settings_)),
       upstream_(event_loop, settings_.connect_timeout, upstream_callbacks()),
@@ -122,8 +122,8 @@
   if (is_accepting_) event_loop_.post(on_ready_);
 }
 
-void ProxyServer::on_endpoint_list(const protocol::EndpointList& list) {
-  endpoints_.apply(list);
+void ProxyServer::on_endpoint_list(const protocol::EndpointList& list, Micros current_until) {
+  endpoints_.apply(list, current_until);
   if (endpoints_.size() > 0) start_accepting();
 }
 
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -84,7 +84,7 @@
   UpstreamCallbacks upstream_callbacks();
   Micros startup_wait(const config::RelayConfig& config) const;
   void start_accepting();
-  void on_endpoint_list(const protocol::EndpointList& list);
+  void on_endpoint_list(const protocol::EndpointList& list, Micros current_until);
   void on_session_requested(const std::shared_ptr<ProxySession>& session);
   void place(const std::shared_ptr<ProxySession>& session);
   void import_state(StateSnapshot state);
