Tests: one fixture for a process without descriptors, one count at a backend's start

The block stood three times and the two cases of a stepped clock shared their steps. The assertions are the same.

--- a/tests/admin/disabled_backends_test.cpp
+++ b/tests/admin/disabled_backends_test.cpp
@@ -2,12 +2,11 @@
 #include "admin/disabled_backends.hpp"
 
 #include <gtest/gtest.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -139,18 +138,15 @@
 #endif
   const TemporaryFolder folder;
   EXPECT_TRUE(admin::DisabledBackends(folder.file("b")).set_disabled("x", true));
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  const int lowest_free = dup(0);
-  close(lowest_free);
-  const rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
-
-  setrlimit(RLIMIT_NOFILE, &none_left);
-  admin::DisabledBackends next_process(folder.file("b"));
-  setrlimit(RLIMIT_NOFILE, &before);
-  EXPECT_TRUE(next_process.reload_if_changed());
-
-  EXPECT_EQ(next_process.names(), std::set<std::string>{"x"});
+
+  std::optional<admin::DisabledBackends> next_process;
+  {
+    const NoDescriptorsLeft none_left;
+    next_process.emplace(folder.file("b"));
+  }
+  EXPECT_TRUE(next_process->reload_if_changed());
+
+  EXPECT_EQ(next_process->names(), std::set<std::string>{"x"});
 }
 
 }  // namespace
--- a/tests/proxy/descriptor_limit_test.cpp
+++ b/tests/proxy/descriptor_limit_test.cpp
@@ -1,7 +1,5 @@
 // A relay that has used the descriptors it may use.
 #include <gtest/gtest.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <string>
@@ -98,17 +96,14 @@
   LoopbackRelay relay(2);
   TestSocket client = relay.connect_client("PING\r\n");
   ASSERT_TRUE(relay.run_until([&] { return client.received() == "PONG\r\n"; }));
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  const int lowest_free = dup(0);
-  close(lowest_free);
-  const rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
 
   ::testing::internal::CaptureStderr();
-  setrlimit(RLIMIT_NOFILE, &none_left);
-  client.send("OPEN 9b1f 7f3a c=talk,d=1200,g=5c,x=new\r\n");
-  const bool is_rejected = relay.run_until([&] { return client.received() == "PONG\r\nBUSY\r\n"; });
-  setrlimit(RLIMIT_NOFILE, &before);
+  bool is_rejected = false;
+  {
+    const NoDescriptorsLeft none_left;
+    client.send("OPEN 9b1f 7f3a c=talk,d=1200,g=5c,x=new\r\n");
+    is_rejected = relay.run_until([&] { return client.received() == "PONG\r\nBUSY\r\n"; });
+  }
   const std::string log = ::testing::internal::GetCapturedStderr();
 
   EXPECT_TRUE(is_rejected);
--- a/tests/proxy/reload_test.cpp
+++ b/tests/proxy/reload_test.cpp
@@ -1,7 +1,5 @@
 // A new configuration on SIGHUP: sessions stay, and of two discovery servers one is followed at a time.
 #include <gtest/gtest.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <fstream>
 #include <string>
@@ -108,17 +106,13 @@
   LoopbackRelay relay(1);
   const TemporaryFolder folder;
   std::ofstream(folder.file("config.json")) << relay.config_text(500);
-  rlimit before{};
-  getrlimit(RLIMIT_NOFILE, &before);
-  const int lowest_free = dup(0);
-  close(lowest_free);
-  const rlimit none_left{static_cast<rlim_t>(lowest_free), before.rlim_max};
   ::testing::internal::CaptureStderr();
 
-  setrlimit(RLIMIT_NOFILE, &none_left);
-  relay.proxy->reload(folder.file("config.json"));
-  relay.run_for(50);
-  setrlimit(RLIMIT_NOFILE, &before);
+  {
+    const NoDescriptorsLeft none_left;
+    relay.proxy->reload(folder.file("config.json"));
+    relay.run_for(50);
+  }
   relay.run_for(500);
   const std::string log = ::testing::internal::GetCapturedStderr();
 
--- a/tests/proxy/wall_clock_test.cpp
+++ b/tests/proxy/wall_clock_test.cpp
@@ -52,6 +52,23 @@
   std::vector<EstablishedSession> held_;
 };
 
+// How many of that many sessions go to a backend that has just started, and once it is warm.
+struct SessionsAtStart {
+  int while_cold = 0;
+  int once_warm = 0;
+};
+
+// Backend 1 of two starts, and is listed with that time.
+SessionsAtStart count_at_start(LoopbackRelay& relay, SessionHolder& sessions, std::int64_t boot_ms) {
+  relay.publish_endpoints(endpoint_changes(5, {started_endpoint(relay, 1, boot_ms)}));
+  relay.run_for(20);
+  SessionsAtStart counts;
+  counts.while_cold = sessions.count_at(1, kSessions);
+  relay.run_for(kWarmUpMilliseconds);
+  counts.once_warm = sessions.count_at(1, kSessions);
+  return counts;
+}
+
 class WallClockStep : public ::testing::TestWithParam<Micros> {};
 
 INSTANTIATE_TEST_SUITE_P(BackNotAndForward, WallClockStep, ::testing::Values(-kHour, -5'000'000, 0, kHour));
@@ -63,14 +80,10 @@
   sessions.count_at(1, kSessions / 2);
 
   fault_plan().wall_clock_offset_us = GetParam();
-  relay.publish_endpoints(endpoint_changes(5, {started_endpoint(relay, 1, wall_clock_milliseconds())}));
-  relay.run_for(20);
-  const int while_cold = sessions.count_at(1, kSessions);
-  relay.run_for(kWarmUpMilliseconds);
-  const int once_warm = sessions.count_at(1, kSessions);
+  const SessionsAtStart counts = count_at_start(relay, sessions, wall_clock_milliseconds());
 
-  EXPECT_LE(while_cold, kSessions / 4);
-  EXPECT_GE(once_warm, kSessions / 4);
+  EXPECT_LE(counts.while_cold, kSessions / 4);
+  EXPECT_GE(counts.once_warm, kSessions / 4);
 }
 
 // The relay alone has a clock that was stepped; backends and discovery have the right time.
@@ -82,14 +95,10 @@
 
   const std::int64_t started_at = wall_clock_milliseconds();
   fault_plan().wall_clock_offset_us = GetParam();
-  relay.publish_endpoints(endpoint_changes(5, {started_endpoint(relay, 1, started_at)}));
-  relay.run_for(20);
-  const int while_cold = sessions.count_at(1, kSessions);
-  relay.run_for(kWarmUpMilliseconds);
-  const int once_warm = sessions.count_at(1, kSessions);
+  const SessionsAtStart counts = count_at_start(relay, sessions, started_at);
 
-  EXPECT_LE(while_cold, kSessions / 4);
-  EXPECT_GE(once_warm, kSessions / 4);
+  EXPECT_LE(counts.while_cold, kSessions / 4);
+  EXPECT_GE(counts.once_warm, kSessions / 4);
 }
 
 // Its clock was an hour ahead when the relay started, so every later start seems to be an hour old. But it
--- a/tests/support/loopback_relay.hpp
+++ b/tests/support/loopback_relay.hpp
@@ -1,8 +1,6 @@
 // A relay on loopback sockets, with its clients, backends and discovery in the test's hands.
 #pragma once
 
-#include <sys/resource.h>
-
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -12,6 +10,7 @@
 
 #include "balancer/time.hpp"
 #include "proxy/proxy_server.hpp"
+#include "support/descriptor_limits.hpp"
 #include "support/test_socket.hpp"
 
 namespace cherryrail::testing {
@@ -29,19 +28,6 @@
   TestSocket upstream;
 };
 
-// Puts the process's limit on descriptors back when it ends: a relay that reads its configuration sets it,
-// and other tests may share the process.
-class DescriptorLimitScope {
- public:
-  DescriptorLimitScope() { getrlimit(RLIMIT_NOFILE, &before_); }
-  ~DescriptorLimitScope() { setrlimit(RLIMIT_NOFILE, &before_); }
-  DescriptorLimitScope(const DescriptorLimitScope&) = delete;
-  DescriptorLimitScope& operator=(const DescriptorLimitScope&) = delete;
-
- private:
-  rlimit before_{};
-};
-
 struct LoopbackRelay {
   DescriptorLimitScope descriptor_limit;
   std::vector<TestSocket> backends;
