--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -11,7 +11,6 @@
 #include <variant>
 
 #include "admin/state_files.hpp"
-#include "balancer/state_snapshot.hpp"
 
 namespace cherryrail::admin {
 namespace {
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -3,8 +3,8 @@
 import contextlib
 import itertools
 
+from fault_proxy import abort
 from oracle import Request
-from world import abort
 
 SHORTEST_PART_OF_TIMEOUT = 0.4
 BAD_CLIENT_LIMIT = 3.0
--- /dev/null
+++ b/tests/soak/fault_proxy.py
@@ -0,0 +1,161 @@
+"""What stands between a relay and a backend, and may hold, cut or break what passes."""
+import asyncio
+import math
+import socket
+
+READ_SIZE = 65536
+BACKLOG = 100
+
+
+class Link:
+    """A relay's connection through a fault proxy."""
+
+    def __init__(self):
+        self.first_byte_at = math.inf
+        self.relay_closed_at = math.inf
+        self.broken_by_proxy = False
+
+
+def abort(writer):
+    """Ends a connection with a reset."""
+    if writer.transport is not None:
+        writer.transport.abort()
+
+
+class FaultProxy:
+    """Stands before one backend and passes bytes on, or does what its mode says.
+
+    Modes: ok; silent (connections stay open and nothing passes; they are reset at its end), late (passes nothing
+    for a while after connecting), pieces (writes small pieces), reset (connections break at random). Beside these, it
+    may let new connections come up late.
+    """
+
+    def __init__(self, world, backend, rng):
+        self._world = world
+        self._backend = backend
+        self._rng = rng
+        self.mode = "ok"
+        self._listener = socket.socket()
+        self._is_holding = False
+        self._held_since = self._held_until = -math.inf
+        self._writers = set()
+        self.port = 0
+        self._broken_at = -math.inf
+
+    def start(self):
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(BACKLOG)
+        self._listener.setblocking(False)
+        self.port = self._listener.getsockname()[1]
+        self._world.spawn(self._accept_all())
+
+    async def _accept_all(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            while self._is_holding:
+                await asyncio.sleep(0.01)
+            connection, _ = await loop.sock_accept(self._listener)
+            reader, writer = await asyncio.open_connection(sock=connection)
+            # What has waited in the queue may have been written when the wait began.
+            has_waited = self._is_holding or self._world.now() < self._held_until + 0.1
+            self._world.spawn(self._accept(reader, writer, self._held_since if has_waited else math.inf))
+
+    async def hold_connections(self, seconds):
+        """With its queue full the system drops what asks to connect, which asks again a second later."""
+        self._is_holding = True
+        self._held_since = self._world.now()
+        self._listener.listen(0)
+        fillers = [socket.socket() for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+        await asyncio.sleep(seconds)
+        self._held_until = self._world.now()
+        self._listener.listen(BACKLOG)
+        self._is_holding = False
+        for filler in fillers:
+            filler.close()
+
+    def was_broken_since(self, time):
+        """Whether its connections were broken after that time."""
+        return self._broken_at >= time or self.mode == "silent"
+
+    def set_mode(self, mode):
+        was_silent = self.mode == "silent"
+        self.mode = mode
+        if was_silent and mode != "silent":
+            self.break_connections()
+
+    def break_connections(self):
+        self._broken_at = self._world.now()
+        for writer in list(self._writers):
+            abort(writer)
+
+    async def _accept(self, reader, writer, written_before):
+        link = Link()
+        self._writers.add(writer)
+        try:
+            await self._relay(link, reader, writer, written_before)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            abort(writer)
+
+    async def _relay(self, link, reader, writer, written_before):
+        first_bytes = await reader.read(READ_SIZE)  # relays speak first
+        if not first_bytes:
+            return
+        link.first_byte_at = min(self._world.now(), written_before)
+        if self.mode == "late":
+            await asyncio.sleep(self._rng.uniform(0.02, 1.2))
+        if not self._backend.is_running:
+            return
+        backend_reader, backend_writer = await asyncio.open_connection("127.0.0.1", self._backend.port)
+        local_port = backend_writer.get_extra_info("sockname")[1]
+        self._world.links[local_port] = link
+        if self.mode == "reset" and self._rng.random() < 0.4:
+            asyncio.get_running_loop().call_later(self._rng.uniform(0, 0.6), self._break, link, writer)
+        backend_writer.write(first_bytes)
+        try:
+            done, pending = await asyncio.wait(
+                [asyncio.create_task(self._copy(reader, backend_writer, link)),
+                 asyncio.create_task(self._copy(backend_reader, writer, None))],
+                return_when=asyncio.ALL_COMPLETED)
+            for task in done:
+                task.exception()
+            assert not pending
+        finally:
+            self._world.links.pop(local_port, None)
+            abort(backend_writer)
+
+    @staticmethod
+    def _break(link, writer):
+        link.broken_by_proxy = True
+        abort(writer)
+
+    async def _copy(self, reader, writer, link):
+        try:
+            while data := await reader.read(READ_SIZE):
+                while self.mode == "silent":
+                    await asyncio.sleep(0.02)
+                await self._write(writer, data)
+            if link:
+                link.relay_closed_at = min(link.relay_closed_at, self._world.now())
+            writer.write_eof()
+        except OSError:
+            if link:
+                link.relay_closed_at = min(link.relay_closed_at, self._world.now())
+            abort(writer)
+
+    async def _write(self, writer, data):
+        if self.mode != "pieces":
+            writer.write(data)
+            await writer.drain()
+            return
+        while data:
+            size = self._rng.randint(1, 12)
+            writer.write(data[:size])
+            await writer.drain()
+            data = data[size:]
+            await asyncio.sleep(0)
