The log tells where a restored session is sent, why not, and each backend's address

Cause: an attempt at the backend that a client names was logged with backend=0, and a session that was not sent there left no line, so a log could not tell the candidate causes of the incident apart.

--- a/src/proxy/endpoint_registry.cpp
+++ b/src/proxy/endpoint_registry.cpp
@@ -46,8 +46,8 @@
   if (const net::Address address = net::parse_address(entry.address)) backend->address = address;
   backend->zone = zone_number(entry.zone);
   backend->cell = entry.cell;
-  event_loop_.log().write(net::Topic::discovery, "backend {} is {}: {}", backend->name, entry.uid,
-                          to_string(entry.state));
+  event_loop_.log().write(net::Topic::discovery, "backend {} is {} at {}: {}", backend->name, entry.uid,
+                          entry.address, to_string(entry.state));
   balancer_.update_endpoint(backend, entry.state, entry.capacity_hint, entry.started_at, current_until);
 }
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -157,8 +157,17 @@
 
 // A client that names the backend where its session was goes there, unless that takes nothing new now.
 void ProxyServer::place(const std::shared_ptr<ProxySession>& session) {
-  const auto previous = endpoints_.find(session->request().value("at"));
-  if (!previous || balancer_.refuse_request(*session, *previous) != Refusal::none) {
+  const std::string_view uid = session->request().value("at");
+  if (uid.empty()) {
+    balancer_.admit(session);
+    return;
+  }
+  const auto previous = endpoints_.find(uid);
+  const Refusal refusal = previous ? balancer_.refuse_request(*session, *previous) : Refusal::none;
+  event_loop_.log().write(net::Topic::connection, "restore requested: session={} at={} backend={} {}",
+                          session->id(), uid, previous ? previous->name : 0,
+                          previous ? to_string(refusal) : "unlisted");
+  if (!previous || refusal != Refusal::none) {
     balancer_.admit(session);
     return;
   }
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -79,7 +79,7 @@
 bool ProxySession::may_send_request() {
   const auto keep_alive = self();
   if (downstream_) downstream_->read_now();
-  const Backend* target = previous_backend_ ? previous_backend_.get() : backend.get();
+  const Backend* const target = attempted_backend();
   if (downstream_ == nullptr || target == nullptr) return false;
   const Refusal refusal = balancer_.refuse_request(*this, *target);
   if (refusal != Refusal::none) {
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -79,6 +79,10 @@
   // Both ends have come from a predecessor. `waited`: since a line of the client that is not answered yet.
   void resume(const std::shared_ptr<Backend>& holder, Micros waited);
 
+  // Where the attempt under way or the established session is; null if there is neither.
+  const Backend* attempted_backend() const {
+    return previous_backend_ ? previous_backend_.get() : backend.get();
+  }
   bool has_client_left() const { return has_client_left_; }
   // For how long a line of the client has waited for any line of the backend; 0 if none waits.
   Micros time_unanswered(Micros now) const;
