A session that names its backend is sent there or nowhere

Cause: ProxyServer::place and ProxySession::on_attempt_ended gave such a session to the ordinary placement whenever no list named its backend, that drained, or the one attempt there failed in any way: not up within connect_timeout, refused, reset, BUSY, ERR, or no descriptor or port on this machine. Why this works: the session carries its backend (pinned_backend), and Balancer::place, the only place that picks a backend, never looks at another; tried again there with longer connect timeouts, 25 to 200 ms apart; UnlistedBackendQueue waits for a list. The attempt past the balancer (record_requested_attempt, previous_backend_) is gone: all attempts leave by Balancer::start_attempt.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -70,19 +70,13 @@
   place(*session);
 }
 
-void Balancer::record_requested_attempt(Session& session, const Backend& backend) const {
-  session.may_have_run_on = &backend;
-  session.may_have_run_since = actions_.now();
-}
-
-void Balancer::on_requested_attempt_ended(const std::shared_ptr<Session>& session, AttemptResult result) {
-  if (!may_have_run(result)) session->may_have_run_on = nullptr;
-  admit(session);
-}
-
 void Balancer::place(Session& session) {
+  if (session.pinned_backend) {
+    place_at_pinned_backend(session);
+    return;
+  }
   while (session.attempts < parameters_.max_attempts && retry_policy_.is_within_budget(session) &&
-         session.deadline - actions_.now() > 3 * parameters_.answer_margin) {
+         has_time_for_attempt(session)) {
     Backend* backend = placement_.choose(session);
     if (backend == nullptr) break;
     session.tried_backends.push_back(backend);
@@ -91,9 +85,36 @@
   give_up(session);
 }
 
+bool Balancer::has_time_for_attempt(const Session& session) const {
+  return session.deadline - actions_.now() > 3 * parameters_.answer_margin;
+}
+
+void Balancer::place_at_pinned_backend(Session& session) {
+  const bool is_possible = !is_shutting_down() && has_time_for_attempt(session);
+  if (!is_possible || !start_attempt(session, *session.pinned_backend)) give_up(session);
+}
+
+// An attempt that cannot have reached the backend is none of those that a session may have.
+void Balancer::retry_at_pinned_backend(Session& session, AttemptResult result) {
+  ++session.pinned_failures;
+  const bool has_arrived = result != AttemptResult::connect_failed && result != AttemptResult::not_sent;
+  if (!has_arrived) --session.attempts;
+  if (rules_.refuse_attempt(session, *session.pinned_backend) != Refusal::none) {
+    give_up(session);
+    return;
+  }
+  const Micros next_attempt_at = actions_.now() + RetryPolicy::pinned_retry_delay(session);
+  actions_.call_at(next_attempt_at, [this, weak = session.weak_from_this()] {
+    const auto waiting = weak.lock();
+    if (waiting && !waiting->is_answered) place(*waiting);
+  });
+}
+
 bool Balancer::start_attempt(Session& session, Backend& backend) {
   if (rules_.refuse_attempt(session, backend) != Refusal::none) return false;
-  if (!slow_start_.may_admit(session, backend, placement_.fleet_load())) return false;
+  // A pinned session is no new load: the backend has held it.
+  const bool is_pinned = session.pinned_backend != nullptr;
+  if (!is_pinned && !slow_start_.may_admit(session, backend, placement_.fleet_load())) return false;
   session.attempt_started_at = actions_.now();
   ++session.attempts;
   slow_start_.record_attempt(backend);
@@ -123,14 +144,22 @@
 }
 
 void Balancer::on_attempt_failed(Session& session, Backend& backend, const AttemptOutcome& outcome) {
-  if (outcome.result == AttemptResult::not_sent) attempts_.return_attempt(session);
-  // What fails on a late path speaks against no backend.
-  if (penalties_.path_latency(backend) == 0) record_failed_attempt(backend, outcome);
+  const bool is_unsent_retry = session.pinned_backend && outcome.result == AttemptResult::connect_failed;
+  if (is_unsent_retry || outcome.result == AttemptResult::not_sent) attempts_.return_attempt(session);
+  // What fails on a late path speaks against no backend, nor what fails while all sessions are restored at
+  // once.
+  const bool is_telling = penalties_.path_latency(backend) == 0 && !session.pinned_backend;
+  if (is_telling) record_failed_attempt(backend, outcome);
   if (may_have_run(outcome.result) && session.may_have_run_on == nullptr) {
     session.may_have_run_on = &backend;
     session.may_have_run_since = session.attempt_started_at;
   }
-  if (!session.is_answered) place(session);
+  if (session.is_answered) return;
+  if (session.pinned_backend) {
+    retry_at_pinned_backend(session, outcome.result);
+  } else {
+    place(session);
+  }
 }
 
 void Balancer::record_failed_attempt(Backend& backend, const AttemptOutcome& outcome) {
@@ -148,7 +177,8 @@
 void Balancer::on_established(Session& session, Micros duration) {
   if (session.is_answered || session.backend == nullptr) return;
   Backend& backend = *session.backend;
-  if (penalties_.path_latency(backend) == 0) attempts_.record_duration(duration);
+  const bool is_telling = penalties_.path_latency(backend) == 0 && !session.pinned_backend;
+  if (is_telling) attempts_.record_duration(duration);
   backend.outlier.record_response(actions_.now());
   outliers_.record_outcome(backend, true);
   keep_established(session);
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -63,10 +63,6 @@
   void admit(const std::shared_ptr<Session>& session);
   // Takes over a session that is established at the backend already.
   void adopt(const std::shared_ptr<Session>& session, const std::shared_ptr<Backend>& backend);
-  // An attempt that a client has asked for itself, at the backend where its session was before: its request
-  // is about to be sent, and has ended without a session. The second admits the session like any other.
-  void record_requested_attempt(Session& session, const Backend& backend) const;
-  void on_requested_attempt_ended(const std::shared_ptr<Session>& session, AttemptResult result);
   // Asked again before the first byte of an attempt leaves: its connection may have been long in coming up,
   // and what allowed the attempt may have ended meanwhile.
   Refusal refuse_request(const Session& session, const Backend& backend) const {
@@ -109,6 +105,9 @@
   // It has restarted: what was learned of it holds no longer.
   void forget_failures(Backend& backend);
   void place(Session& session);
+  bool has_time_for_attempt(const Session& session) const;
+  void place_at_pinned_backend(Session& session);
+  void retry_at_pinned_backend(Session& session, AttemptResult result);
   // The one place from which an attempt leaves: whatever chose the backend, every condition is checked here.
   bool start_attempt(Session& session, Backend& backend);
   void on_attempt_failed(Session& session, Backend& backend, const AttemptOutcome& outcome);
--- a/src/balancer/retry_policy.cpp
+++ b/src/balancer/retry_policy.cpp
@@ -38,7 +38,16 @@
   const auto usual = static_cast<Micros>(statistics_.mean_duration(kTimeoutFactor));
   const Micros objective = session.traffic_class->attempt_latency_objective;
   const Micros left = session.deadline - now - 2 * parameters_.answer_margin;
+  if (session.pinned_backend) return std::min(left, session.deadline - now - kPinnedAnswerMargin);
   return std::min(std::max(objective, usual), left);
 }
 
+Micros RetryPolicy::pinned_retry_delay(const Session& session) {
+  return kFirstPinnedRetryDelay << std::min(session.pinned_failures, kPinnedRetryDelayDoublings);
+}
+
+unsigned RetryPolicy::connect_timeout_factor(const Session& session) {
+  return 1U << std::min(session.pinned_failures, kConnectTimeoutDoublings);
+}
+
 }  // namespace cherryrail
--- a/src/balancer/retry_policy.hpp
+++ b/src/balancer/retry_policy.hpp
@@ -25,7 +25,13 @@
   bool is_within_budget(const Session& session) const;
   // The attempt latency objective, or longer while attempts everywhere take longer: a timeout that strikes
   // healthy backends would turn a slow spell into a retry storm.
+  // A pinned session has nowhere else to go, and waits for as long as its client does.
   Micros attempt_timeout(const Session& session) const;
+  // How long a pinned session waits after a failed attempt for the next one at the same backend.
+  static Micros pinned_retry_delay(const Session& session);
+  // How many times the usual connect timeout the session's next attempt has: a pinned session has no other
+  // backend to turn to while connections to its own come up late.
+  static unsigned connect_timeout_factor(const Session& session);
 
   // A successor spends the budget from now on.
   void give_up_budget() {
@@ -35,6 +41,10 @@
 
  private:
   static constexpr double kTimeoutFactor = 4;  // times the mean duration of attempts
+  static constexpr Micros kPinnedAnswerMargin = kSecond / 50;
+  static constexpr Micros kFirstPinnedRetryDelay = kSecond / 40;
+  static constexpr unsigned kPinnedRetryDelayDoublings = 3;
+  static constexpr unsigned kConnectTimeoutDoublings = 5;
 
   const BalancerActions& actions_;
   const BalancerParameters& parameters_;
--- a/src/balancer/session.hpp
+++ b/src/balancer/session.hpp
@@ -26,15 +26,17 @@
   std::uint64_t client_key = 0;
   std::uint64_t group_key = 0;  // sessions of one group share work at a backend; 0: no group
   std::size_t tenant = 0;
-  Micros deadline = 0;              // the client's timeout
-  std::optional<double> load_hint;  // work a second
-  bool is_mid_flow = false;         // its packets reached another relay until now
-  bool is_reconnecting = false;     // after a break, a migration or a rejection
+  Micros deadline = 0;                      // the client's timeout
+  std::optional<double> load_hint;          // work a second
+  bool is_mid_flow = false;                 // its packets reached another relay until now
+  bool is_reconnecting = false;             // after a break, a migration or a rejection
+  std::shared_ptr<Backend> pinned_backend;  // where it was before, and may be alone; null: anywhere
 
   // Kept by the balancer; callers only read.
   std::shared_ptr<Backend> backend;  // that has the attempt under way, or the established session
-  unsigned attempts = 0;
-  bool is_answered = false;  // the client has its final answer
+  unsigned attempts = 0;             // of a pinned session: those that may have reached its backend
+  unsigned pinned_failures = 0;      // attempts at its pinned backend that failed
+  bool is_answered = false;          // the client has its final answer
   bool is_established = false;
   bool is_migration_queued = false;
   Micros attempt_started_at = 0;
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -223,8 +223,7 @@
 }
 
 void BackendConnection::log_result(UpstreamResult result) {
-  const Backend* const target = session_->attempted_backend();
-  const std::uint64_t backend = target ? target->name : 0;
+  const std::uint64_t backend = session_->backend ? session_->backend->name : 0;
   event_loop_.log().write(net::Topic::connection, "attempt={} session={} backend={} result={} duration_ms={}",
                           number_, session_->id(), backend, to_string(result),
                           (event_loop_.now() - started_at_) / 1000);
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -14,9 +14,6 @@
 constexpr Micros kSharedDiscoveryTimeout = 7 * kSecond / 2;
 // The same for the relay's own agent.
 constexpr Micros kAgentDiscoveryTimeout = kSecond;
-// A reconnecting client's attempt ends this long before the client stops waiting, so that it hears the
-// answer.
-constexpr Micros kAnswerMargin = kSecond / 50;
 
 ProxySession& as_proxy_session(Session& session) { return static_cast<ProxySession&>(session); }
 
@@ -58,7 +55,8 @@
       health_checker_(event_loop, health_check_config(settings_)),
       upstream_(event_loop, settings_.connect_timeout, upstream_callbacks()),
       balancer_(*this, settings_.config, config.seed), load_reports_(settings_, balancer_),
-      endpoints_(event_loop, balancer_, settings_.zone_names), request_reader_(settings_, balancer_),
+      endpoints_(event_loop, balancer_, settings_.zone_names),
+      unlisted_backends_(event_loop, balancer_, endpoints_), request_reader_(settings_, balancer_),
       config_reloader_(event_loop, config, balancer_, discovery_, descriptors_),
       unresponsive_sessions_(event_loop, upstream_, balancer_, shortest_attempt_objective(settings_)) {
   endpoints_.apply(config.known_endpoints);
@@ -124,6 +122,7 @@
 
 void ProxyServer::on_endpoint_list(const protocol::EndpointList& list, Micros current_until) {
   endpoints_.apply(list, current_until);
+  unlisted_backends_.on_endpoint_list(list);
   if (endpoints_.size() > 0) start_accepting();
 }
 
@@ -155,29 +154,27 @@
   place(session);
 }
 
-// A client that names the backend where its session was goes there, unless that takes nothing new now.
+// A client that names the backend where its session was goes there or nowhere.
 void ProxyServer::place(const std::shared_ptr<ProxySession>& session) {
   const std::string_view uid = session->request().value("at");
   if (uid.empty()) {
     balancer_.admit(session);
     return;
   }
-  const auto previous = endpoints_.find(uid);
-  const Refusal refusal = previous ? balancer_.refuse_request(*session, *previous) : Refusal::none;
-  event_loop_.log().write(net::Topic::connection, "restore requested: session={} at={} backend={} {}",
-                          session->id(), uid, previous ? previous->name : 0,
-                          previous ? to_string(refusal) : "unlisted");
-  if (!previous || refusal != Refusal::none) {
+  session->pinned_backend = endpoints_.find(uid);
+  event_loop_.log().write(net::Topic::connection, "restore requested: session={} at={} backend={}",
+                          session->id(), uid, session->pinned_backend ? session->pinned_backend->name : 0);
+  if (session->pinned_backend) {
     balancer_.admit(session);
-    return;
+  } else {
+    unlisted_backends_.add(session);
   }
-  session->set_previous_backend(previous);
-  upstream_.start_attempt(session, previous->address, session->deadline - event_loop_.now() - kAnswerMargin);
 }
 
 void ProxyServer::start_attempt(Session& session, Backend& backend, Micros time_limit) {
   upstream_.start_attempt(std::static_pointer_cast<ProxySession>(session.shared_from_this()),
-                          as_proxy_backend(backend).address, time_limit);
+                          as_proxy_backend(backend).address, time_limit,
+                          RetryPolicy::connect_timeout_factor(session));
 }
 
 void ProxyServer::cancel_attempt(Session& session) { as_proxy_session(session).abandon_attempt(); }
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -20,6 +20,7 @@
 #include "proxy/proxy_statistics.hpp"
 #include "proxy/session_id_registry.hpp"
 #include "proxy/shutdown_sequence.hpp"
+#include "proxy/unlisted_backend_queue.hpp"
 #include "proxy/unresponsive_session_monitor.hpp"
 #include "proxy/upstream_connector.hpp"
 
@@ -101,6 +102,7 @@
   Balancer balancer_;
   LoadReportReader load_reports_;
   EndpointRegistry endpoints_;
+  UnlistedBackendQueue unlisted_backends_;
   OpenRequestReader request_reader_;
   SessionIdRegistry session_ids_;
   ConfigReloader config_reloader_;
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -79,7 +79,7 @@
 bool ProxySession::may_send_request() {
   const auto keep_alive = self();
   if (downstream_) downstream_->read_now();
-  const Backend* const target = attempted_backend();
+  const Backend* const target = backend.get();
   if (downstream_ == nullptr || target == nullptr) return false;
   const Refusal refusal = balancer_.refuse_request(*this, *target);
   if (refusal != Refusal::none) {
@@ -87,7 +87,6 @@
                             target->name, to_string(refusal));
     return false;
   }
-  if (previous_backend_) balancer_.record_requested_attempt(*this, *previous_backend_);
   invariants_.on_request(*this, id(), *target, !has_client_left_);
   return true;
 }
@@ -100,11 +99,7 @@
   }
   check_final_answer(false);
   downstream_->send(line, "\r\n");
-  if (const auto previous = std::exchange(previous_backend_, nullptr)) {
-    balancer_.adopt(keep_alive, previous);
-  } else {
-    balancer_.on_established(*this, duration);
-  }
+  balancer_.on_established(*this, duration);
 }
 
 void ProxySession::on_upstream_data(std::string_view bytes) {
@@ -152,7 +147,7 @@
 void ProxySession::report_attempt_end(const AttemptOutcome& outcome, bool is_finished,
                                       const LoadReport& report) {
   event_loop_.post([session = self(), outcome, is_finished, report] {
-    session->on_attempt_ended(outcome, is_finished, report);
+    session->balancer_.on_attempt_ended(*session, outcome, is_finished, report);
   });
 }
 
@@ -160,16 +155,6 @@
   report_attempt_end({AttemptResult::cancelled, event_loop_.now() - attempt_started_at}, is_finished, {});
 }
 
-void ProxySession::on_attempt_ended(const AttemptOutcome& outcome, bool is_finished,
-                                    const LoadReport& report) {
-  const bool was_at_previous_backend = std::exchange(previous_backend_, nullptr) != nullptr;
-  if (!was_at_previous_backend || is_answered || is_finished) {
-    balancer_.on_attempt_ended(*this, outcome, is_finished, report);
-  } else {
-    balancer_.on_requested_attempt_ended(self(), outcome.result);
-  }
-}
-
 // ---- What the balancer asks for
 // -------------------------------------------------------------------------
 
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -69,9 +69,6 @@
   // The process stops: an established session is migrated, one that waits is answered now.
   void shut_down();
 
-  // The session was established at that backend before this relay started; the next attempt goes there.
-  void set_previous_backend(std::shared_ptr<Backend> previous) { previous_backend_ = std::move(previous); }
-
   // Hot restart. The message for the successor, if the session can go now: both ends idle, between two
   // lines. The sockets stay this process's own until release_to_successor().
   std::optional<OutgoingHandover> prepare_handover() const;
@@ -79,10 +76,6 @@
   // Both ends have come from a predecessor. `waited`: since a line of the client that is not answered yet.
   void resume(const std::shared_ptr<Backend>& holder, Micros waited);
 
-  // Where the attempt under way or the established session is; null if there is neither.
-  const Backend* attempted_backend() const {
-    return previous_backend_ ? previous_backend_.get() : backend.get();
-  }
   bool has_client_left() const { return has_client_left_; }
   // For how long a line of the client has waited for any line of the backend; 0 if none waits.
   Micros time_unanswered(Micros now) const;
@@ -90,7 +83,6 @@
  private:
   std::shared_ptr<ProxySession> self() { return std::static_pointer_cast<ProxySession>(shared_from_this()); }
   void report_attempt_end(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
-  void on_attempt_ended(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
   void report_cancelled(bool is_finished);
   void check_final_answer(bool invites_retry);
   void end_before_answer(DownstreamResult result);
@@ -103,10 +95,9 @@
   SessionInvariants invariants_;
   DownstreamConnection* downstream_ = nullptr;
   UpstreamConnection* upstream_ = nullptr;
-  std::shared_ptr<Backend> previous_backend_;  // until the session is established again
-  Micros unanswered_since_ = 0;                // when the first line not answered yet was passed on; 0: none
-  bool is_between_lines_ = true;               // the backend's last line is complete
-  bool is_migration_pending_ = false;          // waits for the end of the backend's line
+  Micros unanswered_since_ = 0;        // when the first line not answered yet was passed on; 0: none
+  bool is_between_lines_ = true;       // the backend's last line is complete
+  bool is_migration_pending_ = false;  // waits for the end of the backend's line
   bool has_client_left_ = false;
 };
 
--- a/src/proxy/upstream_connector.cpp
+++ b/src/proxy/upstream_connector.cpp
@@ -19,8 +19,9 @@
 }
 
 void UpstreamConnector::start_attempt(const std::shared_ptr<ProxySession>& session,
-                                      const net::Address& address, Micros attempt_timeout) {
-  add_connection(session)->start(address, connect_timeout_, attempt_timeout);
+                                      const net::Address& address, Micros attempt_timeout,
+                                      unsigned connect_timeout_factor) {
+  add_connection(session)->start(address, connect_timeout_factor * connect_timeout_, attempt_timeout);
 }
 
 void UpstreamConnector::add_established(const std::shared_ptr<ProxySession>& session, net::SocketPtr socket) {
--- a/src/proxy/upstream_connector.hpp
+++ b/src/proxy/upstream_connector.hpp
@@ -24,9 +24,10 @@
   UpstreamConnector(const UpstreamConnector&) = delete;
   UpstreamConnector& operator=(const UpstreamConnector&) = delete;
 
-  // The session is told how it went, never within this call.
+  // The session is told how it went, never within this call. The connection may take so many times the usual
+  // connect timeout.
   void start_attempt(const std::shared_ptr<ProxySession>& session, const net::Address& address,
-                     Micros attempt_timeout);
+                     Micros attempt_timeout, unsigned connect_timeout_factor);
   // An established session that a predecessor has handed over.
   void add_established(const std::shared_ptr<ProxySession>& session, net::SocketPtr socket);
   // Calls `visit` for each session whose client has waited at least so long for any line.
--- a/tests/balancer/retry_policy_test.cpp
+++ b/tests/balancer/retry_policy_test.cpp
@@ -190,5 +190,43 @@
   EXPECT_EQ(third.actions.attempts.size(), 1u);
 }
 
+TEST(RetryPolicy, APinnedSessionStaysAtItsBackendAndWaitsLongerForEachConnection) {
+  BalancerFixture fixture(5);
+  Session& session = fixture.make_session(1);
+  session.deadline = fixture.actions.current_time + 40 * kSecond;
+  session.pinned_backend = fixture.backends[3];
+  fixture.balancer.admit(fixture.sessions.back());
+
+  unsigned longest_factor = 0;
+  for (std::size_t attempt = 1; attempt <= 12; ++attempt) {
+    ASSERT_EQ(fixture.attempts_to(*fixture.backends[3]), attempt);
+    const unsigned factor = RetryPolicy::connect_timeout_factor(session);
+    EXPECT_GE(factor, longest_factor);
+    longest_factor = factor;
+    fixture.end_attempt(session, AttemptResult::connect_failed);
+    fixture.actions.advance(kSecond / 4);
+  }
+
+  EXPECT_GE(longest_factor, 16U);
+  EXPECT_EQ(fixture.actions.attempts.size(), 13U);
+  EXPECT_EQ(fixture.final_answers(session), 0U);
+}
+
+TEST(RetryPolicy, APinnedSessionHasNoMoreAttemptsThanAnyOther) {
+  BalancerFixture fixture(5);
+  Session& session = fixture.make_session(1);
+  session.deadline = fixture.actions.current_time + 40 * kSecond;
+  session.pinned_backend = fixture.backends[3];
+  fixture.balancer.admit(fixture.sessions.back());
+
+  for (int i = 0; i < 8; ++i) {
+    if (session.backend) fixture.end_attempt(session, AttemptResult::rejected);
+    fixture.actions.advance(kSecond);
+  }
+
+  EXPECT_EQ(fixture.actions.attempts.size(), 4U);
+  EXPECT_EQ(fixture.final_answers(session), 1U);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
