A last line goes out whole before its connection is closed, however little a write takes

Cause: Connection::close_discarding_input and send_and_close closed after one write; what the kernel had not taken was dropped. Both are ways to close at once after a last line, so that descriptors come free. Why this works: both now write until the kernel takes no more, and a connection with a rest left is closed gracefully. Related paths: finish() already lingers until its buffer is out. The fault shim can now let writes on TCP fail (EAGAIN, EINTR). Measured: three new tests fail without the change (BU, BUSY, PONG BUSY, and no answer where the write would block) and pass with it.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -244,6 +244,11 @@
 void Connection::close_discarding_input() {
   if (!is_open()) return;
   handler_ = nullptr;
+  unsent_.erase(0, send_as_far_as_possible(socket_.get(), unsent_));
+  if (!unsent_.empty()) {
+    close_gracefully();
+    return;
+  }
   discard();
   close();
 }
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -54,11 +54,22 @@
 
 void send_and_close(SocketPtr socket, std::string_view line) {
   g_socket_set_blocking(socket.get(), FALSE);
-  g_socket_send(socket.get(), line.data(), line.size(), nullptr, nullptr);
+  send_as_far_as_possible(socket.get(), line);
   // Unread input would turn the close into a reset, which may overtake the line.
   discard_input(socket.get());
 }
 
+std::size_t send_as_far_as_possible(GSocket* socket, std::string_view bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const std::string_view rest = bytes.substr(sent);
+    const gssize count = g_socket_send(socket, rest.data(), rest.size(), nullptr, nullptr);
+    if (count <= 0) break;
+    sent += static_cast<std::size_t>(count);
+  }
+  return sent;
+}
+
 // MSG_TRUNC has the kernel drop the bytes without copying them, so the buffer is never written.
 ssize_t discard_input(GSocket* socket) {
   std::array<char, kDiscardSize> unused;  // NOLINT(cppcoreguidelines-pro-type-member-init): see above
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -4,6 +4,7 @@
 #include <gio/gio.h>
 #include <sys/types.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string_view>
@@ -34,6 +35,9 @@
 
 // Sends one line to a peer that is not served and closes. What does not fit into the socket's buffer is lost.
 void send_and_close(SocketPtr socket, std::string_view line);
+// Sends until the kernel takes no more, however little it takes at a time, and tells how many bytes it took.
+// The socket does not block.
+std::size_t send_as_far_as_possible(GSocket* socket, std::string_view bytes);
 
 // Has the kernel drop some of what the peer has sent, without waiting. The result and errno are those of
 // recv.
--- a/tests/proxy/descriptor_limit_test.cpp
+++ b/tests/proxy/descriptor_limit_test.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "support/fault_plan.hpp"
 #include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
@@ -66,6 +67,27 @@
       3000));
 }
 
+TEST(DescriptorLimits, ClientsBeyondTheLimitGetAWholeLineThoughEachWriteTakesAPart) {
+  const FaultPlanScope scope;
+  LoopbackRelay relay(1, 30);
+  std::vector<TestSocket> clients;
+
+  fault_plan().short_io_per_mille = 1000;
+  for (int i = 0; i < 60; ++i) {
+    clients.push_back(relay.connect_client(""));
+    relay.run_for(2);
+  }
+
+  std::size_t rejected = 0;
+  relay.run_for(50);
+  for (TestSocket& client : clients) {
+    if (!client.is_ended_by_peer()) continue;
+    ++rejected;
+    EXPECT_EQ(client.received(), "BUSY\r\n");
+  }
+  EXPECT_GT(rejected, 20U);
+}
+
 TEST(DescriptorLimits, ClientsBeyondTheLimitAreRejectedAndEstablishedSessionsGoOn) {
   LoopbackRelay relay(1, 30);
   std::vector<EstablishedSession> sessions;
--- a/tests/proxy/proxy_shutdown_test.cpp
+++ b/tests/proxy/proxy_shutdown_test.cpp
@@ -112,6 +112,39 @@
   }
 }
 
+TEST(ProxyShutdown, AnswersEachClientWithAWholeLineThoughEachWriteTakesAPart) {
+  const FaultPlanScope scope;
+  LoopbackRelay relay(1);
+  std::vector<TestSocket> clients;
+  for (const char* beginning : {"", "OPEN 1 1 c", "PING\r\n"})
+    clients.push_back(relay.connect_client(beginning));
+  relay.run_for(20);
+
+  fault_plan().short_io_per_mille = 1000;
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(clients[0].received(), "BUSY\r\n");
+  EXPECT_EQ(clients[1].received(), "BUSY\r\n");
+  EXPECT_EQ(clients[2].received(), "PONG\r\nBUSY\r\n");
+}
+
+TEST(ProxyShutdown, AnswersEachClientThoughTheFirstWriteWouldBlock) {
+  const FaultPlanScope scope;
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("OPEN 1 1 c");
+  relay.run_for(20);
+
+  // After discovery was asked again, and before the clients that are left are answered.
+  call_after(relay, 1500, [] {
+    fault_plan().send.error_number = EAGAIN;
+    fault_plan().send.remaining = 1;
+  });
+  EXPECT_LT(terminate(relay), kKilledAfter);
+
+  EXPECT_EQ(fault_plan().send.remaining, 0);
+  EXPECT_EQ(client.received(), "BUSY\r\n");
+}
+
 // A process that follows another has its clients from the first moment, and may be told to stop at once.
 TEST(ProxyShutdown, AnswersClientsThatConnectedBeforeItAccepted) {
   LoopbackRelay relay(1, 500,
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -5,10 +5,10 @@
 
 CALL_SIZE = 12
 CALL_OFFSETS = {name: 8 + CALL_SIZE * place
-                for place, name in enumerate(["accept", "socket", "connect", "storage", "wait", "receive", "hand_over"])}
-SHORT_IO_OFFSET = 92
-HOLD_UP_OFFSET = 96
-PLAN_SIZE = 104
+                for place, name in enumerate(["accept", "socket", "connect", "storage", "wait", "receive", "hand_over", "send"])}
+SHORT_IO_OFFSET = 104
+HOLD_UP_OFFSET = 108
+PLAN_SIZE = 112
 
 # What each kind of call may fail with, as its manual page has it.
 POSSIBLE_ERRORS = {
@@ -19,6 +19,7 @@
     "wait": [errno.EINTR],
     "receive": [errno.EINTR],
     "hand_over": [errno.EAGAIN, errno.ENOBUFS, errno.EINTR],
+    "send": [errno.EAGAIN, errno.EINTR],
 }
 
 
--- a/tests/support/fault_shim.cpp
+++ b/tests/support/fault_shim.cpp
@@ -75,6 +75,11 @@
   return faults.error_number.load() != 0 && has_domain(fd, AF_UNIX) && fails(faults);
 }
 
+bool send_fails(int fd) {
+  CallFaults& faults = fault_plan().send;
+  return faults.error_number.load() != 0 && is_tcp(fd) && fails(faults);
+}
+
 bool is_regular_file(int fd) {
   struct stat status {};
   return fstat(fd, &status) == 0 && S_ISREG(status.st_mode);
@@ -121,8 +126,8 @@
 FaultPlanScope::~FaultPlanScope() {
   FaultPlan& plan = fault_plan();
   plan.wall_clock_offset_us = 0;
-  for (CallFaults* faults :
-       {&plan.accept, &plan.socket, &plan.connect, &plan.storage, &plan.wait, &plan.receive, &plan.hand_over})
+  for (CallFaults* faults : {&plan.accept, &plan.socket, &plan.connect, &plan.storage, &plan.wait,
+                             &plan.receive, &plan.hand_over, &plan.send})
     reset(*faults);
   plan.short_io_per_mille = 0;
   plan.hold_up_ms = 0;
@@ -168,12 +173,13 @@
 
 ssize_t send(int fd, const void* buffer, std::size_t size, int flags) {
   static const auto call = original<ssize_t(int, const void*, std::size_t, int)>("send");
+  if (cherryrail::testing::send_fails(fd)) return -1;
   return call(fd, buffer, cherryrail::testing::cut(fd, size), flags);
 }
 
 ssize_t sendmsg(int fd, const msghdr* message, int flags) {
   static const auto call = original<ssize_t(int, const msghdr*, int)>("sendmsg");
-  if (cherryrail::testing::hand_over_fails(fd)) return -1;
+  if (cherryrail::testing::hand_over_fails(fd) || cherryrail::testing::send_fails(fd)) return -1;
   if (message->msg_iovlen == 0) return call(fd, message, flags);
   const std::size_t first = message->msg_iov[0].iov_len;
   const std::size_t part = cherryrail::testing::cut(fd, first);
