A socket that the kernel does not take into its set at once is watched soon after

Cause: IoPoller::change_interest took a refusal for done. Why this works: what is wanted and what the kernel knows are kept apart, and the poller asks again every 5 ms until they agree. The soak draws it as a trouble.

--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -63,8 +63,8 @@
   void end_sending();
   // Closes once what waits has gone out and the peer has ended or fallen silent. The handler hears no more.
   void close_gracefully();
-  // Closes after a last line: drops the input that lies unread, which would turn the close into a reset. Where
-  // the kernel does not take the whole line yet, it closes gracefully instead.
+  // Closes after a last line: drops the input that lies unread, which would turn the close into a reset.
+  // Where the kernel does not take the whole line yet, it closes gracefully instead.
   void close_discarding_input();
   void close();
   // Closes with a reset.
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -62,6 +62,7 @@
   std::size_t watch_count() const { return poller_.watch_count(); }
 
  private:
+  friend class IoPoller;
   friend class IoWatch;
 
   // A GLib source that calls one member function of the loop when it is ready.
--- a/src/net/io_poller.cpp
+++ b/src/net/io_poller.cpp
@@ -16,12 +16,15 @@
 constexpr std::uint32_t kOutput = EPOLLOUT;
 constexpr std::uint32_t kBroken = EPOLLHUP | EPOLLERR;
 
+// After a refusal the kernel is asked again so much later.
+constexpr Micros kUpdatePause = 5'000;
+
 bool has_any(std::uint32_t events, std::uint32_t wanted) { return (events & wanted) != 0; }
 
 }  // namespace
 
 IoWatch::IoWatch(EventLoop& event_loop, int fd, Callback callback)
-    : poller_(event_loop.poller_), fd_(fd), callback_(std::move(callback)) {
+    : event_loop_(event_loop), poller_(event_loop.poller_), fd_(fd), callback_(std::move(callback)) {
   poller_.add(*this);
 }
 
@@ -33,7 +36,8 @@
 void IoWatch::set_interest(bool wants_input, bool wants_output) {
   const std::uint32_t input = wants_input ? kInput : 0;
   const std::uint32_t output = wants_output ? kOutput : 0;
-  poller_.change_interest(*this, input | output);
+  wanted_interest_ = input | output;
+  if (!poller_.update(*this)) IoPoller::schedule_update(event_loop_);
 }
 
 IoPoller::IoPoller() : epoll_(retry_at_startup([] { return FileDescriptor(epoll_create1(EPOLL_CLOEXEC)); })) {
@@ -44,14 +48,16 @@
 
 void IoPoller::remove(IoWatch& watch) {
   --watch_count_;
+  std::erase(outdated_, &watch);
   // The rest of the batch under way may still name a watch that a callback has just destroyed.
   for (std::size_t i = batch_position_; i < batch_end_; ++i) {
     if (batch_[i].data.ptr == &watch) batch_[i].data.ptr = nullptr;
   }
 }
 
-void IoPoller::change_interest(IoWatch& watch, std::uint32_t interest) {
-  if (interest == watch.interest_) return;
+bool IoPoller::update(IoWatch& watch) {
+  const std::uint32_t interest = watch.wanted_interest_;
+  if (interest == watch.interest_) return true;
   epoll_event event{};
   event.events = interest;
   event.data.ptr = &watch;
@@ -59,8 +65,24 @@
   if (watch.interest_ == 0) operation = EPOLL_CTL_ADD;
   // A watch that wants nothing leaves the set: its hang-up would be reported without end.
   if (interest == 0) operation = EPOLL_CTL_DEL;
-  epoll_ctl(epoll_.get(), operation, watch.fd_, &event);
+  const bool is_refused = epoll_ctl(epoll_.get(), operation, watch.fd_, &event) != 0;
+  if (is_refused && operation != EPOLL_CTL_DEL) {
+    outdated_.push_back(&watch);
+    return false;
+  }
   watch.interest_ = interest;
+  return true;
+}
+
+void IoPoller::schedule_update(EventLoop& event_loop) {
+  event_loop.call_at(event_loop.now() + kUpdatePause,
+                     [&event_loop] { event_loop.poller_.update_outdated(event_loop); });
+}
+
+void IoPoller::update_outdated(EventLoop& event_loop) {
+  bool are_updated = true;
+  for (IoWatch* const watch : std::exchange(outdated_, {})) are_updated = update(*watch) && are_updated;
+  if (!are_updated) schedule_update(event_loop);
 }
 
 void IoPoller::wait() {
--- a/src/net/io_poller.hpp
+++ b/src/net/io_poller.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <vector>
 
 #include "net/file_descriptor.hpp"
 
@@ -28,15 +29,18 @@
   IoWatch(const IoWatch&) = delete;
   IoWatch& operator=(const IoWatch&) = delete;
 
+  // Holds from now on, or from soon after where the system has no memory for it just now.
   void set_interest(bool wants_input, bool wants_output);
 
  private:
   friend class IoPoller;
 
+  EventLoop& event_loop_;
   IoPoller& poller_;
   int fd_;
   Callback callback_;
-  std::uint32_t interest_ = 0;  // epoll's bits
+  std::uint32_t wanted_interest_ = 0;  // epoll's bits
+  std::uint32_t interest_ = 0;         // those that the kernel knows
 };
 
 // The epoll set of one event loop. The loop calls wait and then takes what is ready with next, one at a time:
@@ -69,7 +73,10 @@
 
   void add(IoWatch& watch);
   void remove(IoWatch& watch);
-  void change_interest(IoWatch& watch, std::uint32_t interest);
+  // False if the kernel refused; update_outdated() is to be called then.
+  bool update(IoWatch& watch);
+  void update_outdated(EventLoop& event_loop);
+  static void schedule_update(EventLoop& event_loop);
 
   // More than the sockets that are ready in one round at full load; the rest comes with the next round.
   static constexpr std::size_t kBatchSize = 256;
@@ -79,6 +86,7 @@
   std::size_t batch_end_ = 0;
   std::size_t batch_position_ = 0;
   std::size_t watch_count_ = 0;
+  std::vector<IoWatch*> outdated_;  // whose interest the kernel does not know yet
 };
 
 }  // namespace cherryrail::net
--- a/tests/net/event_loop_test.cpp
+++ b/tests/net/event_loop_test.cpp
@@ -2,10 +2,12 @@
 
 #include <gtest/gtest.h>
 
+#include <cerrno>
 #include <csignal>
 #include <filesystem>
 #include <iterator>
 
+#include "support/fault_plan.hpp"
 #include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
@@ -27,5 +29,20 @@
   EXPECT_EQ(std::distance(begin(threads), end(threads)), 1);
 }
 
+TEST(EventLoop, WatchesASocketThoughTheSystemRefusesAtFirst) {
+  for (const int error : {ENOMEM, ENOSPC}) {
+    const FaultPlanScope scope;
+    LoopbackRelay relay(1);
+    relay.accept_watch();
+
+    fault_plan().watch.error_number = error;
+    fault_plan().watch.remaining = 4;  // the client's connection, then its backend's
+    const EstablishedSession session = relay.establish_session("1");
+
+    EXPECT_EQ(fault_plan().watch.remaining, 0);
+    EXPECT_TRUE(session.upstream) << error;
+  }
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,6 +7,8 @@
 from oracle import Request
 
 SHORTEST_PART_OF_TIMEOUT = 0.4
+RESTORED_PART = 0.04  # of the clients, those that name the backend where their session was
+LINGERING_CLIENTS = 10  # connections open at a relay's stop on which a request comes later
 BAD_CLIENT_LIMIT = 3.0
 ENDED = (OSError, asyncio.IncompleteReadError)
 
@@ -72,8 +74,9 @@
             await asyncio.sleep(self._rng.uniform(0.05, 0.4))
             self.spawn(self.come(returns + 1))
 
-    async def _session(self, relay, reader, writer, is_returning):
+    async def _session(self, relay, reader, writer, is_returning, process=None):
         request, line = self._make_request(relay, is_returning)
+        request.relay = process or request.relay
         if not await self._write_request(writer, line, request):
             return False
         try:
@@ -94,9 +97,13 @@
         timeout = self._longest_timeout * self._rng.uniform(SHORTEST_PART_OF_TIMEOUT, 1)
         flow = self._rng.getrandbits(60)
         line = f"OPEN {session} {flow:x} c={traffic_class},d={timeout * 1000:.0f}"
+        request = Request(session, traffic_class, relay.newest(), relay.index, 0, timeout)
         if is_returning:
             line += ",again=1"
-        return Request(session, traffic_class, relay.newest(), relay.index, 0, timeout), line + "\r\n"
+        elif self._rng.random() < RESTORED_PART:
+            request.previous_backend = self._rng.choice(self._world.backends).uid
+            line += f",at={request.previous_backend}"
+        return request, line + "\r\n"
 
     async def _write_request(self, writer, line, request):
         data = line.encode()
@@ -239,6 +246,31 @@
         finally:
             abort(writer)
 
+    def linger(self, relay, process, seconds):
+        """Clients that are connected when the relay is told to stop and ask at any time until it is killed."""
+        for _ in range(LINGERING_CLIENTS):
+            self.spawn(self._ask_later(relay, process, self._rng.uniform(0, seconds), self._rng.random() < 0.5))
+
+    async def _ask_later(self, relay, process, delay, has_pinged):
+        connection = await self._connect(relay)
+        if not connection:
+            return
+        reader, writer = connection
+        try:
+            if has_pinged:
+                writer.write(b"PING\r\n")
+                await asyncio.wait_for(reader.readline(), 1)
+            early = await asyncio.wait_for(reader.read(100), delay)
+            self._world.oracle.counts["lingered, ended by the relay"] += 1
+            assert early is not None
+        except asyncio.TimeoutError:
+            self._world.oracle.counts["asked a relay told to stop"] += 1
+            await self._session(relay, reader, writer, False, process)
+        except OSError:
+            pass
+        finally:
+            abort(writer)
+
     async def crowd(self, relay, count):
         """Idle connections that hold descriptors for a while."""
         writers = []
--- a/tests/soak/fault_plan.py
+++ b/tests/soak/fault_plan.py
@@ -5,10 +5,10 @@
 
 CALL_SIZE = 12
 CALL_OFFSETS = {name: 8 + CALL_SIZE * place
-                for place, name in enumerate(["accept", "socket", "connect", "storage", "wait", "receive", "hand_over", "send"])}
-SHORT_IO_OFFSET = 104
-HOLD_UP_OFFSET = 108
-PLAN_SIZE = 112
+                for place, name in enumerate(["accept", "socket", "connect", "storage", "wait", "receive", "hand_over", "send", "watch"])}
+SHORT_IO_OFFSET = 116
+HOLD_UP_OFFSET = 120
+PLAN_SIZE = 128
 
 # What each kind of call may fail with, as its manual page has it.
 POSSIBLE_ERRORS = {
@@ -20,6 +20,7 @@
     "receive": [errno.EINTR],
     "hand_over": [errno.EAGAIN, errno.ENOBUFS, errno.EINTR],
     "send": [errno.EAGAIN, errno.EINTR],
+    "watch": [errno.ENOMEM, errno.ENOSPC],
 }
 
 
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -29,6 +29,7 @@
     relay_index: int
     sent_at: float
     timeout: float
+    previous_backend: str = ""  # where the session was before the relay started, and may be alone
     answer: str = ""
     client_left_at: float = math.inf
     attempts: list = dataclasses.field(default_factory=list)
@@ -111,6 +112,7 @@
             return
         self.counts["attempts"] += 1
         self._check_departure(request, attempt)
+        self._check_place(request, attempt)
         self._check_drain(request, attempt)
         self._check_effects(request, attempt)
         self._check_overload(request, attempt)
@@ -122,6 +124,11 @@
             self.violate("no attempt without a client",
                          f"{request.session} was sent {late:.2f} s after its client had closed")
 
+    def _check_place(self, request, attempt):
+        if request.previous_backend not in ("", attempt.backend):
+            self.violate("restored at its backend", f"{request.session} was at {request.previous_backend} and was sent "
+                                                    f"to {attempt.backend} by {request.relay}")
+
     def _check_drain(self, request, attempt):
         grace = self._settings["drain_grace"] + 0.05 + self.slack()
         told_at = max(self.told[process].get(attempt.backend, math.inf)
--- a/tests/soak/oracle_test.py
+++ b/tests/soak/oracle_test.py
@@ -48,6 +48,12 @@
         self.oracle.answered(request, "UP r")
         self.assertEqual(self.rules_broken(), [])
 
+    def test_a_restored_session_elsewhere(self):
+        self.request().previous_backend = "s-0"
+        self.attempt(result="ERR")
+        self.attempt(backend="s-1")
+        self.assertEqual(self.rules_broken(), ["restored at its backend"])
+
     def test_a_late_answer_and_a_second_one(self):
         request = self.request()
         self.time += 2
--- a/tests/soak/relays.py
+++ b/tests/soak/relays.py
@@ -14,6 +14,7 @@
 READY_LIMIT = 10.0
 # After SIGTERM the platform kills a process that is still there so long after the longest client timeout.
 KILL_MARGIN = 0.7
+LONGEST_WAIT = 3.0  # the platform waits no longer than that for clients
 MEMORY_LIMIT_KB = 96 * 1024
 FAULT_MARKS = ("a callback failed", "invariant violated")
 
@@ -212,19 +213,24 @@
             self.world.oracle.violate("limits", f"{process} has {memory_kb} KB")
 
     async def terminate(self, process, front_delay):
-        """SIGTERM, as the platform does it; clients go on coming for `front_delay`."""
+        """SIGTERM, as the platform does it: clients go on coming for `front_delay`, and use open connections until
+        SIGKILL, which comes as early as it may. What the process has then is lost.
+        """
+        limit = min(self._longest_timeout, LONGEST_WAIT) + KILL_MARGIN
+        if not self.has_inherited_listener:
+            self.world.clients.linger(self, process, limit)
+            await asyncio.sleep(0.02)
         process.is_ending = True
         process.signal(signal.SIGTERM)
+        deadline = self.world.now() + limit
         await asyncio.sleep(front_delay)
         if process is self.newest():
             self.takes_clients = False
-        limit = self._longest_timeout + KILL_MARGIN
-        deadline = self.world.now() + limit - front_delay + self.world.lateness + 0.1
-        while process.is_running() and self.world.now() < deadline:
-            await asyncio.sleep(0.02)
+        while process.is_running() and self.world.now() < deadline + self.world.lateness:
+            await asyncio.sleep(0.01)
         if process.is_running():
             self.world.oracle.violate("shutdown in time", f"{process} still runs {limit:.1f} s after SIGTERM")
-            process.kill()
+            process.popen.kill()
 
     async def kill(self, front_delay):
         """SIGKILL; the front notices later."""
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -27,6 +27,7 @@
 RATE = 60.0  # clients a second, over all relays
 BACKENDS = 10
 USUAL_UTILIZATION = 0.9
+CROWD_PART = 0.3  # of the seeds: idle clients crowd one relay after another all the time
 CLOSING_TIME = 7.0  # after the last trouble: what is owed comes in this time
 
 
@@ -34,7 +35,7 @@
     """A site's settings, as a relay finds them in its configuration."""
     window_ms = rng.choice([700, 1500, 5000])
     # With the longer times, connections that come up a second late are still waited for.
-    attempt_ms, timeout_ms, connect_ms = rng.choice([(250, 1500, 120), (1300, 2700, 1400)])
+    attempt_ms, timeout_ms, connect_ms = rng.choice([(150, 500, 100), (250, 1500, 120), (1300, 2700, 1400)])
     profiles = [
         {"name": "talk", "semantics": "idempotent", "payoff": 1, "setup_goal": attempt_ms,
          "client_timeout": timeout_ms},
@@ -78,6 +79,7 @@
     world.loop.set_exception_handler(lambda loop, context: note_exception(loop, context, world))
     world.began_at = world.now()
     settings = draw_settings(world.rng, options.relays)
+    has_crowd = world.rng.random() < CROWD_PART
     world.oracle = Oracle(rules_of(settings, world.loop), world.now, lambda: world.lateness, report)
     longest_timeout = max(profile["client_timeout"] for profile in settings["profiles"]) / 1000
     lateness = asyncio.create_task(world.measure_lateness())
@@ -86,11 +88,15 @@
     for relay in world.relays:
         await relay.prepare()
         relay.start()
-    clients = Clients(world, RATE, longest_timeout)
+    world.clients = clients = Clients(world, RATE, longest_timeout)
     arrivals = asyncio.create_task(clients.run())
     try:
         await asyncio.sleep(1.5)
-        await Troubles(world, clients, report).run(options.seconds, options.gap)
+        troubles = Troubles(world, clients, report)
+        crowd = asyncio.create_task(troubles.crowds()) if has_crowd else None
+        await troubles.run(options.seconds, options.gap)
+        if crowd:
+            crowd.cancel()
         arrivals.cancel()
         await asyncio.sleep(CLOSING_TIME)
     finally:
--- a/tests/soak/troubles.py
+++ b/tests/soak/troubles.py
@@ -18,7 +18,7 @@
         self._report = report
         self._kinds = [
             self.stop_and_start, self.stop_and_start, self.kill_and_start, self.kill_and_start, self.stop_at_start,
-            self.reload_at_start, self.hot_restart, self.hot_restart, self.move_discovery, self.reload_twice,
+            self.reload_at_start, self.signal_in_series, self.signal_in_series, self.hot_restart, self.hot_restart, self.move_discovery, self.reload_twice,
             self.hold_up, self.step_clock, self.step_clock, self.fail_calls, self.fail_calls, self.cut_transfers,
             self.fail_storage, self.replace_backend, self.replace_backend, self.crash_backend,
             self.restart_most_backends, self.silence_backend,
@@ -102,6 +102,26 @@
             await asyncio.sleep(0.5)
         await self._with_relay(reload_at_start)
 
+    async def signal_in_series(self):
+        """Reloads until the stop and after it, which is told more than once."""
+        async def signal_in_series(relay):
+            process = relay.newest()
+            for _ in range(self._rng.randint(1, 4)):
+                relay.move_discovery()
+                process.signal(signal.SIGHUP)
+                await asyncio.sleep(self._rng.choice([0, 0.01, 0.2]))
+            self._clients.spawn(self._signal_again(process))
+            await relay.terminate(process, self._rng.uniform(0.2, 0.4))
+            relay.start()
+            await asyncio.sleep(1)
+        await self._with_relay(signal_in_series)
+
+    async def _signal_again(self, process):
+        for _ in range(self._rng.randint(1, 5)):
+            await asyncio.sleep(self._rng.choice([0, 0.05, 0.4]))
+            if process.is_ending:
+                process.signal(self._rng.choice([signal.SIGTERM, signal.SIGHUP, signal.SIGINT]))
+
     async def hot_restart(self):
         async def hot_restart(relay):
             await relay.replace()
@@ -143,7 +163,7 @@
             relay.plan.offset_wall_clock(0)
 
     async def fail_calls(self):
-        call = self._rng.choice(["accept", "socket", "connect", "wait", "receive", "hand_over"])
+        call = self._rng.choice(["accept", "socket", "connect", "wait", "receive", "hand_over", "send", "watch"])
         error = self._rng.choice(POSSIBLE_ERRORS[call])
         relays = self._rng.sample(self._world.relays, self._rng.randint(1, 3))
         self._note(f"fail_calls {call} errno {error} at {[relay.index for relay in relays]}")
@@ -283,6 +303,11 @@
         await asyncio.sleep(self._rng.uniform(0.5, 2))
         self._clients.leave_early = 0.06
 
+    async def crowds(self):
+        """One crowd after another, until cancelled."""
+        while True:
+            await self.crowd()
+
     async def crowd(self):
         relay = self._rng.choice(self._world.relays)
         self._note(f"crowd at relay {relay.index}")
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -15,6 +15,7 @@
         self.rng = random.Random(seed)
         self.loop = asyncio.get_running_loop()
         self.oracle = None
+        self.clients = None
         self.links = {}
         self.relays = []
         self.backends = [Backend(self, index, self.rng) for index in range(backend_count)]
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,6 +13,7 @@
 import xml.etree.ElementTree as xml
 
 KNOWN_FAILURES_ALLOWED = 3
+PARALLEL_TESTS = "4"  # most tests wait most of the time
 
 
 class ListError(Exception):
@@ -64,7 +65,8 @@
     """Runs every test: ctest's exit code, and the names of those that passed."""
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder, "report.xml")
-        command = ["ctest", "--test-dir", build, "--output-on-failure", "--output-junit", report]
+        command = ["ctest", "--test-dir", build, "--output-on-failure", "--output-junit", report,
+                   "--parallel", PARALLEL_TESTS]
         exit_code = subprocess.run(command, check=False).returncode
         cases = xml.parse(report).iter("testcase")
         return exit_code, {case.get("name") for case in cases if has_passed(case)}
