--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -62,21 +62,21 @@
     async def come(self, returns=0):
         """Asks for a session, keeps it for a while, and comes again when it is moved or broken."""
         relay = self.pick_relay()
+        process = relay.newest() if relay else None
         connection = await self._connect(relay) if relay else None
         if not connection:
             return
         reader, writer = connection
         try:
-            is_to_return = await self._session(relay, reader, writer, returns > 0)
+            is_to_return = await self._session(relay, process, reader, writer, returns > 0)
         finally:
             abort(writer)
         if is_to_return and returns < 3:
             await asyncio.sleep(self._rng.uniform(0.05, 0.4))
             self.spawn(self.come(returns + 1))
 
-    async def _session(self, relay, reader, writer, is_returning, process=None):
-        request, line = self._make_request(relay, is_returning)
-        request.relay = process or request.relay
+    async def _session(self, relay, process, reader, writer, is_returning):
+        request, line = self._make_request(relay, process, is_returning)
         if not await self._write_request(writer, line, request):
             return False
         try:
@@ -91,13 +91,15 @@
         await self._expect_the_end(request, reader)
         return answer.startswith("BUSY")
 
-    def _make_request(self, relay, is_returning):
+    def _make_request(self, relay, process, is_returning):
+        """`process`: whom the client has connected to, unless a hot restart has handed its connection over."""
+        server = relay.newest() if relay.has_inherited_listener else process
         traffic_class = self._rng.choices(["talk", "once", "keyed"], [5, 2, 2])[0]
         session = f"{next(session_numbers):016x}"
         timeout = self._longest_timeout * self._rng.uniform(SHORTEST_PART_OF_TIMEOUT, 1)
         flow = self._rng.getrandbits(60)
         line = f"OPEN {session} {flow:x} c={traffic_class},d={timeout * 1000:.0f}"
-        request = Request(session, traffic_class, relay.newest(), relay.index, 0, timeout)
+        request = Request(session, traffic_class, server, relay.index, 0, timeout)
         if is_returning:
             line += ",again=1"
         elif self._rng.random() < RESTORED_PART:
@@ -231,6 +233,7 @@
     async def rest(self):
         """A client that rests until about the moment at which the relay ends it, and asks then."""
         relay = self.pick_relay()
+        process = relay.newest() if relay else None
         connection = await self._connect(relay) if relay else None
         if not connection:
             return
@@ -240,7 +243,7 @@
             self._world.oracle.counts["rested, ended by the relay"] += 1
             assert early is not None
         except asyncio.TimeoutError:
-            await self._session(relay, reader, writer, False)
+            await self._session(relay, process, reader, writer, False)
         except OSError:
             pass
         finally:
@@ -265,7 +268,7 @@
             assert early is not None
         except asyncio.TimeoutError:
             self._world.oracle.counts["asked a relay told to stop"] += 1
-            await self._session(relay, reader, writer, False, process)
+            await self._session(relay, process, reader, writer, False)
         except OSError:
             pass
         finally:
