--- a/tests/soak/relays.py
+++ b/tests/soak/relays.py
@@ -21,6 +21,14 @@
 process_numbers = itertools.count()
 
 
+def reserve_port():
+    """A socket that holds a free port of loopback. A relay may listen there, but nobody else is given the port."""
+    holder = socket.socket()
+    holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    holder.bind(("127.0.0.1", 0))
+    return holder
+
+
 class Process:
     """One process of a relay."""
 
@@ -83,26 +91,19 @@
         self._listener = None
         self._discovery_ports = []
         self._current_discovery = 0
+        self._mgmt_ports = []
         self.port = 0
         self.mgmt_port = 0
 
     async def prepare(self):
         for _ in range(2):
             self._discovery_ports.append(await self.world.discovery.listen(self._only_process))
-        self._listener = self._make_listener()
+        self._listener = reserve_port()
         self.port = self._listener.getsockname()[1]
-        if not self.has_inherited_listener:
-            self._listener.close()
+        if self.has_inherited_listener:
+            self._listener.listen(4096)
         self.write_config()
 
-    @staticmethod
-    def _make_listener():
-        listener = socket.socket()
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(("127.0.0.1", 0))
-        listener.listen(4096)
-        return listener
-
     def _only_process(self):
         """The process that runs, unless there are two."""
         running = [process for process in self.processes if process.is_running()]
@@ -137,7 +138,8 @@
         """Starts a process; it is not ready yet."""
         number = len(self.processes)
         log_path = self.folder / f"log-{number}"
-        self.mgmt_port = self._free_port()
+        self._mgmt_ports.append(reserve_port())
+        self.mgmt_port = self._mgmt_ports[-1].getsockname()[1]
         environment = dict(os.environ, LD_PRELOAD=str(self._options.shim), FAULT_PLAN=str(self.plan.path),
                            TMPDIR=str(self.state_folder), EDGE_MGMT=f"127.0.0.1:{self.mgmt_port}")
         inherited = []
@@ -157,12 +159,6 @@
                 self.world.discovery.settle(process, backend.uid, backend.state)
         return process
 
-    @staticmethod
-    def _free_port():
-        with socket.socket() as probe:
-            probe.bind(("127.0.0.1", 0))
-            return probe.getsockname()[1]
-
     async def _wait_until_ready(self, process):
         began = self.world.now()
         while process.is_running() and not process.is_ending:
@@ -265,8 +261,9 @@
             process.kill()
         for process in self.processes:
             process.popen.wait()
-        if self._listener:
-            self._listener.close()
+        for holder in [self._listener, *self._mgmt_ports]:
+            if holder:
+                holder.close()
 
     def check_logs(self):
         """Looks for faults that a relay noticed of itself."""
