--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -200,6 +200,7 @@
     def change_told(self, relay, uid, state, at):
         """From `at` on, the relay's process counts as told of the backend's state."""
         if state == "active":
+            self.told[relay].pop(uid, None)
             self.told_of_start[relay].setdefault(uid, at)
         else:
             self.told[relay][uid] = min(at, self.told[relay].get(uid, math.inf))
--- a/tests/soak/oracle_test.py
+++ b/tests/soak/oracle_test.py
@@ -48,6 +48,14 @@
         self.oracle.answered(request, "UP r")
         self.assertEqual(self.rules_broken(), [])
 
+    def test_a_backend_that_is_told_to_have_returned_after_its_end(self):
+        self.oracle.change_told(self.process, "s-0", "left", self.time)
+        self.oracle.change_told(self.process, "s-0", "active", self.time + 1)
+        self.time += 3
+        self.request()
+        self.attempt()
+        self.assertEqual(self.rules_broken(), [])
+
     def test_a_restored_session_elsewhere(self):
         self.request().previous_backend = "s-0"
         self.attempt(result="ERR")
