--- a/tests/balancer/retry_policy_test.cpp
+++ b/tests/balancer/retry_policy_test.cpp
@@ -190,12 +190,18 @@
   EXPECT_EQ(third.actions.attempts.size(), 1u);
 }
 
-TEST(RetryPolicy, APinnedSessionStaysAtItsBackendAndWaitsLongerForEachConnection) {
-  BalancerFixture fixture(5);
+// Of a client that waits for longer than the test runs.
+Session& request_session_pinned_to(std::size_t backend, BalancerFixture& fixture) {
   Session& session = fixture.make_session(1);
   session.deadline = fixture.actions.current_time + 40 * kSecond;
-  session.pinned_backend = fixture.backends[3];
+  session.pinned_backend = fixture.backends[backend];
   fixture.balancer.admit(fixture.sessions.back());
+  return session;
+}
+
+TEST(RetryPolicy, APinnedSessionStaysAtItsBackendAndWaitsLongerForEachConnection) {
+  BalancerFixture fixture(5);
+  Session& session = request_session_pinned_to(3, fixture);
 
   unsigned longest_factor = 0;
   for (std::size_t attempt = 1; attempt <= 12; ++attempt) {
@@ -214,10 +220,7 @@
 
 TEST(RetryPolicy, APinnedSessionHasNoMoreAttemptsThanAnyOther) {
   BalancerFixture fixture(5);
-  Session& session = fixture.make_session(1);
-  session.deadline = fixture.actions.current_time + 40 * kSecond;
-  session.pinned_backend = fixture.backends[3];
-  fixture.balancer.admit(fixture.sessions.back());
+  Session& session = request_session_pinned_to(3, fixture);
 
   for (int i = 0; i < 8; ++i) {
     if (session.backend) fixture.end_attempt(session, AttemptResult::rejected);
--- a/tests/proxy/restored_session_test.cpp
+++ b/tests/proxy/restored_session_test.cpp
@@ -66,7 +66,7 @@
   relay.run_for(20);
   TestSocket client = relay.connect_client(kRequestAtTwo);
 
-  EXPECT_TRUE(relay.run_until([&] { return client.received() == "BUSY\r\n"; }, 100));
+  EXPECT_TRUE(relay.run_until([&] { return client.received() == "BUSY\r\n"; }, 1000));
 
   relay.run_for(50);
   EXPECT_FALSE(relay.has_unaccepted_attempt());
@@ -79,7 +79,7 @@
 
   relay.publish_endpoints(endpoint_snapshot(5, {relay.endpoint(0, "active"), relay.endpoint(1, "active")}));
 
-  EXPECT_TRUE(relay.run_until([&] { return client.received() == "BUSY\r\n"; }, 200));
+  EXPECT_TRUE(relay.run_until([&] { return client.received() == "BUSY\r\n"; }, 1000));
   EXPECT_FALSE(relay.has_unaccepted_attempt());
 }
 
@@ -111,7 +111,7 @@
 
   relay.accept_attempt().reset();
 
-  EXPECT_TRUE(relay.run_until([&] { return client.received() == "ERR\r\n"; }, 100));
+  EXPECT_TRUE(relay.run_until([&] { return client.received() == "ERR\r\n"; }, 1000));
   EXPECT_FALSE(relay.has_unaccepted_attempt());
 }
 
