Review case 1: a few bad clients take the relay over its memory limit

Cause: the registry of session ids keeps each id for at least 5 s after its request was turned away, without a bound on their number or length.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Case 1: a request that waits through a replacement of the process is never answered. See claim.txt.
+# Case 1: bad clients make the relay use more memory than it has: it is killed, with all open connections. See claim.txt.
 cd "$(dirname "$0")" || exit 2
 exec python3 case.py
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,4 +1,4 @@
 #!/bin/sh
-# Case 2: the relay cuts off connections without MOVE while their backend is in the middle of a line. See claim.txt.
+# Case 2: a request that waits through a replacement of the process is never answered. See claim.txt.
 cd "$(dirname "$0")" || exit 2
 exec python3 case.py
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -177,9 +177,9 @@
 class Platform:
     """One relay: its configuration, the listening socket that the platform holds, and its processes."""
 
-    def __init__(self, record, discovery, settings, folder, holds_socket, sockets=1024):
+    def __init__(self, record, discovery, settings, folder, holds_socket, sockets=1024, memory_mb=192):
         self.record, self.discovery, self.folder, self.holds_socket = record, discovery, folder, holds_socket
-        self.settings, self.sockets = settings, sockets
+        self.settings, self.limits = settings, {"cores": 1.0, "memory_mb": memory_mb, "sockets": sockets}
         self.command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         self.state_folder = folder / "state"
         self.state_folder.mkdir()
@@ -198,7 +198,7 @@
         path = self.folder / "config.json"
         path.write_text(json.dumps({
             "name": "n1", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery.port}",
-            "seed": f"{os.getpid():x}{number}", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
+            "seed": f"{os.getpid():x}{number}", "limits": self.limits,
             "known": self.discovery.whole_list(), "settings": self.settings}))
         environment = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
         environment.update(EDGE_CONFIG=str(path), EDGE_NAME="n1", EDGE_LISTEN=f"127.0.0.1:{self.port}",
