--- a/review/2/case.py
+++ b/review/2/case.py
@@ -27,7 +27,7 @@
 BACKENDS, AGEING = 7, 3        # 3 of 7 are 42.9%: "up to 43%"
 AGEING_S, SLOWER = 24.0, 17.5  # "over 22 to 34 s, to 6.1 to 18 times slower"
 SETUP_S, MESSAGE_S = 0.26, 0.002
-RATE = 10.0                    # new connections a second at this relay
+RATE, LIFE_S = 20.0, 12.0      # new connections a second at this relay, and how long a client keeps its own
 
 
 async def client(record, port, number, outcomes):
@@ -51,7 +51,8 @@
     record.write(f"client {session}: {outcome['how']} {outcome['answer'] or ''} after {outcome['waited']:.3f} s")
     try:
         if (outcome["answer"] or "").startswith("UP"):
-            while True:
+            leaves_at = record.now() + LIFE_S
+            while record.now() < leaves_at:
                 writer.write(b"message\r\n")
                 line = await reader.readline()
                 if not line or line.startswith(b"MOVE"):
