--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -56,7 +56,7 @@
       balancer_(*this, settings_.config, config.seed), load_reports_(settings_, balancer_),
       endpoints_(event_loop, balancer_, settings_.zone_names),
       unlisted_backends_(event_loop, balancer_, endpoints_), request_reader_(settings_, balancer_),
-      config_reloader_(event_loop, config, balancer_, discovery_, descriptors_),
+      session_ids_(event_loop), config_reloader_(event_loop, config, balancer_, discovery_, descriptors_),
       unresponsive_sessions_(event_loop, upstream_, balancer_, shortest_attempt_objective(settings_)) {
   endpoints_.apply(config.known_endpoints);
   downstream_ =
@@ -137,8 +137,7 @@
 
 void ProxyServer::on_session_requested(const std::shared_ptr<ProxySession>& session) {
   auto fault = request_reader_.read(*session, event_loop_.now());
-  if (!fault && !session_ids_.add(session->id(), session, event_loop_.now()))
-    fault = SessionRequestFault::duplicate_id;
+  if (!fault && !register_id(*session)) fault = SessionRequestFault::duplicate_id;
   if (fault) {
     event_loop_.log().write(net::Topic::error, "bad open request: {}", describe(*fault, session->request()));
     session->refuse("ERR", DownstreamResult::bad_request);
@@ -154,6 +153,13 @@
   admit(session);
 }
 
+bool ProxyServer::register_id(ProxySession& session) {
+  auto registration = session_ids_.add(session.id());
+  if (!registration) return false;
+  session.id_registration.emplace(std::move(*registration));
+  return true;
+}
+
 // A client that names the backend of its earlier session is sent to this backend only.
 void ProxyServer::admit(const std::shared_ptr<ProxySession>& session) {
   const std::string_view uid = session->request().value("at");
@@ -293,7 +299,7 @@
                             describe(*fault, session->request()));
     return;
   }
-  session_ids_.add(session->id(), session, event_loop_.now());
+  register_id(*session);
   const auto backend = endpoints_.find_or_add_gone(handover.backend);
   downstream_->add_established_client(std::move(downstream), session);
   upstream_.add_established(session, std::move(upstream));
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -92,6 +92,8 @@
   void start_accepting();
   void on_endpoint_list(const protocol::EndpointList& list, Micros current_until);
   void on_session_requested(const std::shared_ptr<ProxySession>& session);
+  // Returns false if another session uses the id.
+  bool register_id(ProxySession& session);
   void admit(const std::shared_ptr<ProxySession>& session);
   void import_state(StateSnapshot state);
   void resume_session(const OpenSession& handover, net::SocketPtr downstream, net::SocketPtr upstream);
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -13,6 +13,7 @@
 #include "proxy/downstream_connection.hpp"
 #include "proxy/handover_message.hpp"
 #include "proxy/invariant_monitor.hpp"
+#include "proxy/session_id_registry.hpp"
 #include "proxy/upstream_connection.hpp"
 
 namespace cherryrail::proxy {
@@ -37,6 +38,9 @@
   const protocol::OpenRequest& request() const { return request_; }
   std::string_view id() const { return request_.id(); }
 
+  // Set by the proxy once the id is registered.
+  std::optional<SessionIdRegistry::Registration> id_registration;
+
   // Each connection registers itself while it is open; null unregisters it.
   void set_downstream(DownstreamConnection* downstream) { downstream_ = downstream; }
   void set_upstream(UpstreamConnection* upstream);
--- a/src/proxy/session_id_registry.cpp
+++ b/src/proxy/session_id_registry.cpp
@@ -1,32 +1,68 @@
 #include "proxy/session_id_registry.hpp"
 
+#include <deque>
+#include <functional>
+#include <unordered_set>
+#include <utility>
+
 namespace cherryrail::proxy {
 namespace {
 
-// The minimum time for which an id stays registered. It is also the interval at which an id is checked: it is
-// removed at the first check after its session has ended.
-constexpr Micros kRetention = 5'000'000;
+// How long an id is refused after its session has ended.
+constexpr Micros kRetention = 5 * kSecond;
 
 }  // namespace
 
-bool SessionIdRegistry::add(std::string_view id, const std::shared_ptr<Session>& session, Micros now) {
-  remove_expired(now);
-  const auto [entry, is_new] = ids_.try_emplace(std::string(id), session);
-  if (is_new) next_checks_.emplace_back(now + kRetention, entry);
-  return is_new;
-}
+struct SessionIdRegistry::Ids {
+  struct EndedId {
+    Micros refused_until;
+    std::uint64_t hash;
+  };
+
+  bool contains(std::uint64_t hash) const { return active.contains(hash) || ended.contains(hash); }
+
+  void remember(std::uint64_t hash, Micros now) {
+    active.erase(hash);
+    if (by_end.size() >= kMaxEndedIds) forget_oldest();
+    ended.insert(hash);
+    by_end.push_back({now + kRetention, hash});
+  }
+
+  void forget_expired(Micros now) {
+    while (!by_end.empty() && by_end.front().refused_until <= now) forget_oldest();
+  }
 
-void SessionIdRegistry::remove_expired(Micros now) {
-  while (!next_checks_.empty() && next_checks_.front().first <= now) {
-    const Ids::iterator entry = next_checks_.front().second;
-    next_checks_.pop_front();
-    const bool has_session_ended = entry->second.expired();
-    if (has_session_ended) {
-      ids_.erase(entry);
-    } else {
-      next_checks_.emplace_back(now + kRetention, entry);
-    }
+  void forget_oldest() {
+    ended.erase(by_end.front().hash);
+    by_end.pop_front();
   }
+
+  std::unordered_set<std::uint64_t> active;
+  std::unordered_set<std::uint64_t> ended;
+  std::deque<EndedId> by_end;  // the members of `ended` in the order in which their sessions ended
+};
+
+SessionIdRegistry::SessionIdRegistry(const net::EventLoop& event_loop)
+    : event_loop_(event_loop), ids_(std::make_shared<Ids>()) {}
+
+std::optional<SessionIdRegistry::Registration> SessionIdRegistry::add(std::string_view id) {
+  ids_->forget_expired(event_loop_.now());
+  const std::uint64_t hash = std::hash<std::string_view>{}(id);
+  if (ids_->contains(hash)) return std::nullopt;
+  ids_->active.insert(hash);
+  return Registration(ids_, hash, event_loop_);
+}
+
+std::size_t SessionIdRegistry::active_count() const { return ids_->active.size(); }
+
+std::size_t SessionIdRegistry::ended_count() const { return ids_->ended.size(); }
+
+SessionIdRegistry::Registration::Registration(std::weak_ptr<Ids> ids, std::uint64_t hash,
+                                              const net::EventLoop& event_loop)
+    : ids_(std::move(ids)), hash_(hash), event_loop_(event_loop) {}
+
+SessionIdRegistry::Registration::~Registration() {
+  if (const auto ids = ids_.lock()) ids->remember(hash_, event_loop_.now());
 }
 
 }  // namespace cherryrail::proxy
--- /dev/null
+++ b/tests/proxy/client_memory_test.cpp
@@ -0,0 +1,49 @@
+// What clients make the relay keep in memory, in particular after they have their answer.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "support/heap.hpp"
+#include "support/loopback_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+constexpr std::size_t kKilobyte = 1024;
+
+// Connects `count` clients, some at a time, that send "OPEN ID 1 FIELDS" with a new id each, of `id_length`
+// bytes. Each client reads its answer and closes its connection.
+void flood(LoopbackRelay& relay, int count, std::size_t id_length, const std::string& fields) {
+  constexpr int kClientsAtOnce = 50;
+  for (int first = 0; first < count; first += kClientsAtOnce) {
+    std::vector<TestSocket> clients;
+    for (int i = first; i < first + kClientsAtOnce; ++i) {
+      std::string id = std::to_string(i) + "-";
+      id.resize(std::max(id.size(), id_length), 'f');
+      clients.push_back(relay.connect_client("OPEN " + id + " 1 " + fields + "\r\n"));
+    }
+    EXPECT_TRUE(relay.run_until([&] {
+      return std::all_of(clients.begin(), clients.end(),
+                         [](TestSocket& client) { return client.is_ended_by_peer(); });
+    }));
+  }
+  relay.run_for(20);  // the relay notices that the last clients have closed
+}
+
+// Guards against bad clients that fill the memory with long session ids, which were kept after the answer.
+TEST(ClientMemory, DoesNotKeepTheIdsOfAnsweredClients) {
+  constexpr int kRequests = 1000;
+  constexpr std::size_t kIdLength = 4000;
+  LoopbackRelay relay(1);
+  flood(relay, 50, kIdLength, "c=talk,d=1");
+  const std::size_t before = allocated_heap_bytes();
+
+  flood(relay, kRequests, kIdLength, "c=talk,d=1");
+
+  EXPECT_LT(allocated_heap_bytes(), before + kRequests * kKilobyte);
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
