An answered session no longer occupies memory until its client's own timeout

Cause: Balancer::admit schedules the answer before the client's timeout, and a scheduled call could not be cancelled; its weak_ptr keeps the memory of the session object.

The simulator reports a cancelled timer as before and the adapter ignores it.

--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -6,6 +6,7 @@
 
 #include "balancer/backend.hpp"
 #include "balancer/session.hpp"
+#include "balancer/timer_id.hpp"
 
 namespace cherryrail {
 
@@ -35,9 +36,10 @@
   virtual void check_health(Backend& backend) = 0;
   // Requests the endpoint list and its changes from discovery.
   virtual void watch_endpoints() = 0;
-  // Calls `callback` once now() reaches `when`. Timers cannot be cancelled, so each callback checks whether
-  // it still applies.
-  virtual void call_at(Micros when, std::function<void()> callback) = 0;
+  // Calls `callback` once now() reaches `when`.
+  virtual TimerId call_at(Micros when, std::function<void()> callback) = 0;
+  // Cancels a scheduled call and frees its callback. Has no effect once the call has been made.
+  virtual void cancel_call(const TimerId& timer) = 0;
   virtual void log(const std::string& line) = 0;
 };
 
--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -65,7 +65,8 @@
   if (session->client_key == 0) session->client_key = random_.key();
   session->hash_key = hash_key_of(*session);
   // Guarantees an answer before the client's timeout, whatever happens to the attempts.
-  actions_.call_at(session->deadline - parameters_.answer_margin, [this, weak = session->weak_from_this()] {
+  const Micros answer_by = session->deadline - parameters_.answer_margin;
+  session->answer_timer = actions_.call_at(answer_by, [this, weak = session->weak_from_this()] {
     if (const auto unanswered = weak.lock()) give_up(*unanswered);
   });
   place(*session);
@@ -137,7 +138,7 @@
   fleet_.detach(session);
   const auto on_backend_ended = std::exchange(session.on_backend_ended, nullptr);
   if (is_finished && !session.is_answered) {
-    session.is_answered = true;
+    mark_answered(session);
     if (outcome.result == AttemptResult::succeeded) outliers_.record_outcome(*backend, true);
   } else if (on_backend_ended) {
     on_backend_ended(outcome);
@@ -223,9 +224,17 @@
   send_final_answer(session, is_harmless ? FinalAnswer::rejected : FinalAnswer::failed);
 }
 
+void Balancer::on_client_left(Session& session) { mark_answered(session); }
+
+// The timer would keep the memory of the session until the client's timeout, which the client chooses.
+void Balancer::mark_answered(Session& session) {
+  session.is_answered = true;
+  actions_.cancel_call(session.answer_timer);
+}
+
 void Balancer::send_final_answer(Session& session, FinalAnswer final_answer) {
   if (rules_.refuse_answer(session) != Refusal::none) return;
-  session.is_answered = true;
+  mark_answered(session);
   if (final_answer == FinalAnswer::failed) actions_.fail_session(session);
   if (final_answer != FinalAnswer::rejected) return;
   const bool has_advice = parameters_.may_send_retry_after;
--- a/src/balancer/balancer.hpp
+++ b/src/balancer/balancer.hpp
@@ -74,7 +74,7 @@
   // ended with it.
   void on_attempt_ended(Session& session, const AttemptOutcome& outcome, bool is_finished,
                         const LoadReport& report);
-  void on_client_left(Session& session) { session.is_answered = true; }
+  void on_client_left(Session& session);
   // If the session has no final answer yet, cancels its attempt (where allowed) and sends a negative answer:
   // rejected if nothing has taken effect or a repeat does no harm, failed otherwise.
   void give_up(Session& session);
@@ -123,6 +123,8 @@
   // drop them.
   void on_established_session_ended(Backend& backend, const AttemptOutcome& outcome);
   void record_established(Session& session);
+  // The session has, or no longer needs, its final answer.
+  void mark_answered(Session& session);
   // The only function that sends a final answer, once for each session.
   void send_final_answer(Session& session, FinalAnswer final_answer);
 
--- a/src/balancer/session.hpp
+++ b/src/balancer/session.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <vector>
 
+#include "balancer/timer_id.hpp"
 #include "balancer/types.hpp"
 
 namespace cherryrail {
@@ -45,6 +46,7 @@
   unsigned passed_over_at_capacity = 0;
 
   // Internal to the balancer.
+  TimerId answer_timer;  // for the answer before the client's timeout
   // Called when the attempt, the established session or the migration ends at the backend.
   std::function<void(const AttemptOutcome&)> on_backend_ended;
   std::vector<const Backend*> tried_backends;
--- /dev/null
+++ b/src/balancer/timer_id.hpp
@@ -0,0 +1,20 @@
+// Identifies a scheduled call, so that it can be cancelled.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "balancer/time.hpp"
+
+namespace cherryrail {
+
+// Unique for its scheduler. Ordered by due time, and by the order of scheduling among equal times. The
+// default value identifies no call.
+struct TimerId {
+  Micros due = 0;
+  std::uint64_t sequence = 0;
+
+  auto operator<=>(const TimerId&) const = default;
+};
+
+}  // namespace cherryrail
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -74,9 +74,9 @@
 }
 
 EventLoop::~EventLoop() {
-  // Callbacks may own watches and other objects that use the loop, so they are destroyed first.
-  posted_.clear();
-  timers_.clear();
+  // Callbacks may own watches, timers and other objects that use the loop, so they are destroyed first.
+  std::exchange(posted_, {}).clear();
+  std::exchange(timers_, {}).clear();
   signal_watch_.reset();
   signal_fd_ = FileDescriptor();
   sigprocmask(SIG_UNBLOCK, &handled_signals_, nullptr);
@@ -86,12 +86,17 @@
 
 Micros EventLoop::wall_clock_step() const { return clock_micros<std::chrono::system_clock>() - now(); }
 
-void EventLoop::call_at(Micros when, Callback callback) {
-  const bool is_earliest = timers_.empty() || when < timers_.begin()->first;
-  timers_.emplace(when, std::move(callback));
+TimerId EventLoop::call_at(Micros when, Callback callback) {
+  const bool is_earliest = timers_.empty() || when < timers_.begin()->first.due;
+  const TimerId timer{when, ++last_timer_sequence_};
+  timers_.emplace(timer, std::move(callback));
   if (is_earliest) arm_timer_source();
+  return timer;
 }
 
+// The callback is destroyed once it is out of the map: it may own objects that cancel further calls.
+void EventLoop::cancel_call(const TimerId& timer) { static_cast<void>(timers_.extract(timer)); }
+
 void EventLoop::post(Callback callback) {
   posted_.push_back(std::move(callback));
   if (posted_.size() == 1) g_source_set_ready_time(timer_source_.get(), kImmediately);
@@ -99,7 +104,7 @@
 
 void EventLoop::arm_timer_source() {
   gint64 ready_time = kNever;
-  if (!timers_.empty()) ready_time = std::max(kImmediately, timers_.begin()->first - clock_origin_);
+  if (!timers_.empty()) ready_time = std::max(kImmediately, timers_.begin()->first.due - clock_origin_);
   if (!posted_.empty()) ready_time = kImmediately;
   g_source_set_ready_time(timer_source_.get(), ready_time);
 }
@@ -177,10 +182,9 @@
 
 void EventLoop::run_due_timers() {
   const Micros started_at = now();
-  while (!timers_.empty() && timers_.begin()->first <= started_at) {
-    const Callback callback = std::move(timers_.begin()->second);
-    timers_.erase(timers_.begin());
-    run_guarded(callback);
+  while (!timers_.empty() && timers_.begin()->first.due <= started_at) {
+    const auto timer = timers_.extract(timers_.begin());
+    run_guarded(timer.mapped());
   }
 }
 
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -6,12 +6,14 @@
 
 #include <csignal>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 
 #include "balancer/time.hpp"
+#include "balancer/timer_id.hpp"
 #include "net/file_descriptor.hpp"
 #include "net/io_poller.hpp"
 #include "net/log.hpp"
@@ -43,9 +45,11 @@
   Micros clock_origin() const { return clock_origin_; }
   // How far the wall clock has been stepped since startup.
   Micros wall_clock_step() const;
-  // Schedules a callback at `when`. It cannot be cancelled; callbacks with equal times run in the order of
-  // the calls.
-  void call_at(Micros when, Callback callback);
+  // Schedules a callback at `when`; callbacks with equal times run in the order of the calls. A Timer cancels
+  // its call by itself.
+  TimerId call_at(Micros when, Callback callback);
+  // Frees the callback without calling it. Has no effect once it has been called.
+  void cancel_call(const TimerId& timer);
   // Schedules a callback after the current one; posted callbacks run in the order of the calls.
   void post(Callback callback);
   // Sets the callback for SIGTERM and SIGINT.
@@ -62,6 +66,8 @@
   Log& log() { return log_; }
   // The number of watched descriptors.
   std::size_t watch_count() const { return poller_.watch_count(); }
+  // The number of scheduled calls.
+  std::size_t timer_count() const { return timers_.size(); }
 
  private:
   friend class IoPoller;
@@ -106,7 +112,8 @@
   LoopSource io_source_;
   LoopSource timer_source_;
   Micros clock_origin_;
-  std::multimap<Micros, Callback> timers_;
+  std::map<TimerId, Callback> timers_;
+  std::uint64_t last_timer_sequence_ = 0;
   std::deque<Callback> posted_;
   sigset_t handled_signals_{};
   std::map<int, Callback> signal_callbacks_;
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -216,8 +216,8 @@
   event_loop_.post([this] { discovery_.ensure_watching(); });
 }
 
-void ProxyServer::call_at(Micros when, std::function<void()> then) {
-  event_loop_.call_at(when, std::move(then));
+TimerId ProxyServer::call_at(Micros when, std::function<void()> then) {
+  return event_loop_.call_at(when, std::move(then));
 }
 
 void ProxyServer::log(const std::string& line) { event_loop_.log().write(net::Topic::balancer, "{}", line); }
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -82,7 +82,8 @@
   void migrate_session(Session& session) override;
   void check_health(Backend& backend) override;
   void watch_endpoints() override;
-  void call_at(Micros when, std::function<void()> then) override;
+  TimerId call_at(Micros when, std::function<void()> then) override;
+  void cancel_call(const TimerId& timer) override { event_loop_.cancel_call(timer); }
   void log(const std::string& line) override;
 
  private:
--- a/src/simulator/balancer_instance.cpp
+++ b/src/simulator/balancer_instance.cpp
@@ -241,10 +241,12 @@
   writer_.write(CommandCode::watch_endpoints, instance_id_, kSubscribed);
 }
 
-void BalancerInstance::call_at(Micros when, std::function<void()> callback) {
+// The simulator cannot cancel a timer: it reports a cancelled one as well, whose id is then unknown.
+TimerId BalancerInstance::call_at(Micros when, std::function<void()> callback) {
   ++last_timer_id_;
   timers_.emplace(last_timer_id_, std::move(callback));
   writer_.write(CommandCode::set_timer, instance_id_, last_timer_id_, wire_milliseconds(when));
+  return {when, last_timer_id_};
 }
 
 void BalancerInstance::log(const std::string& line) {
--- a/src/simulator/balancer_instance.hpp
+++ b/src/simulator/balancer_instance.hpp
@@ -37,7 +37,8 @@
   void migrate_session(Session& session) override;
   void check_health(Backend& backend) override;
   void watch_endpoints() override;
-  void call_at(Micros when, std::function<void()> callback) override;
+  TimerId call_at(Micros when, std::function<void()> callback) override;
+  void cancel_call(const TimerId& timer) override { timers_.erase(timer.sequence); }
   void log(const std::string& line) override;
 
  private:
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -12,6 +12,10 @@
 namespace {
 
 constexpr std::size_t kKilobyte = 1024;
+// What the relay may remember of a request for some seconds after its answer: that its id is in use.
+constexpr std::size_t kBytesPerEndedId = 128;
+// Until each timer has expired that a connection starts for itself.
+constexpr int kConnectionTimersMilliseconds = 2700;
 
 // Connects `count` clients, some at a time, that send "OPEN ID 1 FIELDS" with a new id each, of `id_length`
 // bytes. Each client reads its answer and closes its connection.
@@ -45,5 +49,18 @@
   EXPECT_LT(allocated_heap_bytes(), before + kRequests * kKilobyte);
 }
 
+// Guards against clients that make the relay keep their sessions for a timeout of their own choice.
+TEST(ClientMemory, KeepsNothingForTheTimeoutOfAnsweredClients) {
+  constexpr int kRequests = 2000;
+  LoopbackRelay relay(0);
+  flood(relay, 50, 0, "c=talk,d=999999999");
+  const std::size_t before = allocated_heap_bytes();
+
+  flood(relay, kRequests, 0, "c=talk,d=999999999");
+  relay.run_for(kConnectionTimersMilliseconds);
+
+  EXPECT_LT(allocated_heap_bytes(), before + kRequests * kBytesPerEndedId);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/support/recording_actions.hpp
+++ b/tests/support/recording_actions.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -35,7 +36,8 @@
   std::vector<Backend*> health_checks;
   std::vector<Micros> endpoint_watches;  // times of the calls
   std::vector<std::string> log_lines;
-  std::multimap<Micros, std::function<void()>> timers;
+  std::map<TimerId, std::function<void()>> timers;
+  std::uint64_t last_timer_sequence = 0;
 
   Micros now() const override { return current_time; }
   void start_attempt(Session& session, Backend& backend, Micros time_limit) override {
@@ -49,16 +51,19 @@
   void migrate_session(Session& session) override { migrated_sessions.push_back(&session); }
   void check_health(Backend& backend) override { health_checks.push_back(&backend); }
   void watch_endpoints() override { endpoint_watches.push_back(current_time); }
-  void call_at(Micros when, std::function<void()> callback) override {
-    timers.emplace(when, std::move(callback));
+  TimerId call_at(Micros when, std::function<void()> callback) override {
+    const TimerId timer{when, ++last_timer_sequence};
+    timers.emplace(timer, std::move(callback));
+    return timer;
   }
+  void cancel_call(const TimerId& timer) override { timers.erase(timer); }
   void log(const std::string& line) override { log_lines.push_back(line); }
 
   // Advances the virtual time and runs each timer that expires at its own time.
   void advance(Micros duration) {
     const Micros until = current_time + duration;
-    while (!timers.empty() && timers.begin()->first <= until) {
-      current_time = std::max(current_time, timers.begin()->first);
+    while (!timers.empty() && timers.begin()->first.due <= until) {
+      current_time = std::max(current_time, timers.begin()->first.due);
       const auto callback = std::move(timers.begin()->second);
       timers.erase(timers.begin());
       callback();
