Timers end with the connection that started them and keep no memory after it

What callers saw: beside session ids and answer timers, clients that ask at full speed made the relay keep some 400 bytes for each connection up to 2.6 s after its end: 47 MB in a flood of requests that are refused before anything else is kept for them.

Cause: the timeout of the first line (2.6 s), the wait for a client to close (1 s), an attempt's connect and answer timeouts, and the wait for a list that names a backend (6 s) were scheduled calls that nothing cancelled, each with a pointer that keeps an object's memory.

Change: these are net::Timer members of the object they belong to.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -231,8 +231,7 @@
 
 void Connection::linger_until_idle(Micros deadline) {
   const Micros next_check = std::min(last_discard_at_ + kLingerIdleTimeout, deadline);
-  event_loop_.call_at(next_check, [self = shared_from_this(), deadline] {
-    if (!self->is_open()) return;
+  linger_timer_ = Timer(event_loop_, next_check, [self = shared_from_this(), deadline] {
     const Micros now = self->event_loop_.now();
     const bool is_idle = now - self->last_discard_at_ >= kLingerIdleTimeout;
     if (now >= deadline || is_idle) {
@@ -256,6 +255,7 @@
 }
 
 void Connection::close() {
+  const Timer linger_timer = std::move(linger_timer_);  // may own this object: destroyed last
   handler_ = nullptr;
   watch_.reset();
   if (socket_) g_socket_close(socket_.get(), nullptr);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -13,6 +13,7 @@
 #include "net/address.hpp"
 #include "net/event_loop.hpp"
 #include "net/socket.hpp"
+#include "net/timer.hpp"
 
 namespace cherryrail::net {
 
@@ -43,8 +44,8 @@
   bool is_local_failure = false;           // this host lacks a descriptor, a port or a route
 };
 
-// A connection is owned by its user and, while it lingers after close_gracefully, by a timer of the event
-// loop. The handler must outlive the connection or close it.
+// A connection is owned by its user and, while it lingers after close_gracefully, by its own timer. The
+// handler must outlive the connection or close it.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   // Creates a connection from a connected socket: one that was accepted or received from another process.
@@ -109,6 +110,7 @@
   ConnectionHandler* handler_;  // null once it gets no more callbacks
   std::string unsent_;
   Micros last_discard_at_ = 0;
+  Timer linger_timer_;  // owns the connection while it lingers
   bool is_connecting_;
   bool is_reading_ = true;
   bool is_lingering_ = false;  // close_gracefully is in progress
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -36,15 +36,11 @@
 }
 
 void BackendConnection::schedule_timeouts(Micros connect_deadline) {
-  event_loop_.call_at(connect_deadline, [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (self && self->state_ == State::connecting)
-      self->finish_attempt(CloseKind::broken, AttemptResult::connect_failed);
+  connect_timer_ = net::Timer(event_loop_, connect_deadline, [this] {
+    if (state_ == State::connecting) finish_attempt(CloseKind::broken, AttemptResult::connect_failed);
   });
-  event_loop_.call_at(deadline_, [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self || self->state_ == State::established) return;
-    self->finish_attempt(CloseKind::broken, self->result_without_reply(AttemptResult::timed_out));
+  deadline_timer_ = net::Timer(event_loop_, deadline_, [this] {
+    finish_attempt(CloseKind::broken, result_without_reply(AttemptResult::timed_out));
   });
 }
 
@@ -91,6 +87,7 @@
   switch (reply.kind) {
     case protocol::ReplyKind::up:
       state_ = State::established;
+      deadline_timer_.cancel();
       session_->on_upstream_established(line, event_loop_.now() - started_at_);
       return;
     case protocol::ReplyKind::bye:
@@ -157,9 +154,8 @@
 
 void BackendConnection::end_sending() {
   connection_->end_sending();
-  event_loop_.call_at(event_loop_.now() + kCloseTimeout, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->finish_attempt(CloseKind::orderly, AttemptResult::cancelled);
-  });
+  deadline_timer_ = net::Timer(event_loop_, event_loop_.now() + kCloseTimeout,
+                               [this] { finish_attempt(CloseKind::orderly, AttemptResult::cancelled); });
 }
 
 // ---- Closing --------------------------------------------------------------------------------------------
--- a/src/proxy/backend_connection.hpp
+++ b/src/proxy/backend_connection.hpp
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "net/connection.hpp"
+#include "net/timer.hpp"
 #include "protocol/backend_reply.hpp"
 #include "protocol/line_reader.hpp"
 #include "proxy/proxy_session.hpp"
@@ -88,6 +89,8 @@
   std::shared_ptr<ProxySession> session_;
   Micros started_at_;
   Micros deadline_ = 0;  // for the backend's first reply
+  net::Timer connect_timer_;
+  net::Timer deadline_timer_;  // of the attempt, then of the backend's close after the client's
   std::shared_ptr<net::Connection> connection_;
   protocol::LineReader lines_;
   protocol::ReplyKind last_line_kind_ = protocol::ReplyKind::other;  // of the lines forwarded to the client
--- a/src/proxy/downstream_listener.cpp
+++ b/src/proxy/downstream_listener.cpp
@@ -45,9 +45,8 @@
 
 void DownstreamListener::add_pending_client(net::SocketPtr socket, std::string_view received, Micros waited) {
   const auto client = add_client();
-  pending_.insert(last_number_);
   client->start(std::move(socket), waited);
-  schedule_request_timeout(client);
+  start_request_timer(last_number_);
   if (!received.empty()) client->on_received(received);
   client->read_now();  // most clients have already sent their request
 }
@@ -57,18 +56,19 @@
   add_client()->resume(std::move(socket), session);
 }
 
-void DownstreamListener::schedule_request_timeout(const ClientPtr& client) {
-  const Micros due = client->pending_since() + kRequestTimeout;
-  event_loop_.call_at(due, [this, weak = std::weak_ptr<ClientConnection>(client)] {
-    const auto pending_client = weak.lock();
-    if (!pending_client || !pending_client->is_pending()) return;
-    const bool has_pinged = event_loop_.now() < pending_client->pending_since() + kRequestTimeout;
-    if (has_pinged) {
-      schedule_request_timeout(pending_client);
-    } else {
-      pending_client->time_out();
-    }
-  });
+void DownstreamListener::start_request_timer(std::uint64_t number) {
+  const Micros due = clients_.at(number)->pending_since() + kRequestTimeout;
+  pending_[number] = net::Timer(event_loop_, due, [this, number] { on_request_timer(number); });
+}
+
+void DownstreamListener::on_request_timer(std::uint64_t number) {
+  const ClientPtr client = clients_.at(number);
+  const bool has_pinged = event_loop_.now() < client->pending_since() + kRequestTimeout;
+  if (has_pinged) {
+    start_request_timer(number);
+  } else {
+    client->time_out();
+  }
 }
 
 std::size_t DownstreamListener::session_count() const {
@@ -79,7 +79,7 @@
 
 bool DownstreamListener::has_partial_requests() const {
   return std::any_of(pending_.begin(), pending_.end(),
-                     [this](std::uint64_t number) { return clients_.at(number)->has_partial_request(); });
+                     [this](const auto& entry) { return clients_.at(entry.first)->has_partial_request(); });
 }
 
 // Returns a copy, because clients that close during an iteration are removed from the map.
@@ -158,10 +158,10 @@
 
 DownstreamListener::ClientPtr DownstreamListener::longest_silent_client() const {
   const auto longest_silent =
-      std::min_element(pending_.begin(), pending_.end(), [this](std::uint64_t left, std::uint64_t right) {
-        return clients_.at(left)->last_write_at() < clients_.at(right)->last_write_at();
+      std::min_element(pending_.begin(), pending_.end(), [this](const auto& left, const auto& right) {
+        return clients_.at(left.first)->last_write_at() < clients_.at(right.first)->last_write_at();
       });
-  return clients_.at(*longest_silent);
+  return clients_.at(longest_silent->first);
 }
 
 // ---- ClientConnectionOwner ------------------------------------------------------------------------------
--- a/src/proxy/downstream_listener.hpp
+++ b/src/proxy/downstream_listener.hpp
@@ -7,11 +7,11 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 #include "net/connection.hpp"
 #include "net/listener.hpp"
+#include "net/timer.hpp"
 #include "proxy/client_connection.hpp"
 
 namespace cherryrail::proxy {
@@ -63,7 +63,8 @@
   void on_accepted(net::SocketPtr socket);
   ClientPtr add_client();
   std::vector<ClientPtr> all_clients() const;
-  void schedule_request_timeout(const ClientPtr& client);
+  void start_request_timer(std::uint64_t number);
+  void on_request_timer(std::uint64_t number);
   void remove_closed_connections();
   void close_answered_connections();
   void reject_pending_clients();
@@ -79,7 +80,7 @@
   net::EventLoop& event_loop_;
   DownstreamCallbacks callbacks_;
   std::map<std::uint64_t, ClientPtr> clients_;          // keyed by number, in order of acceptance
-  std::set<std::uint64_t> pending_;                     // clients without a complete open request
+  std::map<std::uint64_t, net::Timer> pending_;         // clients without a complete open request
   std::deque<std::weak_ptr<net::Connection>> closing_;  // last line sent, maybe not yet read by the client
   DownstreamCounts result_counts_;
   std::uint64_t last_number_ = 0;
--- a/src/proxy/unlisted_backend_queue.cpp
+++ b/src/proxy/unlisted_backend_queue.cpp
@@ -18,16 +18,24 @@
 }  // namespace
 
 void UnlistedBackendQueue::add(const std::shared_ptr<ProxySession>& session) {
-  std::erase_if(waiting_, [](const WeakSession& waiting) { return needs_no_backend(waiting.lock()); });
-  const WeakSession& waiting = waiting_.emplace_back(session);
+  remove_finished();
   const Micros wait_until = std::min(event_loop_.now() + kMaxListDelay, session->deadline - kAnswerMargin);
-  event_loop_.call_at(wait_until, [this, waiting] { on_timeout(waiting); });
+  const std::weak_ptr<ProxySession> weak = session;
+  waiting_.push_back({weak, net::Timer(event_loop_, wait_until, [this, weak] {
+                        const auto waiting = weak.lock();
+                        if (!needs_no_backend(waiting)) balancer_.give_up(*waiting);
+                      })});
+}
+
+void UnlistedBackendQueue::remove_finished() {
+  std::erase_if(waiting_,
+                [](const WaitingSession& waiting) { return needs_no_backend(waiting.session.lock()); });
 }
 
 void UnlistedBackendQueue::on_endpoint_list(const protocol::EndpointList& list) {
   const bool lists_all_backends = list.is_complete && list.skipped_entries == 0;
-  for (const WeakSession& waiting : std::exchange(waiting_, {})) {
-    const auto session = waiting.lock();
+  for (WaitingSession& waiting : std::exchange(waiting_, {})) {
+    const auto session = waiting.session.lock();
     if (needs_no_backend(session)) continue;
     session->pinned_backend = endpoints_.find(session->request().value("at"));
     if (session->pinned_backend) {
@@ -35,14 +43,9 @@
     } else if (lists_all_backends) {
       balancer_.give_up(*session);
     } else {
-      waiting_.push_back(waiting);
+      waiting_.push_back(std::move(waiting));
     }
   }
 }
 
-void UnlistedBackendQueue::on_timeout(const WeakSession& waiting) {
-  const auto session = waiting.lock();
-  if (!needs_no_backend(session)) balancer_.give_up(*session);
-}
-
 }  // namespace cherryrail::proxy
--- a/src/proxy/unlisted_backend_queue.hpp
+++ b/src/proxy/unlisted_backend_queue.hpp
@@ -4,7 +4,7 @@
 #include <memory>
 #include <vector>
 
-#include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "protocol/endpoint_list.hpp"
 #include "proxy/endpoint_registry.hpp"
 #include "proxy/proxy_session.hpp"
@@ -24,14 +24,18 @@
   void on_endpoint_list(const protocol::EndpointList& list);
 
  private:
-  using WeakSession = std::weak_ptr<ProxySession>;
+  struct WaitingSession {
+    std::weak_ptr<ProxySession> session;
+    net::Timer timer;  // for the rejection
+  };
 
-  void on_timeout(const WeakSession& waiting);
+  // Frees what is kept for sessions that need no backend any more, for example because their client has left.
+  void remove_finished();
 
   net::EventLoop& event_loop_;
   Balancer& balancer_;
   const EndpointRegistry& endpoints_;
-  std::vector<WeakSession> waiting_;
+  std::vector<WaitingSession> waiting_;
 };
 
 }  // namespace cherryrail::proxy
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t kKilobyte = 1024;
 // What the relay may remember of a request for some seconds after its answer: that its id is in use.
 constexpr std::size_t kBytesPerEndedId = 128;
+// For buffers that the relay reuses.
+constexpr std::size_t kSlackBytes = 64 * kKilobyte;
 // Until each timer has expired that a connection starts for itself.
 constexpr int kConnectionTimersMilliseconds = 2700;
 
@@ -62,5 +64,40 @@
   EXPECT_LT(allocated_heap_bytes(), before + kRequests * kBytesPerEndedId);
 }
 
+// Guards against timers that outlive their connections: clients at full speed opened thousands within them.
+TEST(ClientMemory, KeepsNothingOfConnectionsThatAreClosed) {
+  constexpr int kRequests = 2000;
+  for (const char* fields : {"c=unknown,d=1", "c=talk", ""}) {
+    LoopbackRelay relay(1);
+    flood(relay, 200, 0, fields);
+    const std::size_t before = allocated_heap_bytes();
+
+    flood(relay, kRequests, 0, fields);
+
+    EXPECT_LT(allocated_heap_bytes(), before + kSlackBytes) << fields;
+  }
+}
+
+// The same for clients that leave while their request waits for a list that names their backend.
+TEST(ClientMemory, KeepsNothingOfClientsThatLeaveWhileTheyWait) {
+  constexpr int kRequests = 500;
+  LoopbackRelay relay(1);
+  const auto ask_and_leave = [&relay](int count) {
+    for (int i = 0; i < count; ++i) {
+      TestSocket client = relay.connect_client("OPEN " + std::to_string(i) + "-" + std::to_string(count) +
+                                               " 1 c=talk,d=5000,at=s-9\r\n");
+      relay.run_until([&] { return relay.proxy->statistics().sessions > 0; }, 100);
+      client.reset();
+      relay.run_until([&] { return relay.proxy->statistics().sessions == 0; }, 100);
+    }
+  };
+  ask_and_leave(100);
+  const std::size_t before = allocated_heap_bytes();
+
+  ask_and_leave(kRequests);
+
+  EXPECT_LT(allocated_heap_bytes(), before + kRequests * kBytesPerEndedId);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
