A client that is slow to close no longer keeps those closed after it in memory

What callers saw: one client that went on sending after its answer (up to 4 s) made the relay keep some 130 bytes for each of the other connections that were answered and closed meanwhile.

Cause: DownstreamListener::closing_ was cleaned from its front only, up to the first connection that is still open.

Change: all entries are checked each time their number has doubled, so that it stays within twice the number of open connections (64 at least).

--- a/src/proxy/downstream_listener.cpp
+++ b/src/proxy/downstream_listener.cpp
@@ -21,7 +21,6 @@
 // ---- Client connections ---------------------------------------------------------------------------------
 
 void DownstreamListener::on_accepted(net::SocketPtr socket) {
-  remove_closed_connections();
   free_descriptors();
   if (callbacks_.are_descriptors_short()) {
     // Every descriptor is used by a session: the client is answered at once and no state is kept for it.
@@ -122,12 +121,14 @@
   is_rejecting_pending_ = false;
 }
 
+// All entries are checked each time their number has doubled: one slow client must not keep those behind it.
 void DownstreamListener::remove_closed_connections() {
-  while (!closing_.empty()) {
-    const auto oldest = closing_.front().lock();
-    if (oldest && oldest->is_open()) return;
-    closing_.pop_front();
-  }
+  if (closing_.size() < closing_check_size_) return;
+  std::erase_if(closing_, [](const auto& entry) {
+    const auto connection = entry.lock();
+    return !connection || !connection->is_open();
+  });
+  closing_check_size_ = std::max(kMinClosingCheckSize, 2 * closing_.size());
 }
 
 // A connection whose last line is not fully sent stays open, because the client would never receive the line.
@@ -176,6 +177,7 @@
 
 void DownstreamListener::on_closing(const std::shared_ptr<net::Connection>& connection) {
   closing_.push_back(connection);
+  remove_closed_connections();
 }
 
 void DownstreamListener::on_closed(std::uint64_t number, DownstreamResult result) {
--- a/src/proxy/downstream_listener.hpp
+++ b/src/proxy/downstream_listener.hpp
@@ -58,6 +58,9 @@
   void free_descriptors();
 
  private:
+  // closing_ is not checked for connections that have closed while it has fewer entries.
+  static constexpr std::size_t kMinClosingCheckSize = 64;
+
   using ClientPtr = std::shared_ptr<ClientConnection>;
 
   void on_accepted(net::SocketPtr socket);
@@ -82,6 +85,7 @@
   std::map<std::uint64_t, ClientPtr> clients_;          // keyed by number, in order of acceptance
   std::map<std::uint64_t, net::Timer> pending_;         // clients without a complete open request
   std::deque<std::weak_ptr<net::Connection>> closing_;  // last line sent, maybe not yet read by the client
+  std::size_t closing_check_size_ = kMinClosingCheckSize;
   DownstreamCounts result_counts_;
   std::uint64_t last_number_ = 0;
   bool is_rejecting_pending_ = false;
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -78,6 +78,23 @@
   }
 }
 
+// Guards against one client that keeps sending after its answer: the connections closed meanwhile were queued
+// behind its own.
+TEST(ClientMemory, KeepsNothingOfConnectionsThatCloseBeforeASlowerOne) {
+  constexpr int kRequests = 2000;
+  LoopbackRelay relay(1);
+  const TestSocket slow = relay.connect_client("bad request\r\n");
+  flood(relay, 200, 0, "c=unknown,d=1");
+  const std::size_t before = allocated_heap_bytes();
+
+  for (int i = 0; i < kRequests; i += 200) {
+    slow.send_some("more\r\n");
+    flood(relay, 200, 0, "c=unknown,d=1");
+  }
+
+  EXPECT_LT(allocated_heap_bytes(), before + kSlackBytes);
+}
+
 // The same for clients that leave while their request waits for a list that names their backend.
 TEST(ClientMemory, KeepsNothingOfClientsThatLeaveWhileTheyWait) {
   constexpr int kRequests = 500;
