--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -70,7 +70,12 @@
   }
 }
 
+// A peer that reads no answers would otherwise fill the send buffer without limit.
 bool ClientConnection::answer_ping() {
+  if (connection_->unsent_bytes() > 0) {
+    finish("ERR", DownstreamResult::bad_request);
+    return false;
+  }
   pending_since_ = event_loop_.now();
   connection_->send({"PONG\r\n"});
   return connection_->is_open();
