A session whose peers do not read takes at most one read of buffer each way

What callers saw: nothing yet; found by looking for what else a client can make the relay keep. A client that sends and does not read made the relay buffer some 170 KB for its session; 500 such sessions are within a limit of 1,024 descriptors and take 80 MB.

Cause: reading from one side went on until 64 KB were unsent on the other side, in both directions, beside what the kernel holds.

Change: reading pauses while anything is unsent, so a buffer holds one read (16 KB). While the client's side holds it up, the session does not count as unanswered: its backend is not at fault.

Measured: ClientMemory.BuffersLittleForSessionsWhosePeersDoNotRead failed on (5,231,328 bytes for 20 sessions, where under 1,780,048 are allowed) and passes; ProxySession.* and SessionHandover.* pass.

--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -145,7 +145,7 @@
 
 void BackendConnection::send(std::string_view bytes) {
   connection_->send({bytes});
-  if (connection_->unsent_bytes() > kSendBufferLimitBytes) session_->set_downstream_reading(false);
+  if (connection_->unsent_bytes() > 0) session_->set_downstream_reading(false);
 }
 
 void BackendConnection::set_reading(bool is_enabled) {
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -133,7 +133,7 @@
 
 void ClientConnection::send(std::string_view bytes, std::string_view suffix) {
   connection_->send({bytes, suffix});
-  if (connection_->unsent_bytes() > kSendBufferLimitBytes) session_->set_upstream_reading(false);
+  if (connection_->unsent_bytes() > 0) session_->set_upstream_reading(false);
   is_established_ = true;
 }
 
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -20,6 +20,7 @@
 }
 
 void ProxySession::set_upstream_reading(bool is_enabled) {
+  is_upstream_reading_ = is_enabled;
   if (upstream_) upstream_->set_reading(is_enabled);
 }
 
@@ -33,7 +34,7 @@
 }
 
 Micros ProxySession::time_unanswered(Micros now) const {
-  return unanswered_since_ > 0 ? now - unanswered_since_ : 0;
+  return unanswered_since_ > 0 && is_upstream_reading_ ? now - unanswered_since_ : 0;
 }
 
 // ---- Downstream events ----------------------------------------------------------------------------------
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -18,9 +18,6 @@
 
 namespace cherryrail::proxy {
 
-// High watermark of a connection's send buffer: above it, reading from the opposite connection pauses.
-constexpr std::size_t kSendBufferLimitBytes = 65536;
-
 // Forwards data between the downstream and the upstream connection, which do not reference each other, and
 // reports the session's progress to the balancer. Calls that report the end of an attempt are posted to the
 // event loop, because the session is often called from within a balancer call.
@@ -44,8 +41,8 @@
   // Each connection registers itself while it is open; null unregisters it.
   void set_downstream(DownstreamConnection* downstream) { downstream_ = downstream; }
   void set_upstream(UpstreamConnection* upstream);
-  // Backpressure: each connection pauses and resumes reading from the opposite one when its own peer reads
-  // slowly.
+  // Backpressure: each connection pauses reading from the opposite one while its own send buffer is not empty,
+  // so that a buffer holds one read at most.
   void set_downstream_reading(bool is_enabled);
   void set_upstream_reading(bool is_enabled);
 
@@ -90,7 +87,8 @@
 
   // Whether the client has closed its sending side or its connection.
   bool has_client_left() const { return has_client_left_; }
-  // How long the client's first unanswered line has waited for any data from the backend; 0 if none waits.
+  // How long the client's first unanswered line has waited for any data from the backend; 0 if none waits, or
+  // while the client reads too slowly for the relay to read from the backend.
   Micros time_unanswered(Micros now) const;
 
  private:
@@ -112,6 +110,7 @@
   bool is_at_line_boundary_ = true;    // the last line forwarded from the backend is complete
   bool is_migration_pending_ = false;  // until the backend's current line is complete
   bool has_client_left_ = false;
+  bool is_upstream_reading_ = true;
 };
 
 }  // namespace cherryrail::proxy
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -136,5 +136,34 @@
   EXPECT_EQ(client.received(), "PONG\r\nERR\r\n");
 }
 
+// Guards against clients that open sessions and then neither read nor let their backend be read: what the
+// relay buffers for all of them together has to fit into its memory.
+TEST(ClientMemory, BuffersLittleForSessionsWhosePeersDoNotRead) {
+  constexpr int kSessions = 20;
+  constexpr std::size_t kBytesPerSession = 64 * kKilobyte;
+  LoopbackRelay relay(1);
+  std::vector<EstablishedSession> sessions;
+  for (int i = 0; i < kSessions; ++i) sessions.push_back(relay.establish_session(std::to_string(i)));
+  const std::size_t before = allocated_heap_bytes();
+
+  const std::string lines = std::string(998, 'x') + "\r\n";
+  bool has_sent = true;
+  const auto send_without_reading = [&] {
+    has_sent = false;
+    for (auto& session : sessions) {
+      for (const TestSocket* peer : {&session.client, &session.upstream}) {
+        while (peer->send_some(lines) > 0) has_sent = true;
+      }
+    }
+    return !has_sent;
+  };
+  for (int i = 0; i < 300; ++i) {
+    send_without_reading();
+    relay.event_loop.run_once();
+  }
+
+  EXPECT_LT(allocated_heap_bytes(), before + kSessions * kBytesPerSession);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
