--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -175,7 +175,7 @@
   return connection_->descriptor();
 }
 
-std::optional<OutgoingHandover> ClientConnection::prepare_handover() const {
+std::optional<OutgoingHandover> ClientConnection::prepare_handover() {
   if (has_session()) return session_->prepare_handover();
   const std::optional<int> descriptor = transferable_descriptor();
   if (!descriptor) return {};
--- a/src/proxy/client_connection.hpp
+++ b/src/proxy/client_connection.hpp
@@ -53,7 +53,7 @@
   void shut_down();
 
   // Hot restart, as in ProxySession, but also for a client that has no session yet.
-  std::optional<OutgoingHandover> prepare_handover() const;
+  std::optional<OutgoingHandover> prepare_handover();
   // Closes this process's sockets after the successor has received the message.
   void finish_handover();
 
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -10,7 +10,7 @@
 namespace cherryrail::proxy {
 namespace {
 
-// How long a migration waits for the backend to complete a partly sent line.
+// How long a migration waits for the backend to complete a partly received line, which is lost otherwise.
 constexpr Micros kLineCompletionTimeout = 500'000;
 
 }  // namespace
@@ -41,8 +41,16 @@
 
 void ProxySession::on_downstream_data(std::string_view bytes) {
   if (!upstream_) return;
+  downstream_lines_.feed(bytes, [this](std::string_view lines) { forward_upstream(lines); });
+}
+
+void ProxySession::forward_upstream(std::string_view lines) {
   if (unanswered_since_ == 0) unanswered_since_ = event_loop_.now();
-  upstream_->send(bytes);
+  upstream_->send(lines);
+}
+
+void ProxySession::forward_partial_line_upstream() {
+  if (downstream_lines_.has_partial_line()) upstream_->send(downstream_lines_.take_partial_line());
 }
 
 void ProxySession::on_downstream_closed(CloseKind kind) {
@@ -55,6 +63,7 @@
     if (upstream_) upstream_->reset();
     report_cancelled(true);
   } else if (upstream_) {
+    forward_partial_line_upstream();
     upstream_->end_sending();
   }
 }
@@ -102,10 +111,13 @@
 
 void ProxySession::on_upstream_data(std::string_view bytes) {
   const auto keep_alive = self();
-  if (bytes.empty() || !downstream_) return;
-  downstream_->send(bytes, {});
-  is_at_line_boundary_ = bytes.back() == '\n';
-  if (is_migration_pending_ && is_at_line_boundary_) {
+  upstream_lines_.feed(bytes, [this](std::string_view lines) { forward_downstream(lines); });
+}
+
+void ProxySession::forward_downstream(std::string_view lines) {
+  if (!downstream_) return;
+  downstream_->send(lines, {});
+  if (is_migration_pending_ && !upstream_lines_.is_within_overlong_line()) {
     close_for_migration();
     return;
   }
@@ -126,6 +138,7 @@
   if (!may_have_run(outcome.result)) invariants_.on_request_not_run();
   if (downstream_ && is_finished) {
     if (!is_established) check_final_answer(false);
+    if (upstream_lines_.has_partial_line()) downstream_->send(upstream_lines_.take_partial_line(), {});
     const auto result = has_succeeded ? DownstreamResult::served : DownstreamResult::backend_closed;
     if (kind == CloseKind::orderly) {
       downstream_->finish(last_line, result);
@@ -188,21 +201,27 @@
 
 void ProxySession::migrate() {
   if (!is_established || is_migration_pending_) return;
-  if (is_at_line_boundary_ || !downstream_) {
+  if (is_between_lines() || !downstream_) {
     close_for_migration();
     return;
   }
   is_migration_pending_ = true;
-  event_loop_.call_at(event_loop_.now() + kLineCompletionTimeout, [weak = weak_from_this()] {
-    const auto session = std::static_pointer_cast<ProxySession>(weak.lock());
-    if (session && session->is_established) session->close_for_migration();
+  migration_timer_ = net::Timer(event_loop_, event_loop_.now() + kLineCompletionTimeout, [this] {
+    const auto keep_alive = self();
+    if (is_established) close_for_migration();
   });
 }
 
-// A client that has received part of a line gets no MOVE, which it would read as the rest of that line.
+bool ProxySession::is_between_lines() const {
+  return !upstream_lines_.has_partial_line() && !upstream_lines_.is_within_overlong_line();
+}
+
+// A client that has received part of an overlong line gets no MOVE, which it would read as the rest of that
+// line. The beginning of any other line has been held back and is dropped, as is the client's.
 void ProxySession::close_for_migration() {
   is_migration_pending_ = false;
-  if (downstream_) downstream_->finish(is_at_line_boundary_ ? "MOVE" : "", DownstreamResult::migrated);
+  const bool is_within_line = upstream_lines_.is_within_overlong_line();
+  if (downstream_) downstream_->finish(is_within_line ? "" : "MOVE", DownstreamResult::migrated);
   if (upstream_) upstream_->abandon();
   report_cancelled(true);
 }
@@ -210,7 +229,8 @@
 void ProxySession::shut_down() {
   const auto keep_alive = self();
   if (is_established) {
-    migrate();
+    // The process stops too soon to wait for the rest of a line.
+    if (!upstream_lines_.is_within_overlong_line()) close_for_migration();
     return;
   }
   balancer_.give_up(*this);
@@ -219,8 +239,10 @@
 
 // ---- Hot restart ----------------------------------------------------------------------------------------
 
-std::optional<OutgoingHandover> ProxySession::prepare_handover() const {
-  if (!is_established || !is_at_line_boundary_ || has_client_left_ || !downstream_ || !upstream_) return {};
+std::optional<OutgoingHandover> ProxySession::prepare_handover() {
+  if (!is_established || !is_between_lines() || has_client_left_ || !downstream_ || !upstream_) return {};
+  // A slow client may take long to complete its line, which the successor then passes on from here.
+  forward_partial_line_upstream();
   const std::optional<int> downstream = downstream_->transferable_descriptor();
   const std::optional<int> upstream = upstream_->transferable_descriptor();
   if (!downstream || !upstream) return {};
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -8,7 +8,9 @@
 #include <utility>
 
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "protocol/open_request.hpp"
+#include "protocol/whole_line_buffer.hpp"
 #include "proxy/connection_result.hpp"
 #include "proxy/downstream_connection.hpp"
 #include "proxy/handover_message.hpp"
@@ -19,8 +21,9 @@
 namespace cherryrail::proxy {
 
 // Forwards data between the downstream and the upstream connection, which do not reference each other, and
-// reports the session's progress to the balancer. Calls that report the end of an attempt are posted to the
-// event loop, because the session is often called from within a balancer call.
+// reports the session's progress to the balancer. Data is forwarded in whole lines, so that the session can
+// be migrated between two lines even if the rest of a line never arrives. Calls that report the end of an
+// attempt are posted to the event loop, because the session is often called from within a balancer call.
 class ProxySession final : public Session {
  public:
   ProxySession(net::EventLoop& event_loop, Balancer& balancer, InvariantMonitor& invariant_monitor,
@@ -41,8 +44,8 @@
   // Each connection registers itself while it is open; null unregisters it.
   void set_downstream(DownstreamConnection* downstream) { downstream_ = downstream; }
   void set_upstream(UpstreamConnection* upstream);
-  // Backpressure: each connection pauses reading from the opposite one while its own send buffer is not empty,
-  // so that a buffer holds one read at most.
+  // Backpressure: each connection pauses reading from the opposite one while its own send buffer is not
+  // empty, so that a buffer holds one read at most.
   void set_downstream_reading(bool is_enabled);
   void set_upstream_reading(bool is_enabled);
 
@@ -71,7 +74,7 @@
   void reject(Micros retry_after);  // 0: the answer to the client states no retry delay
   void fail();                      // answers the client ERR
   void abandon_attempt();           // reports the attempt as cancelled
-  void migrate();                   // sends MOVE once the backend's current line is complete, then closes
+  void migrate();                   // sends MOVE once the backend's current line is complete or late
 
   // Process shutdown: migrates an established session; answers the client of a waiting one at once.
   void shut_down();
@@ -79,7 +82,7 @@
   // Hot restart. Returns the message for the successor, or nothing if the session cannot be handed over now:
   // both connections must be idle and the backend's last line complete. This process keeps its sockets until
   // release_to_successor().
-  std::optional<OutgoingHandover> prepare_handover() const;
+  std::optional<OutgoingHandover> prepare_handover();
   void release_to_successor();
   // Continues a session received from the predecessor. `waited` is the time since the client's first
   // unanswered line, 0 if there is none.
@@ -87,7 +90,7 @@
 
   // Whether the client has closed its sending side or its connection.
   bool has_client_left() const { return has_client_left_; }
-  // How long the client's first unanswered line has waited for any data from the backend; 0 if none waits, or
+  // How long the client's first unanswered line has waited for any line from the backend; 0 if none waits, or
   // while the client reads too slowly for the relay to read from the backend.
   Micros time_unanswered(Micros now) const;
 
@@ -97,6 +100,10 @@
   void report_cancelled(bool is_finished);
   void check_final_answer(bool invites_retry);
   void end_before_answer(DownstreamResult result);
+  void forward_downstream(std::string_view lines);
+  void forward_upstream(std::string_view lines);
+  void forward_partial_line_upstream();
+  bool is_between_lines() const;
   void close_for_migration();
   DownstreamResult rejection_result() const;
 
@@ -106,8 +113,10 @@
   SessionInvariants invariants_;
   DownstreamConnection* downstream_ = nullptr;
   UpstreamConnection* upstream_ = nullptr;
-  Micros unanswered_since_ = 0;        // when the first unanswered line was forwarded; 0: none
-  bool is_at_line_boundary_ = true;    // the last line forwarded from the backend is complete
+  Micros unanswered_since_ = 0;                 // when the first unanswered line was forwarded; 0: none
+  protocol::WholeLineBuffer upstream_lines_;    // from the backend
+  protocol::WholeLineBuffer downstream_lines_;  // from the client
+  net::Timer migration_timer_;
   bool is_migration_pending_ = false;  // until the backend's current line is complete
   bool has_client_left_ = false;
   bool is_upstream_reading_ = true;
--- a/tests/proxy/proxy_shutdown_test.cpp
+++ b/tests/proxy/proxy_shutdown_test.cpp
@@ -231,6 +231,21 @@
   EXPECT_LT(terminate(relay), kKillTimeout);
 }
 
+// Guards against connections cut in the middle of a line, without MOVE, at the end of a shutdown.
+TEST(ProxyShutdown, SendsMoveToClientsWhoseBackendIsInTheMiddleOfALine) {
+  LoopbackRelay relay(1);
+  std::vector<EstablishedSession> sessions;
+  for (int i = 0; i < 4; ++i) sessions.push_back(relay.establish_session(std::to_string(i)));
+  // The last lines begin after the sessions have been migrated but for these, or just before the end.
+  for (int i = 0; i < 3; ++i) {
+    call_after(relay, 500 * i, [&sessions, i] { sessions[i].upstream.send_some("a line\r\nhalf a li"); });
+  }
+
+  EXPECT_LT(terminate(relay), kKillTimeout);
+
+  for (auto& session : sessions) EXPECT_TRUE(session.client.received().ends_with("\r\nMOVE\r\n"));
+}
+
 TEST(ProxyShutdown, RunsOnceAfterAReloadAndTwoSignals) {
   LoopbackRelay relay(2);
   auto session = relay.establish_session("1");
