What is still unsent when a session is migrated is delivered: lines and MOVE

A backend that read slowly got a line cut in the middle when its session was migrated; a client that read nothing for a second lost the MOVE, and the rest of a line before it.

Cause: BackendConnection closed its connection with bytes in the send buffer, and a connection that lingers was closed once the peer had sent nothing for 1 s, also while the buffer was not empty.

Change: an upstream connection with unsent bytes is closed gracefully; a lingering connection counts as idle only once its buffer is written. The bound of 4 s in total stays.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -230,10 +230,12 @@
 }
 
 void Connection::linger_until_idle(Micros deadline) {
-  const Micros next_check = std::min(last_discard_at_ + kLingerIdleTimeout, deadline);
+  // A peer that reads slowly has not seen the last line yet.
+  const Micros idle_since = unsent_.empty() ? last_discard_at_ : event_loop_.now();
+  const Micros next_check = std::min(idle_since + kLingerIdleTimeout, deadline);
   linger_timer_ = Timer(event_loop_, next_check, [self = shared_from_this(), deadline] {
     const Micros now = self->event_loop_.now();
-    const bool is_idle = now - self->last_discard_at_ >= kLingerIdleTimeout;
+    const bool is_idle = self->unsent_.empty() && now - self->last_discard_at_ >= kLingerIdleTimeout;
     if (now >= deadline || is_idle) {
       self->close();
       return;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -63,8 +63,9 @@
   void send(std::initializer_list<std::string_view> pieces);
   // Half-closes the connection once the send buffer is written; reading continues.
   void end_sending();
-  // Closes once the send buffer is written and the peer has ended its sending; at the latest once the peer
-  // has sent nothing for one second, or after four seconds in total. The handler gets no more callbacks.
+  // Closes once the send buffer is written and the peer has ended its sending; at the latest once the buffer
+  // is written and the peer has sent nothing for one second, or after four seconds in total. The handler gets
+  // no more callbacks.
   void close_gracefully();
   // Closes after a last line. Discards unread input, which would turn the close into a reset. Closes
   // gracefully instead if the kernel does not accept the whole send buffer.
--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -197,6 +197,8 @@
   if (!connection_) return;
   if (is_request_abandoned) {
     connection_->reset();
+  } else if (connection_->unsent_bytes() > 0) {
+    connection_->close_gracefully();  // the backend gets the rest of a line that it has begun to receive
   } else {
     connection_->close();
   }
