--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -147,7 +147,7 @@
   successor_ = socket_.connect_to_successor();
   if (!successor_) return proxy_.begin_graceful_shutdown();
   collect_state();
-  hand_over_until(event_loop_.now() + proxy_.longest_client_timeout());
+  hand_over_until(proxy_.handover_deadline());
 }
 
 // Disabled backends are sent first, because the successor may be serving already.
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -260,6 +260,8 @@
   return downstream_->is_empty();
 }
 
+Micros ProxyServer::handover_deadline() const { return shutdown_->client_deadline(); }
+
 void ProxyServer::migrate_remaining_sessions() {
   event_loop_.log().write(net::Topic::lifecycle, "{} sessions could not be handed over: migrating them",
                           downstream_->session_count());
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -39,8 +39,6 @@
   // Calls `callback` once the proxy accepts clients.
   void on_ready(std::function<void()> callback);
   bool is_ready() const { return is_accepting_ && !shutdown_->has_begun(); }
-  // The longest time that a client of any traffic class waits for its answer.
-  Micros longest_client_timeout() const;
 
   // For operators: whether an endpoint list has named the backend or an operator has disabled it.
   bool knows_backend(const std::string& uid) const { return endpoints_.knows(uid); }
@@ -62,6 +60,8 @@
   // the message. Returns true once no connection is left.
   using SendHandover = std::function<bool(const OutgoingHandover&)>;
   bool hand_over(const SendHandover& send);
+  // Until when hand_over() may be tried again, counted from export_state().
+  Micros handover_deadline() const;
   // Migrates the sessions that could not be handed over, and stops the event loop.
   void migrate_remaining_sessions();
   // Stops the event loop once no session is left, or at the shutdown timeout.
@@ -90,6 +90,8 @@
   DownstreamCallbacks downstream_callbacks();
   UpstreamCallbacks upstream_callbacks();
   Micros startup_wait(const config::RelayConfig& config) const;
+  // The longest time that a client of any traffic class waits for its answer.
+  Micros longest_client_timeout() const;
   void start_accepting();
   void on_endpoint_list(const protocol::EndpointList& list, Micros current_until);
   void on_session_requested(const std::shared_ptr<ProxySession>& session);
--- a/src/proxy/shutdown_sequence.cpp
+++ b/src/proxy/shutdown_sequence.cpp
@@ -33,6 +33,10 @@
   begun_at_ = event_loop_.now();
 }
 
+Micros ShutdownSequence::client_deadline() const {
+  return begun_at_ + std::min(longest_client_timeout_, kMaxClientWait);
+}
+
 // While the platform still routes clients to this process, a migrated client may reconnect to it and be
 // rejected.
 void ShutdownSequence::call_after_client_arrivals(std::function<void()> migrate) {
@@ -49,7 +53,7 @@
 // so the process stops at the deadline even if sessions are left.
 void ShutdownSequence::check(Micros empty_since) {
   const Micros now = event_loop_.now();
-  const Micros deadline = begun_at_ + std::min(longest_client_timeout_, kMaxClientWait) + kFinalAnswerTime;
+  const Micros deadline = client_deadline() + kFinalAnswerTime;
   const bool is_busy = downstream_.session_count() > 0 || downstream_.has_partial_requests();
   if (now < deadline && is_busy) {
     schedule_check(now);
--- a/src/proxy/shutdown_sequence.hpp
+++ b/src/proxy/shutdown_sequence.hpp
@@ -18,6 +18,9 @@
   bool has_begun() const { return has_begun_; }
   // Marks the process as not ready for clients, and starts the shutdown timeout.
   void begin();
+  // Until when clients may wait for their answer, and sessions for their handover to a successor. Those left
+  // then are answered or migrated before the process is killed.
+  Micros client_deadline() const;
   // Calls `migrate` once the platform no longer routes clients to this process.
   void call_after_client_arrivals(std::function<void()> migrate);
   // Stops the event loop once every session is gone, or at the shutdown timeout.
--- a/tests/admin/session_handover_test.cpp
+++ b/tests/admin/session_handover_test.cpp
@@ -81,6 +81,33 @@
   EXPECT_EQ(session.client.received(), "UP r\r\na line\r\nhalf a line\r\nMOVE\r\n");
 }
 
+// Guards against clients without an answer at a replacement: a class may wait longer (4.8 s) than the
+// platform waits before it kills the first process (3.7 s). The process must allow for being held up for 0.15
+// s.
+TEST(SessionHandover, AnswersAndMigratesWhatIsLeftBeforeTheFirstProcessIsKilled) {
+  constexpr Micros kKillTimeout = 3'700'000;
+  constexpr Micros kMaxDelay = 150'000;
+  RestartingRelay relay(
+      2, false,
+      R"(,"profiles":[{"name":"talk","setup_goal":4800.0,"client_timeout":4800.0,"payoff":1.0,
+      "semantics":"idempotent"}])");
+  auto mid_line = relay.establish_session("1");
+  mid_line.upstream.send("half a li");
+  TestSocket waiting = relay.connect_client("OPEN 2 2 c=talk,d=4800\r\n");
+  const TestSocket hanging_upstream = relay.accept_attempt();
+  TestSocket restoring = relay.connect_client("OPEN 3 3 c=talk,d=40000,at=s-0\r\n");
+  const TestSocket hanging_restore = relay.accept_attempt();
+
+  const Micros began_at = relay.event_loop.now();
+  relay.replace();
+  relay.event_loop.run();  // until the first process stops
+
+  EXPECT_LT(relay.event_loop.now() - began_at, kKillTimeout - kMaxDelay);
+  EXPECT_EQ(waiting.received(), "BUSY\r\n");
+  EXPECT_EQ(restoring.received(), "BUSY\r\n");
+  EXPECT_EQ(mid_line.client.received(), "UP r\r\nMOVE\r\n");
+}
+
 // A client may take longer to write a line than a restart takes.
 TEST(SessionHandover, ContinuesASessionInTheMiddleOfTheClientsLine) {
   RestartingRelay relay(1);
--- a/tests/support/restarting_relay.cpp
+++ b/tests/support/restarting_relay.cpp
@@ -16,10 +16,11 @@
   return proxy.hand_over([](const proxy::OutgoingHandover&) { return false; });
 }
 
-RestartingRelay::RestartingRelay(std::size_t backend_count, bool with_admin_server)
-    : LoopbackRelay(backend_count, 500, "", false), has_admin_server(with_admin_server) {
+RestartingRelay::RestartingRelay(std::size_t backend_count, bool with_admin_server,
+                                 const std::string& extra_settings)
+    : LoopbackRelay(backend_count, 500, extra_settings, false), has_admin_server(with_admin_server) {
   port = listener.port();
-  relay_config = config::parse_relay_config(config_text(500));
+  relay_config = config::parse_relay_config(config_text(500, extra_settings));
   relay_config.state_directory = folder.path();
   first = start_process();
 }
--- a/tests/support/restarting_relay.hpp
+++ b/tests/support/restarting_relay.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "admin/admin_services.hpp"
@@ -29,8 +30,10 @@
   std::unique_ptr<Process> first;
   std::unique_ptr<Process> second;
 
-  // With `with_admin_server` true each process has its own admin server.
-  explicit RestartingRelay(std::size_t backend_count, bool with_admin_server = false);
+  // With `with_admin_server` true each process has its own admin server. `extra_settings` as in
+  // LoopbackRelay.
+  explicit RestartingRelay(std::size_t backend_count, bool with_admin_server = false,
+                           const std::string& extra_settings = "");
 
   // Starts a process, sends it an endpoint list and waits until it is ready.
   std::unique_ptr<Process> start_process();
