A client's timeout counts for a minute at most

What callers saw: nothing yet; found by looking for what else a client can make the relay keep.

Cause: the session's deadline was whatever the client asked, up to 1e9 ms.

Change: it is 60 s at most, or the longest timeout of a traffic class if that is longer.

--- a/src/proxy/open_request_reader.cpp
+++ b/src/proxy/open_request_reader.cpp
@@ -16,6 +16,17 @@
 constexpr double kMaxTimeoutMilliseconds = 1e9;
 constexpr double kMaxLoadHint = 1e12;
 
+// A client that asks for more time is answered after this time, or after the longest timeout of any traffic
+// class if that is longer: what is kept for a client must not last as long as it likes.
+constexpr Micros kMaxClientWait = 60 * kSecond;
+
+Micros max_client_wait(const std::vector<TrafficClass>& traffic_classes) {
+  Micros longest = kMaxClientWait;
+  for (const TrafficClass& traffic_class : traffic_classes)
+    longest = std::max(longest, traffic_class.client_timeout);
+  return longest;
+}
+
 // The index of `name` in `names`, or the size of `names` if it is not found.
 std::size_t position_of(std::string_view name, const std::vector<std::string>& names) {
   return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
@@ -52,7 +63,8 @@
   const auto timeout = protocol::parse_number(request.value("d"));
   if (!timeout || *timeout <= 0 || *timeout > kMaxTimeoutMilliseconds)
     return SessionRequestFault::no_client_timeout;
-  session.deadline = now + config::micros_from_milliseconds(*timeout);
+  const Micros wait = std::min(config::micros_from_milliseconds(*timeout), max_client_wait(traffic_classes));
+  session.deadline = now + wait;
 
   read_keys(session);
   const auto load_hint = protocol::parse_number(request.value("h"));
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -118,6 +118,20 @@
   EXPECT_LT(allocated_heap_bytes(), before + kRequests * kBytesPerEndedId);
 }
 
+// Guards against attempts that are kept for as long as a client asked, also after it has left.
+TEST(ClientMemory, LimitsTheTimeoutThatAClientChooses) {
+  LoopbackRelay relay(1, 500, R"(,"permissions":{"max_setups":3,"connect_timeout":100})");
+  const auto timeout_sent_to_backend = [&relay](const std::string& id, const std::string& timeout) {
+    const TestSocket client = relay.connect_client("OPEN " + id + " 1 c=talk,at=s-0,d=" + timeout + "\r\n");
+    TestSocket upstream = relay.accept_attempt();
+    const std::string request = upstream.received();
+    return std::stol(request.substr(request.find("d=") + 2));
+  };
+
+  EXPECT_LE(timeout_sent_to_backend("1", "999999999"), 60'000);
+  EXPECT_GT(timeout_sent_to_backend("2", "40000"), 39'000);
+}
+
 // Guards against answers to pings that pile up without limit for a client that reads none.
 TEST(ClientMemory, EndsAClientThatPingsWithoutReadingItsAnswers) {
   const FaultPlanScope scope;
