--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -66,6 +66,8 @@
                          {"invariant_violations", violations_by_invariant(statistics.invariants)},
                          {"sessions", statistics.sessions},
                          {"descriptors", statistics.descriptors},
+                         {"timers", statistics.timers},
+                         {"ended_session_ids", statistics.ended_session_ids},
                          {"wall_clock_step_ms", statistics.wall_clock_step / kMillisecond},
                          {"lost_log_lines", statistics.lost_log_lines},
                          {"disabled_backends_not_stored", disabled_backends.pending_changes().size()}}
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -223,9 +223,9 @@
 void ProxyServer::log(const std::string& line) { event_loop_.log().write(net::Topic::balancer, "{}", line); }
 
 ProxyStatistics ProxyServer::statistics() const {
-  return {downstream_->result_counts(),  upstream_.result_counts(), invariants_,
-          downstream_->session_count(),  event_loop_.watch_count(), event_loop_.wall_clock_step(),
-          event_loop_.log().lost_lines()};
+  return {downstream_->result_counts(), upstream_.result_counts(),     invariants_,
+          downstream_->session_count(), event_loop_.watch_count(),     event_loop_.timer_count(),
+          session_ids_.ended_count(),   event_loop_.wall_clock_step(), event_loop_.log().lost_lines()};
 }
 
 // ---- Shutdown and hot restart ---------------------------------------------------------------------------
--- a/src/proxy/proxy_statistics.hpp
+++ b/src/proxy/proxy_statistics.hpp
@@ -13,9 +13,11 @@
   DownstreamCounts downstream;
   UpstreamCounts attempts;
   InvariantMonitor invariants;
-  std::size_t sessions = 0;     // established or waiting for a backend
-  std::size_t descriptors = 0;  // in use, as counted by the relay itself
-  Micros wall_clock_step = 0;   // since the start
+  std::size_t sessions = 0;           // established or waiting for a backend
+  std::size_t descriptors = 0;        // in use, as counted by the relay itself
+  std::size_t timers = 0;             // scheduled calls
+  std::size_t ended_session_ids = 0;  // ids that are still refused after their sessions have ended
+  Micros wall_clock_step = 0;         // since the start
   std::uint64_t lost_log_lines = 0;
 };
 
--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -80,6 +80,26 @@
   }
 }
 
+// Guards against timers and ids that accumulate with the sessions that clients open and leave.
+TEST(ClientMemory, KeepsAConstantNumberOfTimersAndALimitedNumberOfIds) {
+  LoopbackRelay relay(1);
+  relay.accept_watch();
+  relay.run_for(100);
+  const std::size_t timers_before = relay.event_loop.timer_count();
+
+  for (int i = 0; i < 100; ++i) {
+    auto session = relay.establish_session(std::to_string(i));
+    session.client.reset();
+    EXPECT_TRUE(relay.run_until([&] { return session.upstream.is_ended_by_peer(); }));
+  }
+  relay.run_for(20);
+
+  // Health checks and the like start and end timers of their own.
+  EXPECT_LE(relay.event_loop.timer_count(), timers_before + 5);
+  EXPECT_EQ(relay.proxy->statistics().timers, relay.event_loop.timer_count());
+  EXPECT_EQ(relay.proxy->statistics().ended_session_ids, 100u);
+}
+
 // Guards against one client that keeps sending after its answer: the connections closed meanwhile were queued
 // behind its own.
 TEST(ClientMemory, KeepsNothingOfConnectionsThatCloseBeforeASlowerOne) {
