An answered operator's request keeps no memory until its timeout

A monitor that asks the admin endpoint at full speed made the relay keep some 600 bytes for each answered request for 5 s.

Cause: the timeout of an operator's request was a scheduled call that nothing cancelled, with a pointer that keeps the object's memory.

Change: it is a net::Timer of the connection, cancelled with the response.

Measured: AdminServer.KeepsNothingOfAnsweredRequests failed on (781,456 bytes where under 542,992 are allowed) and passes.

--- a/src/admin/admin_connection.cpp
+++ b/src/admin/admin_connection.cpp
@@ -12,6 +12,9 @@
 using protocol::HttpRequest;
 using protocol::HttpStatus;
 
+// A request fits into one packet, so one that is incomplete after this time is not expected to be completed.
+constexpr Micros kRequestTimeout = 5 * kSecond;
+
 constexpr std::size_t kMaxLoggedPathLength = 80;  // only scanners send longer paths
 
 std::string or_dash(const std::string& text) { return text.empty() ? "-" : text; }
@@ -36,11 +39,12 @@
 
 void AdminConnection::start(net::SocketPtr socket) {
   connection_ = net::Connection::adopt(event_loop_, std::move(socket), *this);
+  request_timer_ = net::Timer(event_loop_, started_at_ + kRequestTimeout, [this] { on_request_timeout(); });
   connection_->read_now();
 }
 
 void AdminConnection::on_request_timeout() {
-  if (!is_finished_) respond(error_response(HttpStatus::request_timeout, "the call did not come whole"));
+  respond(error_response(HttpStatus::request_timeout, "the call did not come whole"));
 }
 
 void AdminConnection::evict() {
@@ -74,6 +78,7 @@
 
 void AdminConnection::finish(std::string_view result) {
   if (std::exchange(is_finished_, true)) return;
+  request_timer_.cancel();
   event_loop_.log().write(net::Topic::connection, "admin={} {} result={} duration_ms={}",
                           or_dash(request_.method()),
                           or_dash(request_.path().substr(0, kMaxLoggedPathLength)), result,
--- a/src/admin/admin_connection.hpp
+++ b/src/admin/admin_connection.hpp
@@ -7,6 +7,7 @@
 #include "admin/route_table.hpp"
 #include "net/connection.hpp"
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "protocol/http_request.hpp"
 
 namespace cherryrail::admin {
@@ -23,8 +24,6 @@
 
   // To be called once, before any other function. Reads the data that has been received already.
   void start(net::SocketPtr socket);
-  // Answers an incomplete request with status 408.
-  void on_request_timeout();
   // Closes the connection to make room for another.
   void evict();
 
@@ -38,6 +37,8 @@
   void on_connection_lost() override;
 
  private:
+  // Answers an incomplete request with status 408.
+  void on_request_timeout();
   void respond(const AdminResponse& response);
   void finish(std::string_view result);
 
@@ -47,6 +48,7 @@
   Micros last_received_at_;
   std::shared_ptr<net::Connection> connection_;
   protocol::HttpRequest request_;
+  net::Timer request_timer_;
   bool is_finished_ = false;
 };
 
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -8,9 +8,6 @@
 namespace cherryrail::admin {
 namespace {
 
-// A request fits into one packet, so one that is incomplete after this time is not expected to be completed.
-constexpr Micros kRequestTimeout = 5'000'000;
-
 // Answered connections are evicted first, then the one that has been idle longest.
 bool is_evicted_before(const std::shared_ptr<AdminConnection>& left,
                        const std::shared_ptr<AdminConnection>& right) {
@@ -34,10 +31,6 @@
   const auto connection = std::make_shared<AdminConnection>(event_loop_, routes_);
   connections_.push_back(connection);
   connection->start(std::move(socket));
-  event_loop_.call_at(event_loop_.now() + kRequestTimeout,
-                      [weak = std::weak_ptr<AdminConnection>(connection)] {
-                        if (const auto self = weak.lock()) self->on_request_timeout();
-                      });
 }
 
 // Without eviction, operators that never complete their requests would hold all connections and block further
--- a/tests/admin/admin_server_test.cpp
+++ b/tests/admin/admin_server_test.cpp
@@ -1,12 +1,14 @@
 // The admin HTTP server.
 #include <gtest/gtest.h>
 
+#include <cstddef>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "support/admin_relay.hpp"
+#include "support/heap.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -101,5 +103,23 @@
   EXPECT_EQ(statistics.at("disabled_backends_not_stored"), 0);
 }
 
+// Guards against a monitor that asks at full speed: each of its connections was kept until the request
+// timeout.
+TEST(AdminServer, KeepsNothingOfAnsweredRequests) {
+  constexpr int kRequests = 500;
+  constexpr std::size_t kSlackBytes = 65536;  // for buffers that are reused
+  AdminRelay relay(1);
+  const auto ask = [&relay](int count) {
+    for (int i = 0; i < count; ++i)
+      EXPECT_EQ(relay.status_of(relay.connect_operator("GET /ready HTTP/1.1\r\n\r\n")), "HTTP/1.1 200");
+  };
+  ask(100);
+  const std::size_t before = allocated_heap_bytes();
+
+  ask(kRequests);
+
+  EXPECT_LT(allocated_heap_bytes(), before + kSlackBytes);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
