Timers belong to the objects that use them, in place of numbers and weak pointers

No change of behaviour. The timers of the listener, the shutdown sequence, the monitor of unresponsive sessions, the configuration reloader, the health checks and the relay's start are net::Timer members: a check number, a reload number and a pointer that told whether the listener still exists are gone, and the objects no longer have to outlive the event loop's run. TimerId has a plain comparison and the session's id registration is private, as the linter asks.

--- a/src/balancer/timer_id.hpp
+++ b/src/balancer/timer_id.hpp
@@ -1,7 +1,6 @@
 // Identifies a scheduled call, so that it can be cancelled.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 
 #include "balancer/time.hpp"
@@ -14,7 +13,9 @@
   Micros due = 0;
   std::uint64_t sequence = 0;
 
-  auto operator<=>(const TimerId&) const = default;
+  bool operator<(const TimerId& other) const {
+    return due != other.due ? due < other.due : sequence < other.sequence;
+  }
 };
 
 }  // namespace cherryrail
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -68,10 +68,8 @@
     return;
   }
   watch_->set_interest(false, false);
-  event_loop_.call_at(event_loop_.now() + kDrainRetryDelay,
-                      [this, deadline, alive = std::weak_ptr<bool>(alive_)] {
-                        if (!alive.expired()) close_once_drained(deadline);
-                      });
+  retry_timer_ = Timer(event_loop_, event_loop_.now() + kDrainRetryDelay,
+                       [this, deadline] { close_once_drained(deadline); });
 }
 
 void Listener::accept_batch() {
@@ -108,9 +106,8 @@
 // Without a free descriptor the socket stays ready, and the event loop would spin.
 void Listener::pause_accepting() {
   watch_->set_interest(false, false);
-  event_loop_.call_at(event_loop_.now() + kAcceptRetryDelay, [this, alive = std::weak_ptr<bool>(alive_)] {
-    if (!alive.expired()) set_accepting(is_accepting_);
-  });
+  retry_timer_ =
+      Timer(event_loop_, event_loop_.now() + kAcceptRetryDelay, [this] { set_accepting(is_accepting_); });
 }
 
 }  // namespace cherryrail::net
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -8,6 +8,7 @@
 #include "net/address.hpp"
 #include "net/event_loop.hpp"
 #include "net/socket.hpp"
+#include "net/timer.hpp"
 
 namespace cherryrail::net {
 
@@ -47,8 +48,7 @@
   OnAccepted on_accepted_;
   bool is_accepting_ = false;
   std::unique_ptr<IoWatch> watch_;
-  std::shared_ptr<bool> alive_ =
-      std::make_shared<bool>(true);  // lets timers detect that the listener is gone
+  Timer retry_timer_;  // after a failure to accept
 };
 
 }  // namespace cherryrail::net
--- a/src/proxy/config_reloader.cpp
+++ b/src/proxy/config_reloader.cpp
@@ -19,7 +19,7 @@
 
 // A truncated file, or one with an invalid value, must neither stop the process nor be applied in part.
 void ConfigReloader::reload(const std::string& path) {
-  ++reload_number_;
+  retry_timer_.cancel();
   try_to_reload(path, kMaxAttempts);
 }
 
@@ -37,10 +37,8 @@
 }
 
 void ConfigReloader::schedule_retry(const std::string& path, int remaining_attempts) {
-  event_loop_.call_at(event_loop_.now() + kRetryInterval,
-                      [this, path, remaining_attempts, number = reload_number_] {
-                        if (number == reload_number_) try_to_reload(path, remaining_attempts);
-                      });
+  retry_timer_ = net::Timer(event_loop_, event_loop_.now() + kRetryInterval,
+                            [this, path, remaining_attempts] { try_to_reload(path, remaining_attempts); });
 }
 
 void ConfigReloader::log_failure(const config::ConfigError& error) {
--- a/src/proxy/config_reloader.hpp
+++ b/src/proxy/config_reloader.hpp
@@ -1,12 +1,12 @@
 // Reloads the configuration while the relay runs.
 #pragma once
 
-#include <cstdint>
 #include <string>
 
 #include "config/config_error.hpp"
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "proxy/descriptor_budget.hpp"
 #include "proxy/discovery.hpp"
 
@@ -35,7 +35,7 @@
   Balancer& balancer_;
   Discovery& discovery_;
   DescriptorBudget& descriptors_;
-  std::uint64_t reload_number_ = 0;  // of the latest call of reload(); voids earlier retries
+  net::Timer retry_timer_;
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/health_check_connection.cpp
+++ b/src/proxy/health_check_connection.cpp
@@ -17,7 +17,7 @@
 void HealthCheckConnection::check(const net::Address& address, HealthCheckCallback on_result) {
   on_result_ = std::move(on_result);
   started_at_ = event_loop_.now();
-  ++check_number_;
+  connect_timer_.cancel();
   if (address != address_) close_connection();
   address_ = address;
   if (connection_) {
@@ -31,9 +31,11 @@
       finish(attempt.is_local_failure ? AttemptResult::rejected : AttemptResult::connect_failed, {});
       return;
     }
-    schedule_timeout(config_.connect_timeout, TimeoutScope::connecting);
+    connect_timer_ = net::Timer(event_loop_, started_at_ + config_.connect_timeout, [this] {
+      if (!is_connected_) on_timeout();
+    });
   }
-  schedule_timeout(config_.response_timeout, TimeoutScope::whole_check);
+  check_timer_ = net::Timer(event_loop_, started_at_ + config_.response_timeout, [this] { on_timeout(); });
 }
 
 void HealthCheckConnection::send_request() { connection_->send({config_.request, "\r\n"}); }
@@ -71,16 +73,8 @@
   fail(is_connected_ ? AttemptResult::reset : AttemptResult::connect_failed);
 }
 
-void HealthCheckConnection::schedule_timeout(Micros timeout, TimeoutScope scope) {
-  event_loop_.call_at(started_at_ + timeout, [weak = weak_from_this(), number = check_number_, scope] {
-    const auto self = weak.lock();
-    if (self && self->check_number_ == number) self->on_timeout(scope);
-  });
-}
-
-void HealthCheckConnection::on_timeout(TimeoutScope scope) {
+void HealthCheckConnection::on_timeout() {
   if (!on_result_) return;
-  if (scope == TimeoutScope::connecting && is_connected_) return;
   fail(is_connected_ ? AttemptResult::timed_out : AttemptResult::connect_failed);
 }
 
@@ -103,11 +97,10 @@
 // Closes an unused connection, since it takes up one of the backend's limited number of connections.
 void HealthCheckConnection::schedule_idle_timeout() {
   const Micros idle_deadline = event_loop_.now() + config_.idle_timeout;
-  event_loop_.call_at(idle_deadline, [weak = weak_from_this(), number = check_number_] {
-    const auto self = weak.lock();
-    if (!self || self->check_number_ != number) return;
-    if (self->connection_) self->log_result("idle_timeout");
-    self->on_idle_();
+  check_timer_ = net::Timer(event_loop_, idle_deadline, [this] {
+    const auto keep_alive = shared_from_this();
+    if (connection_) log_result("idle_timeout");
+    on_idle_();
   });
 }
 
--- a/src/proxy/health_check_connection.hpp
+++ b/src/proxy/health_check_connection.hpp
@@ -1,7 +1,6 @@
 // The connection for the health checks of one backend, kept open between checks.
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -9,6 +8,7 @@
 
 #include "balancer/balancer.hpp"
 #include "net/connection.hpp"
+#include "net/timer.hpp"
 #include "protocol/line_reader.hpp"
 
 namespace cherryrail::proxy {
@@ -44,13 +44,9 @@
   void on_connection_lost() override;
 
  private:
-  // Whether a timeout ends the check only while connecting, or at any stage.
-  enum class TimeoutScope : std::uint8_t { connecting, whole_check };
-
   void send_request();
   void on_reply(std::string_view line);
-  void schedule_timeout(Micros timeout, TimeoutScope scope);
-  void on_timeout(TimeoutScope scope);
+  void on_timeout();
   void fail(AttemptResult result);
   void finish(AttemptResult result, std::string_view report);
   void schedule_idle_timeout();
@@ -66,7 +62,8 @@
   protocol::LineReader lines_;
   HealthCheckCallback on_result_;  // empty unless a check is in progress
   Micros started_at_ = 0;
-  std::uint64_t check_number_ = 0;  // voids the timers of earlier checks
+  net::Timer connect_timer_;
+  net::Timer check_timer_;  // for the end of the check, then of the unused connection
   bool is_connected_ = false;
 };
 
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -66,7 +66,7 @@
   unresponsive_sessions_.run();
   const Micros wait = startup_wait(config);
   if (wait > 0) {
-    event_loop_.call_at(event_loop_.now() + wait, [this] { start_accepting(); });
+    startup_timer_ = net::Timer(event_loop_, event_loop_.now() + wait, [this] { start_accepting(); });
   } else {
     start_accepting();
   }
@@ -156,7 +156,7 @@
 bool ProxyServer::register_id(ProxySession& session) {
   auto registration = session_ids_.add(session.id());
   if (!registration) return false;
-  session.id_registration.emplace(std::move(*registration));
+  session.set_id_registration(std::move(*registration));
   return true;
 }
 
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -9,6 +9,7 @@
 
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "proxy/config_reloader.hpp"
 #include "proxy/descriptor_budget.hpp"
 #include "proxy/discovery.hpp"
@@ -118,6 +119,7 @@
   ConfigReloader config_reloader_;
   UnresponsiveSessionMonitor unresponsive_sessions_;
   std::function<void()> on_ready_;
+  net::Timer startup_timer_;
   bool is_accepting_ = false;
   // Created last, once everything that serves clients exists.
   std::unique_ptr<DownstreamListener> downstream_;
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -38,8 +38,10 @@
   const protocol::OpenRequest& request() const { return request_; }
   std::string_view id() const { return request_.id(); }
 
-  // Set by the proxy once the id is registered.
-  std::optional<SessionIdRegistry::Registration> id_registration;
+  // Keeps the id registered for as long as this session exists.
+  void set_id_registration(SessionIdRegistry::Registration registration) {
+    id_registration_.emplace(std::move(registration));
+  }
 
   // Each connection registers itself while it is open; null unregisters it.
   void set_downstream(DownstreamConnection* downstream) { downstream_ = downstream; }
@@ -111,6 +113,7 @@
   net::EventLoop& event_loop_;
   Balancer& balancer_;
   SessionInvariants invariants_;
+  std::optional<SessionIdRegistry::Registration> id_registration_;
   DownstreamConnection* downstream_ = nullptr;
   UpstreamConnection* upstream_ = nullptr;
   Micros unanswered_since_ = 0;                 // when the first unanswered line was forwarded; 0: none
--- a/src/proxy/shutdown_sequence.cpp
+++ b/src/proxy/shutdown_sequence.cpp
@@ -40,13 +40,14 @@
 // While the platform still routes clients to this process, a migrated client may reconnect to it and be
 // rejected.
 void ShutdownSequence::call_after_client_arrivals(std::function<void()> migrate) {
-  event_loop_.call_at(event_loop_.now() + kClientArrivalPeriod, std::move(migrate));
+  timer_ = net::Timer(event_loop_, event_loop_.now() + kClientArrivalPeriod, std::move(migrate));
 }
 
 void ShutdownSequence::stop_when_empty() { schedule_check(event_loop_.now()); }
 
 void ShutdownSequence::schedule_check(Micros empty_since) {
-  event_loop_.call_at(event_loop_.now() + kCheckInterval, [this, empty_since] { check(empty_since); });
+  timer_ = net::Timer(event_loop_, event_loop_.now() + kCheckInterval,
+                      [this, empty_since] { check(empty_since); });
 }
 
 // The platform does not wait for a slow client, an unresponsive backend or a session that is still migrating,
@@ -67,7 +68,7 @@
 void ShutdownSequence::stop() {
   const Micros quit_at = event_loop_.now() + kFlushTime;
   downstream_.shut_down(has_successor_, quit_at - kLastClientAnswerTime);
-  event_loop_.call_at(quit_at, [this] {
+  timer_ = net::Timer(event_loop_, quit_at, [this] {
     const bool is_timeout = downstream_.session_count() > 0;
     event_loop_.log().write(net::Topic::lifecycle, "stopping: {}",
                             is_timeout ? "shutdown timeout" : "no session left");
--- a/src/proxy/shutdown_sequence.hpp
+++ b/src/proxy/shutdown_sequence.hpp
@@ -4,14 +4,15 @@
 #include <functional>
 
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "proxy/downstream_listener.hpp"
 
 namespace cherryrail::proxy {
 
 class ShutdownSequence {
  public:
-  // This object and `downstream` must outlive the run of the event loop. `has_successor`: another process
-  // inherits the listening socket. `longest_client_timeout`: of all traffic classes.
+  // `downstream` must outlive this object. `has_successor`: another process inherits the listening socket.
+  // `longest_client_timeout`: of all traffic classes.
   ShutdownSequence(net::EventLoop& event_loop, DownstreamListener& downstream, bool has_successor,
                    Micros longest_client_timeout);
 
@@ -37,6 +38,7 @@
   Micros longest_client_timeout_;
   Micros begun_at_ = 0;
   bool has_begun_ = false;
+  net::Timer timer_;  // for the next step
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/unresponsive_session_monitor.cpp
+++ b/src/proxy/unresponsive_session_monitor.cpp
@@ -12,7 +12,7 @@
   upstream_.for_each_unanswered(2 * attempt_latency_objective_, [this](ProxySession& session) {
     balancer_.on_session_unresponsive(session);
   });
-  event_loop_.call_at(event_loop_.now() + attempt_latency_objective_ / 2, [this] { run(); });
+  timer_ = net::Timer(event_loop_, event_loop_.now() + attempt_latency_objective_ / 2, [this] { run(); });
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/unresponsive_session_monitor.hpp
+++ b/src/proxy/unresponsive_session_monitor.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "proxy/upstream_connector.hpp"
 
 namespace cherryrail::proxy {
@@ -11,8 +12,7 @@
 // objectives is considered unresponsive.
 class UnresponsiveSessionMonitor {
  public:
-  // The monitor must outlive the event loop's run. `attempt_latency_objective` is the shortest of all traffic
-  // classes.
+  // `attempt_latency_objective` is the shortest of all traffic classes.
   UnresponsiveSessionMonitor(net::EventLoop& event_loop, UpstreamConnector& upstream, Balancer& balancer,
                              Micros attempt_latency_objective);
 
@@ -24,6 +24,7 @@
   UpstreamConnector& upstream_;
   Balancer& balancer_;
   Micros attempt_latency_objective_;
+  net::Timer timer_;
 };
 
 }  // namespace cherryrail::proxy
