--- a/src/balancer/actions.hpp
+++ b/src/balancer/actions.hpp
@@ -6,7 +6,7 @@
 
 #include "balancer/backend.hpp"
 #include "balancer/session.hpp"
-#include "balancer/timer_id.hpp"
+#include "balancer/time.hpp"
 
 namespace cherryrail {
 
--- a/src/balancer/session.hpp
+++ b/src/balancer/session.hpp
@@ -9,7 +9,7 @@
 #include <optional>
 #include <vector>
 
-#include "balancer/timer_id.hpp"
+#include "balancer/time.hpp"
 #include "balancer/types.hpp"
 
 namespace cherryrail {
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -13,7 +13,6 @@
 #include <memory>
 
 #include "balancer/time.hpp"
-#include "balancer/timer_id.hpp"
 #include "net/file_descriptor.hpp"
 #include "net/io_poller.hpp"
 #include "net/log.hpp"
