--- a/src/balancer/time.hpp
+++ b/src/balancer/time.hpp
@@ -11,8 +11,8 @@
 constexpr Micros kMillisecond = 1'000;
 constexpr Micros kSecond = 1'000'000;
 
-// Identifies a scheduled call, so that it can be cancelled. Unique for its scheduler; ordered by due time, and
-// by the order of scheduling among equal times. The default value identifies no call.
+// Identifies a scheduled call, so that it can be cancelled. Unique for its scheduler; ordered by due time,
+// and by the order of scheduling among equal times. The default value identifies no call.
 struct TimerId {
   Micros due = 0;
   std::uint64_t sequence = 0;
