A request is not sent on after its attempt has failed

What callers would have seen: a request that was held up at a full socket, given up and counted as never sent, and then delivered all the same, so that it could run twice.

Cause: closes an upstream connection gracefully when bytes are unsent, also where these are the request itself.

Change: what is unsent is delivered for established sessions only (CloseMode).

--- a/src/proxy/backend_connection.cpp
+++ b/src/proxy/backend_connection.cpp
@@ -181,31 +181,37 @@
   const LoadReport load = owner_.parse_load_report(report);
   const AttemptOutcome outcome{result, event_loop_.now() - started_at_};
   const bool was_established = state_ == State::established;
-  const bool is_request_abandoned = result == AttemptResult::timed_out && has_sent_request();
+  const CloseMode close_mode = close_mode_now(result == AttemptResult::timed_out);
   state_ = State::closed;
   const UpstreamResult upstream_result =
       has_local_failure_ ? UpstreamResult::no_descriptors : to_upstream_result(result);
   log_result(upstream_result);
   session_->on_upstream_closed(was_established ? kind : CloseKind::orderly, outcome, load, last_line);
-  close_connection(is_request_abandoned);
+  close_connection(close_mode);
   owner_.on_closed(number_, upstream_result);
 }
 
 // An abandoned request must not be delivered later. After an orderly close the kernel would keep
-// retransmitting it, so the connection is reset instead.
-void BackendConnection::close_connection(bool is_request_abandoned) {
+// retransmitting it, so the connection is reset instead. An attempt whose request is not completely sent has
+// failed to connect: the rest must not follow.
+BackendConnection::CloseMode BackendConnection::close_mode_now(bool is_abandoned) const {
+  if (state_ == State::established) return CloseMode::deliver_unsent;
+  return is_abandoned && has_sent_request() ? CloseMode::reset : CloseMode::discard_unsent;
+}
+
+void BackendConnection::close_connection(CloseMode mode) {
   if (!connection_) return;
-  if (is_request_abandoned) {
+  if (mode == CloseMode::reset) {
     connection_->reset();
-  } else if (connection_->unsent_bytes() > 0) {
-    connection_->close_gracefully();  // the backend gets the rest of a line that it has begun to receive
+  } else if (mode == CloseMode::deliver_unsent && connection_->unsent_bytes() > 0) {
+    connection_->close_gracefully();
   } else {
     connection_->close();
   }
 }
 
 void BackendConnection::abandon() {
-  close_connection(has_sent_request());
+  close_connection(close_mode_now(true));
   detach(UpstreamResult::abandoned);
 }
 
--- a/src/proxy/backend_connection.hpp
+++ b/src/proxy/backend_connection.hpp
@@ -67,6 +67,9 @@
 
  private:
   enum class State : std::uint8_t { connecting, sending_request, awaiting_reply, established, closed };
+  // What happens to the bytes in the send buffer. After `deliver_unsent` the backend gets the rest of a line
+  // that it has begun to receive.
+  enum class CloseMode : std::uint8_t { discard_unsent, deliver_unsent, reset };
 
   void schedule_timeouts(Micros connect_deadline);
   void post_failure(AttemptResult result);
@@ -79,7 +82,8 @@
   bool has_received_last_line() const;
   void finish_attempt(CloseKind kind, AttemptResult result, std::string_view report = {},
                       std::string_view last_line = {});
-  void close_connection(bool is_request_abandoned);
+  CloseMode close_mode_now(bool is_abandoned) const;
+  void close_connection(CloseMode mode);
   void detach(UpstreamResult result);
   void log_result(UpstreamResult result);
 
--- a/tests/proxy/upstream_test.cpp
+++ b/tests/proxy/upstream_test.cpp
@@ -188,5 +188,21 @@
   EXPECT_TRUE(unresponsive.is_reset_by_peer());
 }
 
+// Guards against a request that runs although its attempt counts as one that reached nobody.
+TEST(Upstream, DeliversNoPartOfARequestAfterItsAttemptHasFailed) {
+  const FaultPlanScope scope;
+  LoopbackRelay relay(1);
+  TestSocket client = relay.connect_client("OPEN 1 1 c=talk,d=1200\r\n");
+  fault_plan().send.error_number = EAGAIN;  // as if the backend's receive buffer were full
+  fault_plan().send.per_mille = 1000;
+  TestSocket upstream = relay.accept_connection();
+  relay.run_for(500);  // longer than the attempt's timeout
+  fault_plan().send.per_mille = 0;
+
+  EXPECT_TRUE(relay.run_until([&] { return upstream.is_ended_by_peer() && client.is_ended_by_peer(); }));
+  EXPECT_EQ(upstream.received(), "");
+  EXPECT_EQ(client.received(), "BUSY\r\n");
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
