--- a/tests/support/heap.hpp
+++ b/tests/support/heap.hpp
@@ -6,7 +6,8 @@
 #include <cstddef>
 
 #if defined(__SANITIZE_ADDRESS__)
-#include <sanitizer/allocator_interface.h>
+// Declared here because GCC comes without the header sanitizer/allocator_interface.h.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();  // NOLINT(bugprone-reserved-identifier)
 #endif
 
 namespace cherryrail::testing {
