Review: case 9, a pushed list is never heard while a call for it takes over a second

Where the list is pushed, a watch whose first line takes over 1 s is given up and called for again, for as long as discovery is that slow, so drains are not learned.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -210,6 +210,13 @@
         self.record.write(f"{len(self._watches)} open watches fall silent")
         self._watches.clear()
 
+    def reset_watches(self):
+        """The open watches are reset; discovery goes on taking calls."""
+        self.record.write(f"{len(self._watches)} open watches are reset")
+        for writer in list(self._watches):
+            abort(writer)
+        self._watches.clear()
+
     def whole_list(self):
         targets = [backend.entry() for backend in self.backends if backend.state != "left"]
         return {"rev": self.revision, "all": True, "targets": targets}
