Review: case 10, a relay that is turned away hears too late what a silent watch missed

The time limit after a silent watch is kept for the first call only; after a 503 the next wait ignores it.

--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -159,6 +159,7 @@
         self.port = 0  # of its first address
         self.is_up = False
         self.delay = 0.0
+        self.is_overbooked = False  # it turns calls away with 503
         self._changes = []
         self._doors = {}  # by port: (server, writers of its open calls)
         self._watches = set()  # writers of watches that are not silent
@@ -262,6 +263,11 @@
             abort(writer)
 
     async def _watch(self, port, after, writer, ended):
+        if self.is_overbooked:
+            writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+            await writer.drain()
+            self.record.write(f"discovery turns the call at {port} away with 503")
+            return
         if self.delay > 0:
             done, _ = await asyncio.wait([ended], timeout=self.delay)
             if done or writer.transport.is_closing():
@@ -336,7 +342,8 @@
             fd = self._listening.fileno()
 
             def as_descriptor_3():
-                os.dup2(fd, 3, inheritable=True)
+                os.dup2(fd, 3)
+                os.set_inheritable(3, True)
 
             process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdout=log, stderr=log,
                                        stdin=subprocess.DEVNULL, close_fds=False, preexec_fn=as_descriptor_3)
@@ -574,6 +581,15 @@
     await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def run_and_clean_up(case, record, relays):
+    try:
+        return await asyncio.wait_for(case(record, relays), 105)
+    finally:
+        for _ in range(3):  # what ends may begin something else
+            await cancel(asyncio.all_tasks() - {asyncio.current_task()})
+            await asyncio.sleep(0.02)
+
+
 def play(folder, case):
     """Runs `case(record, relays)`, an async function that returns the list of what broke the rule. Exits by it."""
     record = Record(folder)
@@ -581,7 +597,7 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     code = 2
     try:
-        broken = asyncio.run(asyncio.wait_for(case(record, relays), 105))
+        broken = asyncio.run(run_and_clean_up(case, record, relays))
         for line in broken:
             record.write(f"BROKEN: {line}")
             print(f"BROKEN: {line}")
