--- a/review/lib-3/stand_ins.py
+++ b/review/lib-3/stand_ins.py
@@ -189,6 +189,7 @@
         self.on_open = lambda attempt: "up"
         self.is_hung = False
         self.loss = 0.0
+        self.message_s = 0.0  # how long a message takes here
         self.rng = random.Random(uid)
         self.sessions = {}  # writers of open connections, by session id
         self.port = 0
@@ -210,6 +211,15 @@
         for writer in list(self._writers):
             reset(writer)
 
+    async def tell_delay(self):
+        """Tells once a second, on one connection, how long a message takes, while that is over 20 ms."""
+        while True:
+            await asyncio.sleep(1)
+            if self.message_s > 0.02 and self.sessions and not self.is_hung:
+                writer = self.rng.choice(list(self.sessions.values()))
+                with contextlib.suppress(OSError):
+                    writer.write(f"LOAD {self.message_s * 1000:.0f}\r\n".encode())
+
     def loses_answer(self):
         return self.loss > 0 and self.rng.random() < self.loss
 
@@ -258,6 +268,8 @@
             while line := await reader.readline():
                 while self.is_hung:
                     await asyncio.sleep(0.02)
+                if self.message_s:
+                    await asyncio.sleep(self.message_s)
                 if not self.loses_answer():
                     writer.write(line)
                     await writer.drain()
