Review: the stand-ins keep the admin endpoint's port reserved

Cause: the port was free between its choice and the relay's start, and another process could take it: the case could then not run. Added: the reservation is kept until the end, as for the clients' port.

--- a/review/lib-3/stand_ins.py
+++ b/review/lib-3/stand_ins.py
@@ -388,7 +388,7 @@
 
 
 def free_port():
-    """A loopback port that is free now; the socket that reserves it allows a listener of the same user."""
+    """A free loopback port and the socket that reserves it, beside which a relay can listen there."""
     reservation = socket.socket()
     reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     reservation.bind(("127.0.0.1", 0))
@@ -416,6 +416,7 @@
             self.reservation.listen(1024)
             self.listener = self.reservation
         self.admin_ports = {}
+        self.admin_reservations = []
 
     @property
     def config_path(self):
@@ -446,7 +447,7 @@
         with open(self.folder / f"log-{number}", "wb") as log:
             process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                        stdout=log, stderr=log, pass_fds=inherited)
-        reservation.close()
+        self.admin_reservations.append(reservation)
         self.processes.append(process)
         self.admin_ports[process.pid] = admin_port
         self.record.note(f"relay {self.name}: process {number} started")
@@ -497,7 +498,8 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
-        self.reservation.close()
+        for reservation in [self.reservation, *self.admin_reservations]:
+            reservation.close()
 
 
 # ---- Clients ---------------------------------------------------------------------------------------------------
