A session whose backend no longer answers waits for no place elsewhere

Cause: Balancer::on_session_unresponsive returned for a session in the migration queue, and MigrationPool::must_wait kept it there as long as no other backend would take it, whether its own answers or not.

Change: an unresponsive session is not held back in the queue, and it migrates outside the pool after 3 s, since a pool of one place (all sessions queued) is too slow for a backend that hangs within lines. is_migrating keeps a session from being told twice. The log tells each unresponsive session.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -277,10 +277,12 @@
 }
 
 void Balancer::on_session_unresponsive(Session& session) {
-  if (session.backend == nullptr || session.is_migration_queued) return;
-  outliers_.record_no_response(*session.backend);
-  migration_.enqueue(session);
-  migration_.run();
+  if (session.backend == nullptr || std::exchange(session.is_unresponsive, true)) return;
+  const char* state = session.is_migration_queued ? ", was waiting to migrate" : "";
+  actions_.log("session unresponsive at backend " + std::to_string(session.backend->name) + state);
+  // No session is placed at a draining backend, so its failures affect no decision.
+  if (session.backend->state == EndpointState::ready) outliers_.record_no_response(*session.backend);
+  migration_.migrate_unresponsive(session);
 }
 
 }  // namespace cherryrail
--- a/src/balancer/fleet.cpp
+++ b/src/balancer/fleet.cpp
@@ -113,6 +113,8 @@
   if (session.is_migration_queued) --migration_queued_count_;
   session.is_established = false;
   session.is_migration_queued = false;
+  session.is_migrating = false;
+  session.is_unresponsive = false;
   erase_if_gone(std::exchange(session.backend, nullptr));
 }
 
--- a/src/balancer/migration_pool.cpp
+++ b/src/balancer/migration_pool.cpp
@@ -56,19 +56,29 @@
   const auto session = waiting.lock();
   if (!session || !session->is_established) return;
   if (queue_.size() >= queue_limit()) {
-    actions_.migrate_session(*session);
+    start_migration(*session);
     return;
   }
   queue_.push_back(waiting);
   run();
 }
 
+void MigrationPool::migrate_unresponsive(Session& session) {
+  enqueue(session);
+  const Micros migrate_by = actions_.now() + kUnresponsiveTimeout;
+  actions_.call_at(migrate_by, [this, weak = session.weak_from_this()] {
+    const auto waiting = weak.lock();
+    if (waiting && waiting->is_established) start_migration(*waiting);
+  });
+  run();
+}
+
 void MigrationPool::run() {
   std::vector<std::weak_ptr<Session>> waiting;
   while (running_migrations_ < pool_size() && !queue_.empty()) {
     const auto session = queue_.front().lock();
     queue_.pop_front();
-    if (!session || !session->is_established) continue;
+    if (!session || !session->is_established || session->is_migrating) continue;
     session->is_reconnecting = true;
     session->tried_backends.clear();
     if (must_wait(*session))
@@ -81,6 +91,7 @@
 }
 
 bool MigrationPool::must_wait(Session& session) {
+  if (session.is_unresponsive) return false;
   const bool is_too_slow = penalties_.is_too_slow_for(session, *session.backend);
   const bool is_draining = session.backend->state == EndpointState::draining;
   if (placement_.is_stopped() || (!is_draining && !is_too_slow)) return false;
@@ -98,6 +109,11 @@
   };
   session.on_backend_ended = [finish](const AttemptOutcome&) { finish(); };
   actions_.call_at(actions_.now() + kMigrationTimeout, finish);
+  start_migration(session);
+}
+
+void MigrationPool::start_migration(Session& session) {
+  if (std::exchange(session.is_migrating, true)) return;
   actions_.migrate_session(session);
 }
 
--- a/src/balancer/migration_pool.hpp
+++ b/src/balancer/migration_pool.hpp
@@ -28,6 +28,9 @@
   void enqueue(Session& session);
   // Queues all established sessions of the backend and calls run(). `reason` is logged.
   void migrate_all(Backend& backend, const char* reason);
+  // Queues the session, whose backend no longer answers, and calls run(). Such a session waits for no better
+  // backend, and it migrates outside the pool if the pool does not reach it in time.
+  void migrate_unresponsive(Session& session);
   // Starts as many queued migrations as the pool allows.
   void run();
   // For graceful shutdown: queues every established session at a random time within `duration`. If all
@@ -39,6 +42,10 @@
   static constexpr Micros kMigrationTimeout = kSecond;
   // How long a session waits for space in a full queue before it migrates outside the pool.
   static constexpr Micros kQueueFullTimeout = kSecond / 10;
+  // How long an unresponsive session waits in the queue before it migrates outside the pool. Its client may
+  // be without answers for seven seconds in all: two and a half pass before the session counts as
+  // unresponsive, and a migration may take half a second.
+  static constexpr Micros kUnresponsiveTimeout = 3 * kSecond;
 
   // One migration may run for this many established sessions, but kSmallPoolSize may run in any case, unless
   // that leaves fewer than kMinSessionsPerMigration sessions for each.
@@ -57,9 +64,12 @@
   // The number of sessions that the queue may hold.
   std::size_t queue_limit() const;
   // Whether the session stays queued because no better backend would accept it now. A client that reconnects
-  // then is rejected, while a draining backend still serves it.
+  // then is rejected, while a draining backend that answers still serves it.
   bool must_wait(Session& session);
+  // Migrates the session within the pool.
   void migrate(Session& session);
+  // Migrates the session, unless it is migrating already.
+  void start_migration(Session& session);
   // Queues the session if the queue has space by now, and otherwise migrates it at once.
   void enqueue_or_migrate(const std::weak_ptr<Session>& waiting);
   void schedule_run();
--- a/src/balancer/session.hpp
+++ b/src/balancer/session.hpp
@@ -40,6 +40,8 @@
   bool is_answered = false;          // the client has its final answer
   bool is_established = false;
   bool is_migration_queued = false;
+  bool is_migrating = false;     // its client is being told to reconnect
+  bool is_unresponsive = false;  // its backend has left messages unanswered for seconds
   Micros attempt_started_at = 0;
   // Number of backends that the latest placement skipped, by cause; gives the logged reason of a rejection.
   unsigned passed_over_warming_up = 0;
--- a/tests/balancer/latency_outliers_test.cpp
+++ b/tests/balancer/latency_outliers_test.cpp
@@ -50,6 +50,30 @@
   EXPECT_EQ(fixture.attempts_to(slow), attempts);
 }
 
+// Guards against clients without answers at a slow backend that hangs while no faster one can accept them.
+TEST(LatencyOutliers, UnresponsiveSessionWaitsForNoFasterBackend) {
+  BalancerFixture fixture(0);
+  Backend& slow = fixture.add_backend(0, 1);
+  fixture.add_backend(0, 0);
+  fixture.establish_sessions(1, 40);
+  report_zone_latency(fixture, 1, 300 * kMillisecond, 2);
+  fixture.report_message_latency(slow, 300 * kMillisecond);
+  fixture.set_endpoint_state(1, EndpointState::gone);
+  fixture.actions.advance(2 * kSecond);
+  const auto& migrated = fixture.actions.migrated_sessions;
+  const auto is_waiting = [&](const Session* session) {
+    return session->is_migration_queued && std::ranges::count(migrated, session) == 0;
+  };
+  const auto waiting = std::ranges::find_if(slow.sessions, is_waiting);
+  ASSERT_NE(waiting, slow.sessions.end());
+  Session* const session = *waiting;
+
+  fixture.balancer.on_session_unresponsive(*session);
+  fixture.actions.advance(3 * kSecond);
+
+  EXPECT_EQ(std::ranges::count(migrated, session), 1);
+}
+
 // Two backends of six meet the objective. Measured together with the slow ones they seem full, and the first
 // reports look like general overload.
 TEST(LatencyOutliers, TheFewBackendsThatMeetTheObjectiveTakeOverFromTheSlowOnes) {
--- a/tests/balancer/migration_test.cpp
+++ b/tests/balancer/migration_test.cpp
@@ -63,5 +63,48 @@
   EXPECT_EQ(fixture.actions.migrated_sessions.size(), 1u);
 }
 
+// Guards against clients without answers for as long as their draining backend hangs (review/6): a session
+// that waits for another backend must not wait once its own backend no longer answers.
+TEST(Migration, MigratesAnUnresponsiveSessionThoughNoBackendCanAcceptIt) {
+  BalancerFixture fixture(1);
+  Session& session = fixture.establish_session(1);
+  fixture.set_endpoint_state(0, EndpointState::draining);
+  fixture.actions.advance(3 * kSecond);
+  ASSERT_TRUE(fixture.actions.migrated_sessions.empty());
+
+  fixture.balancer.on_session_unresponsive(session);
+
+  EXPECT_EQ(fixture.actions.migrated_sessions, std::vector<Session*>{&session});
+}
+
+// The same while an operator has disabled the backend.
+TEST(Migration, MigratesAnUnresponsiveSessionOfADisabledBackend) {
+  BalancerFixture fixture(1);
+  Session& session = fixture.establish_session(1);
+  fixture.balancer.set_disabled(*fixture.backends[0], true);
+  fixture.actions.advance(3 * kSecond);
+  ASSERT_TRUE(fixture.actions.migrated_sessions.empty());
+
+  fixture.balancer.on_session_unresponsive(session);
+
+  EXPECT_EQ(fixture.actions.migrated_sessions, std::vector<Session*>{&session});
+}
+
+// Guards against a pool that is too small for its queue: while all sessions wait, it has one place, and each
+// migration from a backend that hangs within a line takes long.
+TEST(Migration, MigratesEachUnresponsiveSessionOnceWithinThreeSeconds) {
+  BalancerFixture fixture(1);
+  fixture.establish_sessions(1, 30);
+  fixture.set_endpoint_state(0, EndpointState::draining);
+
+  for (const auto& session : fixture.sessions) fixture.balancer.on_session_unresponsive(*session);
+  EXPECT_LT(fixture.actions.migrated_sessions.size(), 30u);
+  fixture.actions.advance(3 * kSecond);
+  EXPECT_EQ(fixture.actions.migrated_sessions.size(), 30u);
+
+  fixture.actions.advance(60 * kSecond);
+  EXPECT_EQ(fixture.actions.migrated_sessions.size(), 30u);
+}
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/proxy/proxy_session_test.cpp
+++ b/tests/proxy/proxy_session_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -216,6 +217,27 @@
 }
 
 // Guards against a backend that hangs in the middle of a line: the beginning of a line is no answer.
+// Guards against silence for as long as a draining backend hangs while no other can accept its clients
+// (review/6); the backend has begun a line for each of them.
+TEST(ProxySession, MigratesTheClientsOfADrainingBackendThatHangsThoughThereIsNoOther) {
+  constexpr std::size_t kSessions = 12;
+  LoopbackRelay relay(1);
+  std::vector<EstablishedSession> sessions;
+  for (std::size_t i = 0; i < kSessions; ++i) sessions.push_back(relay.establish_session(std::to_string(i)));
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(0, "leaving")}));
+  relay.run_for(500);
+
+  for (const EstablishedSession& session : sessions) {
+    session.client.send("line\r\n");
+    session.upstream.send("half of an ans");
+  }
+
+  const auto is_migrated = [](EstablishedSession& session) {
+    return session.client.received() == "UP r\r\nMOVE\r\n" && session.client.is_ended_by_peer();
+  };
+  EXPECT_TRUE(relay.run_until([&] { return std::ranges::all_of(sessions, is_migrated); }, 7000));
+}
+
 TEST(ProxySession, MigratesAClientWhoseAnswerIsNeverCompleted) {
   LoopbackRelay relay(2);
   auto session = relay.establish_session("1");
