The head of a response does not prolong the wait for the endpoint list

A discovery service that sends the head of its response late and then nothing was waited for up to 7 s, where 3.5 s are meant.

Cause: DiscoveryWatch took any byte for a sign of life, so the head began the wait for the first line anew. Change: only the body does.

--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -70,7 +70,6 @@
 
 void DiscoveryWatch::on_received(std::string_view bytes) {
   const auto keep_alive = shared_from_this();  // the owner may release this watch at any line
-  last_received_at_ = event_loop_.now();
   const auto state = response_.feed(bytes, [this](std::string_view part) { read_body(part); });
   if (!connection_) return;
   if (state == HttpResponse::State::malformed) return end("response is not HTTP");
@@ -116,8 +115,10 @@
   end(state_ == State::connecting ? "connect timeout" : "no first line", retry_within);
 }
 
-// A part of the body may hold several lines or a fragment of a line.
+// A part of the body may hold several lines or a fragment of a line. Only the body prolongs a wait: a server
+// that answers the head at once may never send the list.
 void DiscoveryWatch::read_body(std::string_view part) {
+  last_received_at_ = event_loop_.now();
   while (!part.empty() && connection_ && response_.status() == kStatusOk) {
     const std::size_t end_of_line = part.find('\n');
     partial_line_.append(part.substr(0, end_of_line));
--- a/tests/proxy/discovery_test.cpp
+++ b/tests/proxy/discovery_test.cpp
@@ -65,6 +65,18 @@
   EXPECT_TRUE(relay.run_until([&] { return relay.watch.received().find("after=4 ") != std::string::npos; }));
 }
 
+// Guards against a first line that is waited for anew once the head of the response has come.
+TEST(Discovery, TheHeadOfTheResponseDoesNotProlongTheWaitForTheFirstLine) {
+  LoopbackRelay relay(1, 500, R"(,"discovery":"on_request")");
+  relay.watch = relay.accept_from(relay.discovery);
+  relay.run_for(2500);
+  ASSERT_FALSE(relay.watch.is_ended_by_peer());
+
+  relay.watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return relay.watch.is_ended_by_peer(); }, 1500));
+}
+
 // A lagging discovery server would bring back backends that are gone, but a server whose version counter has
 // restarted must be followed eventually.
 TEST(Discovery, AcceptsALowerVersionOnlyIfItIsRepeated) {
