A change of discovery's address keeps the requests that are under way

The relay heard of a drain up to 10.8 s after discovery had it (6 s allowed) and sent six requests to the draining backend.

Cause: Discovery::set_address kept the watch at the old address only if it had received a line; one that waited for its answer was dropped, and the wait began anew.

Change: watches at earlier addresses stay until a later one has its first line, eight at most; beyond that the newest is dropped, as the oldest is nearest to its answer. An earlier address no longer counts towards a restarted version counter of the current one. The log line tells how many requests are kept.

--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -30,21 +30,29 @@
   watch_->start();
 }
 
-// The new address may be down or slow to start, so the watch at the old address is followed until the new one
-// receives its first line, and only the new one from then on. After two changes in a row, the watch that has
-// received a line is kept.
+// The new address may be down or slow to start, and discovery may take seconds to answer. So the watches at
+// earlier addresses are followed until a later one receives its first line: if each change ended the request
+// under way, the relay would learn nothing while changes come in quick succession.
 void Discovery::set_address(const std::string& address) {
   if (address == address_) return;
   address_ = address;
   lower_version_since_.reset();
-  if (watch_ && watch_->has_received_line()) previous_watch_ = std::move(watch_);
-  watch_.reset();
-  event_loop_.log().write(net::Topic::discovery, "discovery address is now {}", address_);
+  retire_watch();
+  event_loop_.log().write(net::Topic::discovery, "discovery address is now {}; {} earlier requests are kept",
+                          address_, earlier_watches_.size());
   ensure_watching();
 }
 
+// With too many watches, the latest one ends: the others are nearer to their first line.
+void Discovery::retire_watch() {
+  if (watch_ && earlier_watches_.size() < kMaxEarlierWatches) earlier_watches_.push_back(std::move(watch_));
+  watch_.reset();
+}
+
 void Discovery::on_first_line(const DiscoveryWatch& watch) {
-  if (&watch == watch_.get()) previous_watch_.reset();
+  const auto is_same = [&watch](const auto& earlier) { return earlier.get() == &watch; };
+  const auto first_kept = std::ranges::find_if(earlier_watches_, is_same);
+  earlier_watches_.erase(earlier_watches_.begin(), first_kept);
 }
 
 void Discovery::on_list_line(DiscoveryWatch& watch, const std::string& line) {
@@ -55,7 +63,8 @@
     // A malformed list must not be applied in part: the previous list stays in force.
     return watch.end(error.what());
   }
-  if (!is_current(list)) return watch.end("endpoint list older than the current one");
+  const bool is_newest = &watch == watch_.get() ? is_current(list) : list.version >= version_;
+  if (!is_newest) return watch.end("endpoint list older than the current one");
   version_ = list.version;
   on_list_(list, last_line_at());
 }
@@ -63,9 +72,8 @@
 // Each line, also a heartbeat, confirms that nothing else has changed up to its arrival.
 Micros Discovery::last_line_at() const {
   Micros latest = last_line_of_ended_watches_;
-  for (const auto* watch : {watch_.get(), previous_watch_.get()}) {
-    if (watch) latest = std::max(latest, watch->last_line_at());
-  }
+  if (watch_) latest = std::max(latest, watch_->last_line_at());
+  for (const auto& watch : earlier_watches_) latest = std::max(latest, watch->last_line_at());
   return latest;
 }
 
@@ -88,7 +96,7 @@
 void Discovery::on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) {
   event_loop_.log().write(net::Topic::discovery, "watch ended: {}", reason);
   last_line_of_ended_watches_ = std::max(last_line_of_ended_watches_, watch.last_line_at());
-  if (&watch == previous_watch_.get()) previous_watch_.reset();
+  std::erase_if(earlier_watches_, [&watch](const auto& earlier) { return earlier.get() == &watch; });
   if (&watch != watch_.get()) return;
   watch_.reset();
   on_failed_(retry_within);
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -1,11 +1,13 @@
 // Follows the endpoint list of the discovery server, also when the server's address changes.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "net/event_loop.hpp"
 #include "protocol/endpoint_list.hpp"
@@ -13,9 +15,9 @@
 
 namespace cherryrail::proxy {
 
-// Owns the watch at the current address and, for a while after an address change, the watch at the previous
-// address. Decides which watch is followed and which lists are newer than the known version. Starts a new
-// watch only when ensure_watching() or set_address() is called.
+// Owns the watch at the current address and, for a while after address changes, those at the earlier
+// addresses. Decides which watches are followed and which lists are newer than the known version. Starts a
+// new watch only when ensure_watching() or set_address() is called.
 class Discovery final : private DiscoveryWatchOwner {
  public:
   // `current_until`: until when the list before this one is known to have been current; 0 if never.
@@ -37,10 +39,14 @@
   void set_address(const std::string& address);
 
  private:
+  // Watches at earlier addresses are kept up to this number, however fast the address changes.
+  static constexpr std::size_t kMaxEarlierWatches = 8;
+
   void on_first_line(const DiscoveryWatch& watch) override;
   void on_list_line(DiscoveryWatch& watch, const std::string& line) override;
   void on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) override;
   Micros last_line_at() const;
+  void retire_watch();
   bool is_current(const protocol::EndpointList& list);
 
   net::EventLoop& event_loop_;
@@ -50,8 +56,8 @@
   OnFailed on_failed_;
   Micros first_line_timeout_;
   std::shared_ptr<DiscoveryWatch> watch_;  // at the current address
-  // At the previous address, until the first line of the watch at the current address.
-  std::shared_ptr<DiscoveryWatch> previous_watch_;
+  // At earlier addresses, oldest first. Each is kept until a later watch receives its first line.
+  std::vector<std::shared_ptr<DiscoveryWatch>> earlier_watches_;
   Micros last_line_of_ended_watches_ = 0;      // 0: none has received a line
   std::optional<Micros> lower_version_since_;  // since when the current address sends a lower version
 };
--- a/src/proxy/discovery_watch.hpp
+++ b/src/proxy/discovery_watch.hpp
@@ -48,7 +48,6 @@
   void start();
   // Closes the connection and notifies the owner.
   void end(const std::string& reason, Micros retry_within = kNoRetryLimit);
-  [[nodiscard]] bool has_received_line() const { return state_ == State::streaming; }
   // When the latest line was received, 0 if none was. Does not count a line that is being passed to the
   // owner.
   [[nodiscard]] Micros last_line_at() const { return last_line_at_; }
@@ -78,7 +77,7 @@
   std::string partial_line_;
   State state_ = State::connecting;
   Micros started_at_ = 0;
-  Micros last_received_at_ = 0;
+  Micros last_received_at_ = 0;  // the latest part of the body; before the first, when the watch started
   Micros last_line_at_ = 0;
 };
 
--- a/tests/proxy/reload_test.cpp
+++ b/tests/proxy/reload_test.cpp
@@ -2,9 +2,12 @@
 // time.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstddef>
 #include <fstream>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "support/loopback_relay.hpp"
 #include "support/temporary_folder.hpp"
@@ -76,6 +79,64 @@
   EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
 }
 
+// Starts to follow a new discovery server, which accepts the request for the list and does not answer yet.
+TestSocket reload_with_slow_discovery(LoopbackRelay& relay) {
+  relay.discovery = TestSocket::listening();
+  relay.reload_config(relay.config_text(500));
+  relay.accept_watch();
+  return std::exchange(relay.watch, TestSocket());
+}
+
+// Guards against a relay that learns nothing while new configurations come faster than discovery answers
+// (review/9): a request that waits for its answer must outlast the next change of the address.
+TEST(Reload, FollowsARequestThatIsAnsweredAfterTheNextReload) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+  relay.publish_endpoints(endpoint_changes(5, {}));
+  TestSocket first_watch = std::exchange(relay.watch, TestSocket());
+  const TestSocket slow_watch = reload_with_slow_discovery(relay);
+  const TestSocket unanswered_watch = reload_with_slow_discovery(relay);
+  first_watch.close();
+  relay.run_for(50);
+
+  slow_watch.send(http_chunk(endpoint_changes(6, {relay.endpoint(index, "leaving")}) + "\n"));
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
+}
+
+// Guards against a relay that hears an outdated discovery server for ever.
+TEST(Reload, EndsOnlyTheWatchesOlderThanTheOneThatReceivesItsFirstLine) {
+  LoopbackRelay relay(1);
+  relay.publish_endpoints(endpoint_changes(5, {}));
+  TestSocket first = std::exchange(relay.watch, TestSocket());
+  TestSocket second = reload_with_slow_discovery(relay);
+  TestSocket third = reload_with_slow_discovery(relay);
+  TestSocket fourth = reload_with_slow_discovery(relay);
+
+  third.send(http_chunk("\n"));
+
+  EXPECT_TRUE(relay.run_until([&] { return first.is_ended_by_peer() && second.is_ended_by_peer(); }));
+  EXPECT_FALSE(third.is_ended_by_peer());
+  EXPECT_FALSE(fourth.is_ended_by_peer());
+}
+
+// Guards against descriptors that run out while configurations come at full speed, and against a limit that
+// ends the oldest request, which would start the wait anew each time.
+TEST(Reload, KeepsTheOldestOfManyUnansweredRequests) {
+  LoopbackRelay relay(2);
+  auto session = relay.establish_session("1");
+  const std::size_t index = relay.backend_index(session.upstream);
+  std::vector<TestSocket> watches;
+  for (int i = 0; i < 30; ++i) watches.push_back(reload_with_slow_discovery(relay));
+  const auto is_open = [](TestSocket& watch) { return !watch.is_ended_by_peer(); };
+  EXPECT_LE(std::ranges::count_if(watches, is_open), 10);
+
+  watches.front().send(http_chunk(endpoint_changes(6, {relay.endpoint(index, "leaving")}) + "\n"));
+
+  EXPECT_TRUE(relay.run_until([&] { return session.client.received() == "UP r\r\nMOVE\r\n"; }));
+}
+
 TEST(Reload, AsksTheNewDiscoveryServerAtOnceAfterFailuresOfTheOldOne) {
   LoopbackRelay relay(2, 500,
                       R"(,"balancers":300,"discovery":"on_request","invariants":{"ask_within":20000})");
