A request whose id was used before is not sent, also at the other process

Cause: ids were refused for 5 s, every request took one of 8,192 places, also one that was never sent, and a successor knew only the ids of the sessions handed over to it.

Change: an id is claimed before the first request with it is sent, refused for 60 s after its session, and only claimed ids are remembered (65,536). The processes of a hot restart tell each other the ids, all when they meet and each one before its request is sent; the other's messages are read after that, so that of two claims at one moment at least one is refused (ERR).

--- a/src/admin/handover_codec.cpp
+++ b/src/admin/handover_codec.cpp
@@ -18,7 +18,9 @@
 constexpr const char* kBackendKey = "backend";
 constexpr const char* kWaitedKey = "waited";
 constexpr const char* kStateKey = "memory";
-constexpr const char* kDisabledBackendsKey = "disabled_backends";  // earlier builds ignore such a message
+// Earlier builds ignore messages with these keys.
+constexpr const char* kDisabledBackendsKey = "disabled_backends";
+constexpr const char* kClaimedSessionIdsKey = "session_ids";
 
 // The keys of the state snapshot.
 constexpr const char* kStartedAtKey = "born";
@@ -127,6 +129,11 @@
     map[kDisabledBackendsKey] = changes.is_disabled;
     return map;
   }
+  json operator()(const proxy::ClaimedSessionIds& ids) const {
+    json map = message_map("", "", "", 0);
+    map[kClaimedSessionIdsKey] = ids.hashes;
+    return map;
+  }
   json operator()(const StateSnapshot& state) const {
     json map = message_map("", "", "", 0);
     map[kStateKey] = encode_state(state);
@@ -138,6 +145,8 @@
   if (const auto state = map.find(kStateKey); state != map.end()) return decode_state(*state);
   if (const auto changes = map.find(kDisabledBackendsKey); changes != map.end())
     return proxy::DisabledBackendChanges{changes->get<std::map<std::string, bool>>()};
+  if (const auto ids = map.find(kClaimedSessionIdsKey); ids != map.end())
+    return proxy::ClaimedSessionIds{ids->get<std::vector<std::uint64_t>>()};
   std::string received = text_at(map, kReceivedKey);
   std::string open_request = text_at(map, kOpenRequestKey);
   std::string backend = text_at(map, kBackendKey);
--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "admin/session_id_announcer.hpp"
 #include "admin/state_files.hpp"
 
 namespace cherryrail::admin {
@@ -44,6 +45,7 @@
   HandoverChannel channel;
   int process = 0;  // 0 if it is this process
   std::unique_ptr<net::IoWatch> watch;
+  SessionIdAnnouncer session_ids;
 };
 
 HotRestartCoordinator::HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
@@ -52,12 +54,13 @@
     : event_loop_(event_loop), proxy_(proxy), disabled_backends_(disabled_backends),
       socket_(socket_folder(relay_config), state_file_name(relay_config.name, kServingProcessSuffix)) {
   if (!relay_config.inherited_listener) return;
+  proxy_.on_session_id_claimed([this](std::uint64_t id_hash) { exchange_claims(id_hash); });
   // Connected from the start, so that both processes can count each other's descriptors.
   if (auto predecessor = socket_.connect_to_successor()) add_peer(std::move(*predecessor));
   proxy_.on_ready([this] { announce(); });
 }
 
-HotRestartCoordinator::~HotRestartCoordinator() = default;
+HotRestartCoordinator::~HotRestartCoordinator() { proxy_.on_session_id_claimed({}); }
 
 void HotRestartCoordinator::announce() {
   if (!socket_.announce()) {
@@ -74,9 +77,9 @@
   if (auto channel = socket_.accept()) add_peer(std::move(*channel));
 }
 
-void HotRestartCoordinator::add_peer(HandoverChannel channel) {
+HotRestartCoordinator::PeerPtr HotRestartCoordinator::add_peer(HandoverChannel channel) {
   const int process = channel.peer_process().value_or(0);
-  const auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr});
+  const auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}});
   peers_.push_back(peer);
   // A pending event may be delivered after its peer has been removed.
   const auto on_readable = [this, weak_peer = std::weak_ptr(peer)](bool, bool) {
@@ -85,10 +88,17 @@
   peer->watch = std::make_unique<net::IoWatch>(event_loop_, peer->channel.descriptor(), on_readable);
   peer->watch->set_interest(true, false);
   if (!std::exchange(is_polling_peers_, true)) poll_peer_descriptors();
+  peer->session_ids.add(proxy_.claimed_session_ids());
+  announce_session_ids();
+  return peer;
 }
 
 void HotRestartCoordinator::receive_from(Peer& peer) {
   count_peer_descriptors();
+  receive_messages(peer);
+}
+
+void HotRestartCoordinator::receive_messages(Peer& peer) {
   for (int count = 0; count < kMaxMessagesPerEvent; ++count) {
     // If a message were read while no descriptors are left for its connections, its session would be lost.
     if (!proxy_.can_receive_handover()) return pause_receiving(peer);
@@ -126,6 +136,22 @@
   count_peer_descriptors();
 }
 
+// Tells the other process the id, then reads what that has claimed, so that the caller can compare.
+void HotRestartCoordinator::exchange_claims(std::uint64_t id_hash) {
+  for (const auto& peer : peers_) peer->session_ids.add({&id_hash, 1});
+  announce_session_ids();
+  const std::list<PeerPtr> peers = peers_;  // a peer that is gone is removed meanwhile
+  for (const auto& peer : peers) receive_messages(*peer);
+}
+
+void HotRestartCoordinator::announce_session_ids() {
+  bool is_complete = true;
+  for (const auto& peer : peers_) is_complete = peer->session_ids.flush(peer->channel) && is_complete;
+  if (is_complete) return;
+  announcement_timer_ =
+      net::Timer(event_loop_, event_loop_.now() + kRetryInterval, [this] { announce_session_ids(); });
+}
+
 void HotRestartCoordinator::count_peer_descriptors() {
   std::set<int> processes;
   for (const auto& peer : peers_) processes.insert(peer->process);
@@ -144,12 +170,18 @@
 
 void HotRestartCoordinator::shut_down() {
   if (std::exchange(is_shutting_down_, true)) return;
-  successor_ = socket_.connect_to_successor();
+  connect_to_successor();
   if (!successor_) return proxy_.begin_graceful_shutdown();
   collect_state();
   hand_over_until(proxy_.handover_deadline());
 }
 
+// The successor learns the claimed session ids before it gets any session.
+void HotRestartCoordinator::connect_to_successor() {
+  auto channel = socket_.connect_to_successor();
+  successor_ = channel ? add_peer(std::move(*channel)) : nullptr;
+}
+
 // Disabled backends are sent first, because the successor may be serving already.
 void HotRestartCoordinator::collect_state() {
   if (!disabled_backends_.pending_changes().empty())
@@ -162,7 +194,7 @@
 // skipped, because it must not block the handover of sessions.
 SendResult HotRestartCoordinator::hand_over_state() {
   while (sent_state_count_ < state_.size()) {
-    const SendResult result = successor_->send({state_[sent_state_count_]});
+    const SendResult result = successor_->channel.send({state_[sent_state_count_]});
     if (result == SendResult::try_again || result == SendResult::peer_gone) return result;
     if (result == SendResult::too_large)
       event_loop_.log().write(net::Topic::error,
@@ -179,7 +211,7 @@
   const SendResult state_result = hand_over_state();
   bool is_successor_gone = state_result == SendResult::peer_gone;
   const auto send = [this, &is_successor_gone](const proxy::OutgoingHandover& handover) {
-    const SendResult result = successor_->send(handover);
+    const SendResult result = successor_->channel.send(handover);
     if (result == SendResult::peer_gone) is_successor_gone = true;
     return result == SendResult::sent;
   };
@@ -187,7 +219,7 @@
   if (is_everything_handed_over) return proxy_.stop_when_empty();
   // With two restarts in quick succession, a successor that is gone may have a successor of its own.
   if (is_successor_gone) {
-    successor_ = socket_.connect_to_successor();
+    connect_to_successor();
     sent_state_count_ = 0;
   }
   if (!successor_ || event_loop_.now() >= deadline) return proxy_.migrate_remaining_sessions();
--- a/src/admin/hot_restart_coordinator.hpp
+++ b/src/admin/hot_restart_coordinator.hpp
@@ -2,9 +2,9 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <list>
 #include <memory>
-#include <optional>
 #include <vector>
 
 #include "admin/disabled_backends_sync.hpp"
@@ -12,13 +12,15 @@
 #include "admin/hot_restart_socket.hpp"
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "proxy/proxy_server.hpp"
 
 namespace cherryrail::admin {
 
 // Announces this process once its proxy is ready, receives the handover of a predecessor, and at the end
 // hands the proxy's sessions over to a successor. While two processes run, each counts the other's
-// descriptors, since both share one descriptor limit.
+// descriptors, since both share one descriptor limit, and tells the other the session ids that it claims,
+// since no request may be sent twice.
 class HotRestartCoordinator {
  public:
   // Hot restart requires an inherited listening socket; without one, only shut_down() has an effect.
@@ -36,15 +38,20 @@
 
  private:
   struct Peer;
+  using PeerPtr = std::shared_ptr<Peer>;
 
   void announce();
   void accept_predecessor();
-  void add_peer(HandoverChannel channel);
+  PeerPtr add_peer(HandoverChannel channel);
+  void connect_to_successor();
   void receive_from(Peer& peer);
+  void receive_messages(Peer& peer);
   void pause_receiving(const Peer& peer);
   void resume_receiving();
   void handle_handover(proxy::IncomingHandover handover);
   void remove_peer(const Peer& peer);
+  void exchange_claims(std::uint64_t id_hash);
+  void announce_session_ids();
   void count_peer_descriptors();
   void poll_peer_descriptors();
   void collect_state();
@@ -55,13 +62,14 @@
   proxy::ProxyServer& proxy_;
   DisabledBackendsSync& disabled_backends_;
   HotRestartSocket socket_;
-  std::optional<HandoverChannel> successor_;   // receives the sessions
+  PeerPtr successor_;                          // receives the sessions
   std::vector<proxy::HandoverMessage> state_;  // sent before the sessions
   std::size_t sent_state_count_ = 0;           // messages of state_ sent to this successor
   bool is_shutting_down_ = false;
   std::unique_ptr<net::IoWatch> announcement_watch_;
-  std::list<std::shared_ptr<Peer>> peers_;  // predecessor and successor processes
+  std::list<PeerPtr> peers_;  // predecessor and successor processes
   bool is_polling_peers_ = false;
+  net::Timer announcement_timer_;  // for session ids that could not be sent yet
 };
 
 // The number of descriptors that a process has open; 0 if it cannot be determined.
--- a/src/protocol/text_fields.cpp
+++ b/src/protocol/text_fields.cpp
@@ -11,12 +11,6 @@
 constexpr std::uint64_t kFnvPrime = 0x100000001b3ULL;
 constexpr int kKeyBase = 16;
 
-std::uint64_t fnv_hash(std::string_view text) {
-  std::uint64_t hash = kFnvOffsetBasis;
-  for (const char character : text) hash = (hash ^ static_cast<unsigned char>(character)) * kFnvPrime;
-  return hash;
-}
-
 char to_ascii_lower(char character) {
   const bool is_upper = character >= 'A' && character <= 'Z';
   return is_upper ? static_cast<char>(character - 'A' + 'a') : character;
@@ -44,6 +38,12 @@
   return parse_number(find_field(report, name));
 }
 
+std::uint64_t hash_of_text(std::string_view text) {
+  std::uint64_t hash = kFnvOffsetBasis;
+  for (const char character : text) hash = (hash ^ static_cast<unsigned char>(character)) * kFnvPrime;
+  return hash;
+}
+
 std::optional<double> parse_number(std::string_view text) {
   double value = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
@@ -57,7 +57,7 @@
   std::uint64_t key = 0;
   const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), key, kKeyBase);
   const bool is_hexadecimal = error == std::errc{} && end == text.data() + text.size();
-  return is_hexadecimal ? key : fnv_hash(text);
+  return is_hexadecimal ? key : hash_of_text(text);
 }
 
 bool equals_ignoring_case(std::string_view left, std::string_view right) {
--- a/src/protocol/text_fields.hpp
+++ b/src/protocol/text_fields.hpp
@@ -21,6 +21,9 @@
 // Parses a text that consists of one finite decimal number; empty otherwise.
 std::optional<double> parse_number(std::string_view text);
 
+// The FNV-1a hash of a text, which is the same in every process and build.
+std::uint64_t hash_of_text(std::string_view text);
+
 // Parses a key for hashing. Keys are normally hexadecimal numbers; any other text gives its FNV-1a hash,
 // which is the same in every relay. An empty text gives 0.
 std::uint64_t parse_key(std::string_view text);
--- a/src/proxy/handover_message.hpp
+++ b/src/proxy/handover_message.hpp
@@ -1,10 +1,12 @@
-// The messages that a relay process sends to its successor at a hot restart. The proxy creates and handles
+// The messages between a relay process and its successor at a hot restart. The proxy creates and handles
 // them; the admin module transfers them between the two processes.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "balancer/balancer.hpp"
 #include "net/file_descriptor.hpp"
@@ -29,8 +31,15 @@
   std::map<std::string, bool> is_disabled;  // keyed by the backend's uid
 };
 
+// Hashes of session ids that the sender has claimed (SessionIdRegistry); sent without a socket, in both
+// directions.
+struct ClaimedSessionIds {
+  std::vector<std::uint64_t> hashes;
+};
+
 // The state snapshot holds the balancer's learned state and is sent without a socket.
-using HandoverMessage = std::variant<PendingClient, OpenSession, StateSnapshot, DisabledBackendChanges>;
+using HandoverMessage =
+    std::variant<PendingClient, OpenSession, StateSnapshot, DisabledBackendChanges, ClaimedSessionIds>;
 
 // A message to send. The sender keeps its sockets; the receiving process gets duplicates.
 struct OutgoingHandover {
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -276,6 +276,10 @@
     import_state(std::move(*state));
     return;
   }
+  if (const auto* ids = std::get_if<ClaimedSessionIds>(&handover.message)) {
+    session_ids_.record_claims_of_peer(ids->hashes);
+    return;
+  }
   net::SocketPtr downstream = net::adopt_socket(handover.downstream.release());
   if (const auto* pending = std::get_if<PendingClient>(&handover.message)) {
     downstream_->add_pending_client(std::move(downstream), pending->received, pending->waited);
@@ -301,7 +305,7 @@
                             describe(*fault, session->request()));
     return;
   }
-  register_id(*session);
+  session->set_id_registration(session_ids_.adopt(session->id()));
   const auto backend = endpoints_.find_or_add_gone(handover.backend);
   downstream_->add_established_client(std::move(downstream), session);
   upstream_.add_established(session, std::move(upstream));
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
@@ -73,6 +76,12 @@
   bool can_receive_handover() const { return descriptors_.allows_use_of_reserve(); }
   void receive_handover(IncomingHandover handover);
 
+  // Hot restart, on both sides: no request may be sent by both processes. See SessionIdRegistry.
+  void on_session_id_claimed(SessionIdRegistry::OnClaim callback) {
+    session_ids_.on_claim(std::move(callback));
+  }
+  std::vector<std::uint64_t> claimed_session_ids() const { return session_ids_.claimed_ids(); }
+
   // BalancerActions
   Micros now() const override { return event_loop_.now(); }
   Micros wall_clock_step() const override { return event_loop_.wall_clock_step(); }
--- a/src/proxy/proxy_session.cpp
+++ b/src/proxy/proxy_session.cpp
@@ -87,7 +87,7 @@
   const auto keep_alive = self();
   if (downstream_) downstream_->read_now();
   const Backend* const target = backend.get();
-  if (downstream_ == nullptr || target == nullptr) return false;
+  if (downstream_ == nullptr || target == nullptr || !claim_id()) return false;
   const Refusal refusal = balancer_.refuse_request(*this, *target);
   if (refusal != Refusal::none) {
     event_loop_.log().write(net::Topic::connection, "request not sent: session={} backend={} reason={}", id(),
@@ -98,6 +98,14 @@
   return true;
 }
 
+bool ProxySession::claim_id() {
+  if (!id_registration_ || id_registration_->claim()) return true;
+  event_loop_.log().write(net::Topic::connection, "request not sent: session={} reason=duplicate_id", id());
+  balancer_.on_client_left(*this);
+  refuse("ERR", DownstreamResult::bad_request);
+  return false;
+}
+
 void ProxySession::on_upstream_established(std::string_view line, Micros duration) {
   const auto keep_alive = self();
   if (!downstream_ || is_answered) {  // the client has left or already has its final answer
--- a/src/proxy/proxy_session.hpp
+++ b/src/proxy/proxy_session.hpp
@@ -101,6 +101,8 @@
   void report_attempt_end(const AttemptOutcome& outcome, bool is_finished, const LoadReport& report);
   void report_cancelled(bool is_finished);
   void check_final_answer(bool invites_retry);
+  // Returns false after answering the client ERR if another process has a request with the same id.
+  bool claim_id();
   void end_before_answer(DownstreamResult result);
   void forward_downstream(std::string_view lines);
   void forward_upstream(std::string_view lines);
--- a/tests/admin/handover_compatibility_test.cpp
+++ b/tests/admin/handover_compatibility_test.cpp
@@ -101,6 +101,12 @@
   return text;
 }
 
+std::string describe(const proxy::ClaimedSessionIds& ids) {
+  std::string text = "claimed ids";
+  for (const std::uint64_t hash : ids.hashes) text += fmt::format(" {}", hash);
+  return text;
+}
+
 std::string describe(const proxy::PendingClient& client) {
   return fmt::format("pending client, waited {}: {}", client.waited, client.received);
 }
--- a/tests/admin/hot_restart_test.cpp
+++ b/tests/admin/hot_restart_test.cpp
@@ -6,12 +6,15 @@
 
 #include <array>
 #include <cerrno>
+#include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "admin/handover_channel.hpp"
 #include "admin/hot_restart_coordinator.hpp"
 #include "admin/hot_restart_socket.hpp"
+#include "admin/session_id_announcer.hpp"
 #include "support/admin_relay.hpp"
 #include "support/fault_plan.hpp"
 #include "support/restarting_relay.hpp"
@@ -133,6 +136,31 @@
     EXPECT_EQ(relay.backend_index(relay.establish_session(std::to_string(i)).upstream), 0u);
 }
 
+// More ids than the socket between the two processes holds at once.
+TEST(HotRestart, AllClaimedIdsAreReceivedAsSent) {
+  std::array<int, 2> ends{};
+  ASSERT_EQ(socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_NONBLOCK, 0, ends.data()), 0);
+  const admin::HandoverChannel sender{net::FileDescriptor(ends[0])};
+  const admin::HandoverChannel receiver{net::FileDescriptor(ends[1])};
+  std::vector<std::uint64_t> sent;
+  for (std::uint64_t i = 0; i < 65'536; ++i) sent.push_back(~i);
+  admin::SessionIdAnnouncer announcer;
+  announcer.add(sent);
+
+  std::vector<std::uint64_t> received;
+  EXPECT_FALSE(announcer.flush(sender));
+  for (int rounds = 0; received.size() < sent.size() && rounds < 100; ++rounds) {
+    const admin::ReceiveResult result = receiver.receive();
+    ASSERT_TRUE(result.handover);
+    const auto& hashes = std::get<proxy::ClaimedSessionIds>(result.handover->message).hashes;
+    received.insert(received.end(), hashes.begin(), hashes.end());
+    announcer.flush(sender);
+  }
+
+  EXPECT_EQ(received, sent);
+  EXPECT_TRUE(announcer.flush(sender));
+}
+
 // The state of 2,000 backends in one message: 170 KB.
 TEST(HotRestart, LargeStateIsReceivedCompletely) {
   std::array<int, 2> ends{};
--- a/tests/admin/session_handover_test.cpp
+++ b/tests/admin/session_handover_test.cpp
@@ -2,9 +2,11 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <string>
 #include <utility>
 
+#include "support/fault_plan.hpp"
 #include "support/restarting_relay.hpp"
 
 namespace cherryrail::testing {
@@ -135,6 +137,54 @@
   EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
 }
 
+// Guards against an id that runs twice (issue 61): its client left the first process, and it comes again at
+// the successor.
+TEST(SessionHandover, SuccessorRefusesTheIdOfAClientThatLeftTheFirstProcess) {
+  RestartingRelay relay(2);
+  TestSocket client = relay.connect_client("OPEN 9 9 c=talk,d=1200\r\n");
+  const TestSocket upstream = relay.accept_attempt();
+  client.close();
+  relay.run_for(20);
+
+  relay.replace();
+  TestSocket other = relay.connect_client("OPEN 9 9 c=talk,d=1200\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return other.received() == "ERR\r\n"; }));
+  EXPECT_FALSE(relay.has_unaccepted_attempt());
+}
+
+// The same for ids that either process uses while both accept clients, although messages between them cannot
+// be sent at first.
+TEST(SessionHandover, EachProcessKnowsTheIdsThatTheOtherUses) {
+  const FaultPlanScope scope;
+  RestartingRelay relay(1);
+  auto before = relay.establish_session("1");
+  relay.second = relay.start_process();
+  fault_plan().hand_over.error_number = EAGAIN;
+  fault_plan().hand_over.remaining = 3;
+
+  for (int i = 2; i < 12; ++i) relay.establish_session(std::to_string(i));
+  relay.run_for(100);
+
+  EXPECT_EQ(relay.first->proxy.claimed_session_ids().size(), 11u);
+  EXPECT_EQ(relay.second->proxy.claimed_session_ids().size(), 11u);
+}
+
+// A third process learns from the second what the first has told.
+TEST(SessionHandover, IdsStayRefusedOverSeveralReplacements) {
+  RestartingRelay relay(2);
+  { const auto session = relay.establish_session("9"); }
+  relay.replace();
+  relay.run_for(60);
+
+  relay.first = std::move(relay.second);
+  relay.replace();
+  TestSocket other = relay.connect_client("OPEN 9 9 c=talk,d=1200\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return other.received() == "ERR\r\n"; }));
+  EXPECT_FALSE(relay.has_unaccepted_attempt());
+}
+
 // A handover message for an established session, with the remote ends of the session's connections.
 struct HandedOverSession {
   TestSocket client_listener = TestSocket::listening();
--- a/tests/proxy/downstream_test.cpp
+++ b/tests/proxy/downstream_test.cpp
@@ -96,6 +96,35 @@
   EXPECT_TRUE(relay.run_until([&] { return session.upstream.received().ends_with("x\r\n"); }));
 }
 
+// Guards against an id that runs twice (issue 61): ids were forgotten five seconds after their sessions.
+TEST(Downstream, RejectsTheIdOfAClientThatLeftSecondsAgo) {
+  LoopbackRelay relay(2);
+  TestSocket client = relay.connect_client("OPEN 77 1 c=talk,d=1200\r\n");
+  const TestSocket upstream = relay.accept_attempt();
+  client.close();
+  relay.run_for(5500);
+
+  TestSocket other = relay.connect_client("OPEN 77 1 c=talk,d=1200\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return other.received() == "ERR\r\n"; }));
+  EXPECT_FALSE(relay.has_unaccepted_attempt());
+}
+
+// Guards against an id that runs at both processes of a hot restart: the other process claims it after this
+// one has accepted the request.
+TEST(Downstream, SendsNoRequestWhoseIdAnotherProcessClaimsMeanwhile) {
+  LoopbackRelay relay(2);
+  relay.proxy->on_session_id_claimed([&](std::uint64_t hash) {
+    relay.proxy->receive_handover({proxy::ClaimedSessionIds{{hash}}, {}, {}});
+  });
+
+  TestSocket client = relay.connect_client("OPEN 77 1 c=talk,d=1200\r\n");
+
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
+  EXPECT_EQ(client.received(), "ERR\r\n");
+  EXPECT_FALSE(relay.has_unaccepted_attempt());
+}
+
 TEST(Downstream, RejectsAClientThatPipelinesRequests) {
   LoopbackRelay relay(1);
   std::string requests;
