A client's reset ends its session at once, also while the backend reads nothing

Cause: while the backend's connection takes nothing, the relay does not read from the client, and a watch without interest is not in the epoll set at all, so neither a reset nor anything else is seen.

Change: a client's connection asks for hang-ups also while it is not read (Connection::report_resets_at_once). A hang-up without an error, when both sides have ended their sending, is asked for no more, as it would be reported for ever. Backends' connections stay as they were: what a backend has written before its end belongs to the client.

--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -65,7 +65,12 @@
   if (!watch_) return;
   const bool wants_input = !is_connecting_ && is_reading_ && !has_peer_ended_sending_;
   const bool wants_output = is_connecting_ || !unsent_.empty();
-  watch_->set_interest(wants_input, wants_output);
+  watch_->set_interest(wants_input, wants_output, wants_hang_up_);
+}
+
+void Connection::report_resets_at_once() {
+  wants_hang_up_ = true;
+  update_interest();
 }
 
 void Connection::set_reading(bool is_wanted) {
@@ -75,6 +80,10 @@
 
 void Connection::on_ready(bool is_readable, bool is_writable) {
   const auto keep_alive = shared_from_this();
+  if (!is_readable && !is_writable) {
+    check_hang_up();
+    return;
+  }
   if (is_writable && is_connecting_) {
     finish_connecting();
     return;
@@ -83,6 +92,16 @@
   if (is_readable && is_open()) receive();
 }
 
+// A hang-up without an error means that both sides have ended their sending. It would be reported for ever.
+void Connection::check_hang_up() {
+  if (g_socket_check_connect_result(socket_.get(), nullptr) == FALSE) {
+    fail();
+    return;
+  }
+  wants_hang_up_ = false;
+  update_interest();
+}
+
 void Connection::finish_connecting() {
   if (g_socket_check_connect_result(socket_.get(), nullptr) == FALSE) {
     fail();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -79,6 +79,9 @@
   // Enables or disables reading. While disabled, input stays in the kernel and TCP flow control slows the
   // peer.
   void set_reading(bool is_wanted);
+  // From now on a reset by the peer is reported also while reading is disabled. Input that was not read by
+  // then is lost.
+  void report_resets_at_once();
 
   bool is_open() const { return socket_ != nullptr; }
   std::size_t unsent_bytes() const { return unsent_.size(); }
@@ -93,6 +96,7 @@
 
   void on_ready(bool is_readable, bool is_writable);
   void finish_connecting();
+  void check_hang_up();
   void receive();
   void discard_received();
   std::optional<std::size_t> write_gathered(std::initializer_list<std::string_view> pieces);
@@ -116,6 +120,7 @@
   bool is_reading_ = true;
   bool is_lingering_ = false;  // close_gracefully is in progress
   bool has_peer_ended_sending_ = false;
+  bool wants_hang_up_ = false;  // report_resets_at_once() is in effect
   SendState send_state_ = SendState::open;
 };
 
--- a/src/net/io_poller.cpp
+++ b/src/net/io_poller.cpp
@@ -33,10 +33,11 @@
   poller_.remove(*this);
 }
 
-void IoWatch::set_interest(bool wants_input, bool wants_output) {
+void IoWatch::set_interest(bool wants_input, bool wants_output, bool wants_hang_up) {
   const std::uint32_t input = wants_input ? kInput : 0;
   const std::uint32_t output = wants_output ? kOutput : 0;
-  wanted_interest_ = input | output;
+  const std::uint32_t hang_up = wants_hang_up ? kHangUpOrError : 0;
+  wanted_interest_ = input | output | hang_up;
   if (!poller_.update(*this)) IoPoller::schedule_update_retry(event_loop_);
 }
 
--- a/src/net/io_poller.hpp
+++ b/src/net/io_poller.hpp
@@ -29,8 +29,10 @@
   IoWatch(const IoWatch&) = delete;
   IoWatch& operator=(const IoWatch&) = delete;
 
-  // Takes effect immediately, or after a retry if the kernel temporarily lacks the memory.
-  void set_interest(bool wants_input, bool wants_output);
+  // Takes effect immediately, or after a retry if the kernel temporarily lacks the memory. With
+  // `wants_hang_up`, a hang-up or an error is reported although neither input nor output is wanted: the
+  // callback is then called with false twice.
+  void set_interest(bool wants_input, bool wants_output, bool wants_hang_up = false);
 
  private:
   friend class IoPoller;
--- a/src/proxy/client_connection.cpp
+++ b/src/proxy/client_connection.cpp
@@ -27,6 +27,8 @@
   pending_since_ = connected_at_;
   last_write_at_ = connected_at_;
   connection_ = net::Connection::adopt(event_loop_, std::move(socket), *this);
+  // Otherwise lines of a client that is gone would be sent on once its slow backend reads again.
+  connection_->report_resets_at_once();
 }
 
 void ClientConnection::start(net::SocketPtr socket, Micros waited) {
--- a/tests/proxy/proxy_session_test.cpp
+++ b/tests/proxy/proxy_session_test.cpp
@@ -54,6 +54,25 @@
   EXPECT_TRUE(relay.run_until([&] { return session.upstream.is_ended_by_peer(); }));
 }
 
+// Guards against lines that are sent on after their client has reset its connection, while the relay does not
+// read from it because its backend does not read either.
+TEST(ProxySession, ResetsTheBackendConnectionAtOnceAlthoughTheBackendReadsNothing) {
+  LoopbackRelay relay(1);
+  auto session = relay.establish_session("2");
+  const std::string lines(65536, '\n');
+  std::size_t sent = 1;
+  for (int idle = 0; idle<20; idle = sent> 0 ? 0 : idle + 1) {
+    sent = session.client.send_some(lines);
+    relay.event_loop.run_once();
+  }
+  ASSERT_EQ(relay.proxy->statistics().sessions, 1u);
+
+  session.client.reset();
+
+  EXPECT_TRUE(relay.run_until([&] { return relay.proxy->statistics().sessions == 0; }, 100));
+  EXPECT_TRUE(relay.run_until([&] { return session.upstream.is_reset_by_peer(); }));
+}
+
 TEST(ProxySession, ClosesTheClientConnectionWhenTheBackendResets) {
   LoopbackRelay relay(1);
   auto session = relay.establish_session("3");
