Timers of discovery, hot restart and disabled backends belong to their owners

The copies of kMicrosPerMillisecond are kMillisecond, and the one in the simulator's events, which turns a figure per millisecond into one per second, says so.

No change of behaviour. Measured: the 57 tests of discovery, reload, hot restart, handover and the simulator's adapter pass; the whole suite follows.

--- a/src/admin/disabled_backends_sync.cpp
+++ b/src/admin/disabled_backends_sync.cpp
@@ -50,7 +50,7 @@
   const bool had_pending_changes = !disabled_backends_.pending_changes().empty();
   disabled_backends_.store_pending_changes();
   if (is_reloaded || had_pending_changes || disabled_backends_.error()) apply();
-  event_loop_.call_at(event_loop_.now() + kPollInterval, [this] { poll_file(); });
+  poll_timer_ = net::Timer(event_loop_, event_loop_.now() + kPollInterval, [this] { poll_file(); });
 }
 
 }  // namespace cherryrail::admin
--- a/src/admin/disabled_backends_sync.hpp
+++ b/src/admin/disabled_backends_sync.hpp
@@ -7,6 +7,7 @@
 
 #include "admin/disabled_backends.hpp"
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "proxy/proxy_server.hpp"
 
 namespace cherryrail::admin {
@@ -38,6 +39,7 @@
   proxy::ProxyServer& proxy_;
   DisabledBackends disabled_backends_;
   std::optional<StorageError> logged_error_;
+  net::Timer poll_timer_;
 };
 
 }  // namespace cherryrail::admin
--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -111,7 +111,8 @@
 
 void HotRestartCoordinator::pause_receiving(const Peer& peer) {
   peer.watch->set_interest(false, false);
-  event_loop_.call_at(event_loop_.now() + kRetryInterval, [this] { resume_receiving(); });
+  receive_timer_ =
+      net::Timer(event_loop_, event_loop_.now() + kRetryInterval, [this] { resume_receiving(); });
 }
 
 void HotRestartCoordinator::resume_receiving() {
@@ -165,7 +166,8 @@
   count_peer_descriptors();
   is_polling_peers_ = !peers_.empty();
   if (!is_polling_peers_) return;
-  event_loop_.call_at(event_loop_.now() + kPeerCountInterval, [this] { poll_peer_descriptors(); });
+  peer_count_timer_ =
+      net::Timer(event_loop_, event_loop_.now() + kPeerCountInterval, [this] { poll_peer_descriptors(); });
 }
 
 void HotRestartCoordinator::shut_down() {
@@ -223,7 +225,8 @@
     sent_state_count_ = 0;
   }
   if (!successor_ || event_loop_.now() >= deadline) return proxy_.migrate_remaining_sessions();
-  event_loop_.call_at(event_loop_.now() + kRetryInterval, [this, deadline] { hand_over_until(deadline); });
+  handover_timer_ = net::Timer(event_loop_, event_loop_.now() + kRetryInterval,
+                               [this, deadline] { hand_over_until(deadline); });
 }
 
 }  // namespace cherryrail::admin
--- a/src/protocol/endpoint_list.cpp
+++ b/src/protocol/endpoint_list.cpp
@@ -13,7 +13,6 @@
 
 constexpr double kNumberLimit = 1e15;  // smaller numbers fit the integer types that they are cast to
 constexpr double kMaxCell = 1e9;
-constexpr double kMicrosPerMillisecond = 1000;
 constexpr std::size_t kMaxQuotedLength = 80;  // how much of an invalid message an error quotes
 
 // The number at `key`, or `fallback` if it is missing, negative, not finite or too large.
@@ -49,7 +48,7 @@
   entry.zone = text_or_empty(target, "az");
   entry.cell = static_cast<unsigned>(std::min(number_or(target, "pod_group", 0), kMaxCell));
   entry.capacity_hint = number_or(target, "capacity_hint", 1);
-  entry.started_at = static_cast<Micros>(number_or(target, "boot_ms", 0) * kMicrosPerMillisecond);
+  entry.started_at = static_cast<Micros>(number_or(target, "boot_ms", 0) * static_cast<double>(kMillisecond));
   return entry;
 }
 
--- a/src/protocol/open_request.cpp
+++ b/src/protocol/open_request.cpp
@@ -10,7 +10,6 @@
 
 constexpr std::string_view kOpenWord = "OPEN";
 constexpr std::string_view kClientTimeoutField = "d";  // in milliseconds
-constexpr Micros kMicrosPerMillisecond = 1000;
 // A timeout of 0 is invalid; this relay itself rejects such a line.
 constexpr Micros kMinClientTimeoutMilliseconds = 1;
 
@@ -52,7 +51,7 @@
   const auto position = static_cast<std::size_t>(original.data() - line.data());
   pieces.before = line.substr(0, position);
   pieces.after = line.substr(position + original.size());
-  const Micros milliseconds = std::max(kMinClientTimeoutMilliseconds, remaining / kMicrosPerMillisecond);
+  const Micros milliseconds = std::max(kMinClientTimeoutMilliseconds, remaining / kMillisecond);
   char* const digits = pieces.digits.data();
   const auto written = std::to_chars(digits, digits + pieces.digits.size(), milliseconds);
   pieces.digit_count = static_cast<std::size_t>(written.ptr - digits);
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -96,11 +96,10 @@
 
 // Without a timeout, a watch whose peer has vanished would stay open and silent.
 void DiscoveryWatch::schedule_silence_timeout() {
-  event_loop_.call_at(silence_deadline(), [weak = weak_from_this()] {
-    const auto self = weak.lock();
-    if (!self || !self->connection_) return;
-    if (self->event_loop_.now() < self->silence_deadline()) return self->schedule_silence_timeout();
-    self->on_silence_timeout();
+  silence_timer_ = net::Timer(event_loop_, silence_deadline(), [this] {
+    if (!connection_) return;
+    if (event_loop_.now() < silence_deadline()) return schedule_silence_timeout();
+    on_silence_timeout();
   });
 }
 
--- a/src/proxy/discovery_watch.hpp
+++ b/src/proxy/discovery_watch.hpp
@@ -9,6 +9,7 @@
 
 #include "net/connection.hpp"
 #include "net/event_loop.hpp"
+#include "net/timer.hpp"
 #include "protocol/http_response.hpp"
 
 namespace cherryrail::proxy {
@@ -75,6 +76,7 @@
   std::shared_ptr<net::Connection> connection_;  // none before start() and after the end
   protocol::HttpResponse response_;
   std::string partial_line_;
+  net::Timer silence_timer_;
   State state_ = State::connecting;
   Micros started_at_ = 0;
   Micros last_received_at_ = 0;  // the latest part of the body; before the first, when the watch started
--- a/src/simulator/events.cpp
+++ b/src/simulator/events.cpp
@@ -10,7 +10,7 @@
 constexpr float kMaxWeight = 1e9F;
 
 // The load hint on the wire is in milliseconds of work per second, the balancer's loads are in microseconds.
-constexpr double kMicrosPerMillisecond = 1000;
+constexpr double kMillisecondsPerSecond = 1000;
 
 EndpointState read_endpoint_state(std::uint8_t code, const FrameReader& reader) {
   switch (code) {
@@ -92,7 +92,7 @@
   session.tenant = reader.read<std::uint32_t>("realm");
   const auto load_hint = reader.read<double>("work_hint");
   const bool has_load_hint = (flags & kHasLoadHint) != 0;
-  if (has_load_hint && load_hint > 0) session.load_hint = load_hint * kMicrosPerMillisecond;
+  if (has_load_hint && load_hint > 0) session.load_hint = load_hint * kMillisecondsPerSecond;
   session.is_mid_flow = (flags & kIsMidFlow) != 0;
   session.is_reconnecting = (flags & (kIsClientRetry | kIsReturningClient)) != 0;
 }
