The other process's ids are told once for each process, before its state

With tens of thousands of ids the state would wait for the socket's buffer. A receiver that is short of descriptors also began its pause anew at each claim, and a successor that is gone stayed readable while it was kept.

Change: a process that has been told gets no second list; a pause in force is not begun anew; a peer that is gone is not watched.

--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -79,6 +79,10 @@
 
 HotRestartCoordinator::PeerPtr HotRestartCoordinator::add_peer(HandoverChannel channel) {
   const int process = channel.peer_process().value_or(0);
+  const auto is_same_process = [process](const PeerPtr& other) {
+    return process != 0 && other->process == process;
+  };
+  const bool has_been_told = std::ranges::any_of(peers_, is_same_process);
   const auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}});
   peers_.push_back(peer);
   // A pending event may be delivered after its peer has been removed.
@@ -88,7 +92,7 @@
   peer->watch = std::make_unique<net::IoWatch>(event_loop_, peer->channel.descriptor(), on_readable);
   peer->watch->set_interest(true, false);
   if (!std::exchange(is_polling_peers_, true)) poll_peer_descriptors();
-  peer->session_ids.add(proxy_.claimed_session_ids());
+  if (!has_been_told) peer->session_ids.add(proxy_.claimed_session_ids());
   announce_session_ids();
   return peer;
 }
@@ -111,11 +115,13 @@
 
 void HotRestartCoordinator::pause_receiving(const Peer& peer) {
   peer.watch->set_interest(false, false);
+  if (std::exchange(is_receiving_paused_, true)) return;
   receive_timer_ =
       net::Timer(event_loop_, event_loop_.now() + kRetryInterval, [this] { resume_receiving(); });
 }
 
 void HotRestartCoordinator::resume_receiving() {
+  is_receiving_paused_ = false;
   count_peer_descriptors();
   for (const auto& peer : peers_) peer->watch->set_interest(true, false);
 }
@@ -133,6 +139,7 @@
 }
 
 void HotRestartCoordinator::remove_peer(const Peer& peer) {
+  peer.watch->set_interest(false, false);  // the successor is kept although it is gone
   peers_.remove_if([&peer](const auto& other) { return other.get() == &peer; });
   count_peer_descriptors();
 }
@@ -178,7 +185,6 @@
   hand_over_until(proxy_.handover_deadline());
 }
 
-// The successor learns the claimed session ids before it gets any session.
 void HotRestartCoordinator::connect_to_successor() {
   auto channel = socket_.connect_to_successor();
   successor_ = channel ? add_peer(std::move(*channel)) : nullptr;
--- a/src/admin/hot_restart_coordinator.hpp
+++ b/src/admin/hot_restart_coordinator.hpp
@@ -69,10 +69,11 @@
   std::unique_ptr<net::IoWatch> announcement_watch_;
   std::list<PeerPtr> peers_;  // predecessor and successor processes
   bool is_polling_peers_ = false;
-  net::Timer receive_timer_;       // until messages can be received again
-  net::Timer peer_count_timer_;    // for the next count of the peers' descriptors
-  net::Timer handover_timer_;      // for what could not be handed over yet
-  net::Timer announcement_timer_;  // for session ids that could not be sent yet
+  bool is_receiving_paused_ = false;  // no descriptors are left for what may be received
+  net::Timer receive_timer_;          // until messages can be received again
+  net::Timer peer_count_timer_;       // for the next count of the peers' descriptors
+  net::Timer handover_timer_;         // for what could not be handed over yet
+  net::Timer announcement_timer_;     // for session ids that could not be sent yet
 };
 
 // The number of descriptors that a process has open; 0 if it cannot be determined.
--- a/tests/proxy/session_id_registry_test.cpp
+++ b/tests/proxy/session_id_registry_test.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "net/event_loop.hpp"
+#include "support/heap.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -52,9 +53,12 @@
   const net::EventLoop event_loop;
   SessionIdRegistry registry(event_loop);
   const auto open_session = registry.add("open");
+  constexpr std::size_t kBytesPerEndedId = 128;
+  const std::size_t bytes_before = allocated_heap_bytes();
 
   for (std::size_t i = 0; i < 3 * SessionIdRegistry::kMaxEndedIds; ++i) use_id(registry, std::to_string(i));
 
+  EXPECT_LT(allocated_heap_bytes(), bytes_before + SessionIdRegistry::kMaxEndedIds * kBytesPerEndedId);
   EXPECT_EQ(registry.ended_count(), SessionIdRegistry::kMaxEndedIds);
   EXPECT_EQ(registry.active_count(), 1u);
   EXPECT_FALSE(registry.add("open"));
