--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -83,7 +83,7 @@
     return process != 0 && other->process == process;
   };
   const bool has_been_told = std::ranges::any_of(peers_, is_same_process);
-  const auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}});
+  auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}});
   peers_.push_back(peer);
   // A pending event may be delivered after its peer has been removed.
   const auto on_readable = [this, weak_peer = std::weak_ptr(peer)](bool, bool) {
