--- a/tests/proxy/client_memory_test.cpp
+++ b/tests/proxy/client_memory_test.cpp
@@ -2,11 +2,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <string>
 #include <vector>
 
-#include "support/fault_plan.hpp"
 #include "support/heap.hpp"
 #include "support/loopback_relay.hpp"
 
@@ -154,17 +152,11 @@
 
 // Guards against answers to pings that pile up without limit for a client that reads none.
 TEST(ClientMemory, EndsAClientThatPingsWithoutReadingItsAnswers) {
-  const FaultPlanScope scope;
   LoopbackRelay relay(1);
   TestSocket client = relay.connect_client("PING\r\n");
-  fault_plan().send.error_number = EAGAIN;  // as if the client's receive buffer were full
-  fault_plan().send.per_mille = 1000;
-  relay.run_for(20);
-  fault_plan().send.per_mille = 0;
+  relay.run_with_full_buffers(20);
   client.send("PING\r\n");
-  fault_plan().send.per_mille = 1000;
-  relay.run_for(20);
-  fault_plan().send.per_mille = 0;
+  relay.run_with_full_buffers(20);
 
   EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
   EXPECT_EQ(client.received(), "PONG\r\nERR\r\n");
--- a/tests/proxy/proxy_session_test.cpp
+++ b/tests/proxy/proxy_session_test.cpp
@@ -2,12 +2,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <cstddef>
 #include <string>
 #include <vector>
 
-#include "support/fault_plan.hpp"
 #include "support/loopback_relay.hpp"
 
 namespace cherryrail::testing {
@@ -165,23 +163,16 @@
 
 // Guards against whole lines of the client that are cut off since its backend has not read them yet.
 TEST(ProxySession, DeliversTheClientsLinesToASlowBackendDespiteAMigration) {
-  const FaultPlanScope scope;
   LoopbackRelay relay(2);
   auto session = relay.establish_session("1");
   const std::size_t index = relay.backend_index(session.upstream);
   const std::string request = session.upstream.received();
   relay.accept_watch();
 
-  const auto run_with_full_buffers = [&relay] {
-    fault_plan().send.error_number = EAGAIN;
-    fault_plan().send.per_mille = 1000;
-    relay.run_for(50);
-    fault_plan().send.per_mille = 0;
-  };
   session.client.send("a line\r\n");
-  run_with_full_buffers();
+  relay.run_with_full_buffers(50);
   relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(index, "leaving")}));
-  run_with_full_buffers();
+  relay.run_with_full_buffers(50);
 
   EXPECT_TRUE(relay.run_until(
       [&] { return session.client.is_ended_by_peer() && session.upstream.is_ended_by_peer(); }));
@@ -191,17 +182,13 @@
 
 // Guards against a MOVE that is dropped, or cut, since the client has read nothing for a second.
 TEST(ProxySession, DeliversMoveToAClientThatReadsLate) {
-  const FaultPlanScope scope;
   LoopbackRelay relay(2);
   auto session = relay.establish_session("1");
   const std::size_t index = relay.backend_index(session.upstream);
   relay.accept_watch();
 
   relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(index, "leaving")}));
-  fault_plan().send.error_number = EAGAIN;  // as if the receive buffers were full
-  fault_plan().send.per_mille = 1000;
-  relay.run_for(1500);
-  fault_plan().send.per_mille = 0;
+  relay.run_with_full_buffers(1500);
 
   EXPECT_TRUE(relay.run_until([&] { return session.client.is_ended_by_peer(); }));
   EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
--- a/tests/support/loopback_relay.cpp
+++ b/tests/support/loopback_relay.cpp
@@ -6,11 +6,14 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
 #include <utility>
 
+#include "support/fault_plan.hpp"
+
 namespace cherryrail::testing {
 namespace {
 
@@ -79,6 +82,13 @@
   run_until([] { return false; }, milliseconds);
 }
 
+void LoopbackRelay::run_with_full_buffers(int milliseconds) {
+  const FaultPlanScope scope;
+  fault_plan().send.error_number = EAGAIN;
+  fault_plan().send.per_mille = 1000;
+  run_for(milliseconds);
+}
+
 TestSocket LoopbackRelay::connect_client(std::string_view first_bytes) const {
   TestSocket client = TestSocket::connected_to(port);
   client.send(first_bytes);
--- a/tests/support/loopback_relay.hpp
+++ b/tests/support/loopback_relay.hpp
@@ -50,6 +50,8 @@
   // Runs the event loop until the condition holds; returns false if it does not within the time limit.
   bool run_until(const std::function<bool()>& condition, int milliseconds = 2000);
   void run_for(int milliseconds);
+  // The same while every send of the relay fails as if its peer's receive buffer were full.
+  void run_with_full_buffers(int milliseconds);
 
   TestSocket connect_client(std::string_view first_bytes) const;
   // Accepts the connection of the next attempt to any backend and waits for its complete open request.
