A request for the list that waits for its answer stays when the next is sent

Cause: a watch without its first line was ended after a fixed time (1 s for a pushed list, 3.5 s for one that is asked for), and its successor began the same wait anew.

Change: one place says how long (EndpointListRefresh::answer_timeout and max_retry_delay). A request without an answer stays open; the next is sent beside it, after 1, 2 and then always 3 s (pushed) or 3 s, and the first answer counts. With nine open, one of the middle ends: the oldest are nearest to their answers, and a server that was unreachable may have lost all but the latest.

Related paths, each with a test: the delay after a failure forgot how old the list was already (silent watch, then 503: next request 6.3 s after the silence, now at most 5.0 s); a silent watch was renewed after 3 to 5 s, too late for an answer that takes 2.9 s (now 2.5 to 3 s); past six seconds the delay left 2 s for a call that takes 3 s.

Three tests demanded the give-up itself and are replaced: the next request has to come in the same time as before, now while the first is still open, and the first has to end with the answer to the next.

--- a/src/balancer/endpoint_list_refresh.cpp
+++ b/src/balancer/endpoint_list_refresh.cpp
@@ -9,6 +9,21 @@
   actions_.call_at(actions_.now() + backoff(max_delay), [this] { actions_.watch_endpoints(); });
 }
 
+Micros EndpointListRefresh::answer_timeout(Micros initial, unsigned unanswered) {
+  return std::min(initial << std::min(unanswered, kMaxDoublings), kSlowCallDuration);
+}
+
+// The next call has to be answered before the list is too old, even if discovery is slow. If that call fails
+// as well, there may still be time for one more that is answered as usual. An older list has been missed
+// already: what discovery tells once it can be reached again has to arrive in time.
+Micros EndpointListRefresh::max_retry_delay(Micros list_age) {
+  constexpr Micros kSlowCallAge = kMaxListAge - kSlowCallDuration;
+  constexpr Micros kUsualCallAge = kMaxListAge - kUsualCallDuration;
+  if (list_age < kSlowCallAge) return std::max(kSlowCallAge - list_age, kMinRetryLimit);
+  if (list_age < kUsualCallAge) return std::max(kUsualCallAge - list_age, kMinRetryLimit);
+  return kSlowCallAge;
+}
+
 Micros EndpointListRefresh::backoff(Micros max_delay) {
   const Micros interval = parameters_.endpoint_request_interval;
   const Micros max_backoff = interval > 0 ? std::min(interval, kMaxBackoff) : kMaxBackoff;
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -1,8 +1,11 @@
 #include "proxy/discovery.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
+#include "balancer/endpoint_list_refresh.hpp"
+
 namespace cherryrail::proxy {
 namespace {
 
@@ -10,6 +13,8 @@
 // the heartbeat interval.
 constexpr Micros kVersionRestartDelay = 1'500'000;
 constexpr std::int64_t kNoVersion = 0;  // requests the complete list
+// An unanswered request has waited long enough: the next one beside it need not wait.
+constexpr Micros kOverdueRetryDelay = kSecond / 5;
 
 }  // namespace
 
@@ -25,8 +30,9 @@
   // After a restart of the server's version counter, a request for changes after the known version would
   // yield nothing, so the complete list is requested.
   const std::int64_t version = lower_version_since_ ? kNoVersion : version_;
+  const Micros timeout = EndpointListRefresh::answer_timeout(first_line_timeout_, unanswered_requests_);
   DiscoveryWatchOwner& owner = *this;
-  watch_ = std::make_shared<DiscoveryWatch>(event_loop_, owner, address_, version, first_line_timeout_);
+  watch_ = std::make_shared<DiscoveryWatch>(event_loop_, owner, address_, version, timeout);
   watch_->start();
 }
 
@@ -43,16 +49,37 @@
   ensure_watching();
 }
 
-// With too many watches, the latest one ends: the others are nearer to their first line.
+// With too many watches, the older half stays, because these are nearest to their answers. So do the latest,
+// because a server that was unreachable may have lost all earlier requests.
 void Discovery::retire_watch() {
-  if (watch_ && earlier_watches_.size() < kMaxEarlierWatches) earlier_watches_.push_back(std::move(watch_));
-  watch_.reset();
+  if (!watch_) return;
+  if (earlier_watches_.size() >= kMaxEarlierWatches)
+    earlier_watches_.erase(std::next(earlier_watches_.begin(), kMaxEarlierWatches / 2));
+  earlier_watches_.push_back(std::move(watch_));
 }
 
+// Ends the watches before this one. At the current address, also those after it: they would only bring the
+// same list later.
 void Discovery::on_first_line(const DiscoveryWatch& watch) {
+  unanswered_requests_ = 0;
   const auto is_same = [&watch](const auto& earlier) { return earlier.get() == &watch; };
-  const auto first_kept = std::ranges::find_if(earlier_watches_, is_same);
-  earlier_watches_.erase(earlier_watches_.begin(), first_kept);
+  const auto found = std::ranges::find_if(earlier_watches_, is_same);
+  if (found == earlier_watches_.end() || watch.address() != address_) {
+    earlier_watches_.erase(earlier_watches_.begin(), found);
+    return;
+  }
+  watch_ = *found;
+  earlier_watches_.clear();
+}
+
+// The request may be lost, or discovery may be slow. So it is made again, and the first answer counts.
+void Discovery::on_first_line_overdue(const DiscoveryWatch& watch) {
+  if (&watch != watch_.get()) return;
+  ++unanswered_requests_;
+  retire_watch();
+  event_loop_.log().write(net::Topic::discovery, "no answer from discovery yet; {} requests stay open",
+                          earlier_watches_.size());
+  on_failed_(kOverdueRetryDelay);
 }
 
 void Discovery::on_list_line(DiscoveryWatch& watch, const std::string& line) {
@@ -66,14 +93,14 @@
   const bool is_newest = &watch == watch_.get() ? is_current(list) : list.version >= version_;
   if (!is_newest) return watch.end("endpoint list older than the current one");
   version_ = list.version;
-  on_list_(list, last_line_at());
+  on_list_(list, list_current_until());
 }
 
 // Each line, also a heartbeat, confirms that nothing else has changed up to its arrival.
-Micros Discovery::last_line_at() const {
-  Micros latest = last_line_of_ended_watches_;
-  if (watch_) latest = std::max(latest, watch_->last_line_at());
-  for (const auto& watch : earlier_watches_) latest = std::max(latest, watch->last_line_at());
+Micros Discovery::list_current_until() const {
+  Micros latest = ended_watches_current_until_;
+  if (watch_) latest = std::max(latest, watch_->current_until());
+  for (const auto& watch : earlier_watches_) latest = std::max(latest, watch->current_until());
   return latest;
 }
 
@@ -95,11 +122,12 @@
 
 void Discovery::on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) {
   event_loop_.log().write(net::Topic::discovery, "watch ended: {}", reason);
-  last_line_of_ended_watches_ = std::max(last_line_of_ended_watches_, watch.last_line_at());
+  ended_watches_current_until_ = std::max(ended_watches_current_until_, watch.current_until());
   std::erase_if(earlier_watches_, [&watch](const auto& earlier) { return earlier.get() == &watch; });
   if (&watch != watch_.get()) return;
   watch_.reset();
-  on_failed_(retry_within);
+  const Micros list_age = event_loop_.now() - list_current_until();
+  on_failed_(std::min(retry_within, EndpointListRefresh::max_retry_delay(list_age)));
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -15,9 +15,9 @@
 
 namespace cherryrail::proxy {
 
-// Owns the watch at the current address and, for a while after address changes, those at the earlier
-// addresses. Decides which watches are followed and which lists are newer than the known version. Starts a
-// new watch only when ensure_watching() or set_address() is called.
+// Owns the latest watch and, until a later one receives its first line, those before: at earlier addresses,
+// or still without an answer. Decides which watches are followed and which lists are newer than the known
+// version. Starts a new watch only when ensure_watching() or set_address() is called.
 class Discovery final : private DiscoveryWatchOwner {
  public:
   // `current_until`: until when the list before this one is known to have been current; 0 if never.
@@ -25,8 +25,9 @@
   using OnFailed = std::function<void(Micros retry_within)>;
 
   // `version` is the version of the list that is known already. `on_list` is called with each list that is
-  // not older than the one before; `on_failed` is called once for each watch at the current address that ends
-  // or cannot be started. `first_line_timeout` is the time from connecting to the first line of a watch.
+  // not older than the one before; `on_failed` is called once for each watch that ends, cannot be started or
+  // remains without an answer, if it is the latest. `first_line_timeout` is the time from connecting to the
+  // first line of a watch after which the next one is requested beside it.
   Discovery(net::EventLoop& event_loop, std::string address, std::int64_t version, Micros first_line_timeout,
             OnList on_list, OnFailed on_failed);
   ~Discovery();
@@ -39,13 +40,14 @@
   void set_address(const std::string& address);
 
  private:
-  // Watches at earlier addresses are kept up to this number, however fast the address changes.
+  // Earlier watches are kept up to this number, however fast the address changes.
   static constexpr std::size_t kMaxEarlierWatches = 8;
 
   void on_first_line(const DiscoveryWatch& watch) override;
   void on_list_line(DiscoveryWatch& watch, const std::string& line) override;
+  void on_first_line_overdue(const DiscoveryWatch& watch) override;
   void on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) override;
-  Micros last_line_at() const;
+  Micros list_current_until() const;
   void retire_watch();
   bool is_current(const protocol::EndpointList& list);
 
@@ -55,10 +57,11 @@
   OnList on_list_;
   OnFailed on_failed_;
   Micros first_line_timeout_;
-  std::shared_ptr<DiscoveryWatch> watch_;  // at the current address
-  // At earlier addresses, oldest first. Each is kept until a later watch receives its first line.
+  std::shared_ptr<DiscoveryWatch> watch_;  // the latest, at the current address
+  // Oldest first. Each is kept until a later watch receives its first line.
   std::vector<std::shared_ptr<DiscoveryWatch>> earlier_watches_;
-  Micros last_line_of_ended_watches_ = 0;      // 0: none has received a line
+  unsigned unanswered_requests_ = 0;           // since the latest first line
+  Micros ended_watches_current_until_ = 0;     // 0: none has received a line
   std::optional<Micros> lower_version_since_;  // since when the current address sends a lower version
 };
 
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -11,17 +11,11 @@
 
 // How often discovery sends an empty line while nothing changes.
 constexpr Micros kHeartbeatInterval = 2'000'000;
-// A heartbeat that is late by half its interval is considered lost.
-constexpr Micros kSilenceTimeout = 3 * kHeartbeatInterval / 2;
+// A heartbeat that is late by a quarter of its interval is considered lost.
+constexpr Micros kSilenceTimeout = 5 * kHeartbeatInterval / 4;
 constexpr Micros kConnectTimeout = kHeartbeatInterval / 2;
-// If a watch misses a change, the relay has to learn of the change from a new watch within this time after
-// the last line of the old one.
-constexpr Micros kMaxListStaleness = 3 * kHeartbeatInterval;
-// The part of kMaxListStaleness that a new watch needs to connect and to receive its first line.
-constexpr Micros kReconnectTime = kHeartbeatInterval / 2;
-// The shortest `retry_within` passed to the owner, even after kMaxListStaleness has passed, so that discovery
-// is not asked too often.
-constexpr Micros kMinRetryInterval = kHeartbeatInterval / 10;
+// The retry delay after a shortage on this machine, which puts no load on discovery.
+constexpr Micros kLocalFailureRetryDelay = kHeartbeatInterval / 10;
 // Enough for some hundred thousand backends; a longer line is taken for one that never ends.
 constexpr std::size_t kMaxLineBytes = std::size_t{16} << 20;
 
@@ -47,8 +41,7 @@
       net::Connection::connect(event_loop_, net::parse_address(address_), *this);
   connection_ = attempt.connection;
   if (connection_) return schedule_silence_timeout();
-  // A shortage on this machine puts no load on discovery, and the list grows stale meanwhile: retry soon.
-  const Micros retry_within = attempt.is_local_failure ? kMinRetryInterval : kNoRetryLimit;
+  const Micros retry_within = attempt.is_local_failure ? kLocalFailureRetryDelay : kNoRetryLimit;
   // Posted, because the owner does not hold this watch yet.
   event_loop_.post([weak = weak_from_this(), retry_within] {
     if (const auto self = weak.lock()) self->end("cannot connect", retry_within);
@@ -75,12 +68,18 @@
   if (state == HttpResponse::State::malformed) return end("response is not HTTP");
   if (state != HttpResponse::State::reading_head && response_.status() != kStatusOk)
     return end("HTTP status " + std::to_string(response_.status()));
-  if (state == HttpResponse::State::complete) end("response ended");
+  if (state == HttpResponse::State::complete) end_by_peer("response ended");
 }
 
-void DiscoveryWatch::on_end_of_stream() { end("connection closed by discovery"); }
+void DiscoveryWatch::on_end_of_stream() { end_by_peer("connection closed by discovery"); }
 
-void DiscoveryWatch::on_connection_lost() { end("connection lost"); }
+void DiscoveryWatch::on_connection_lost() { end_by_peer("connection lost"); }
+
+// A connection whose end arrives has delivered every change before.
+void DiscoveryWatch::end_by_peer(const std::string& reason) {
+  if (state_ == State::streaming) current_until_ = event_loop_.now();
+  end(reason);
+}
 
 Micros DiscoveryWatch::silence_timeout() const {
   switch (state_) {
@@ -103,15 +102,15 @@
   });
 }
 
-// The silence, the new request and its first line have to fit into kMaxListStaleness.
 void DiscoveryWatch::on_silence_timeout() {
-  if (state_ == State::streaming)
-    return end("no heartbeat", kMaxListStaleness - kSilenceTimeout - kReconnectTime);
-  const Micros elapsed = event_loop_.now() - started_at_;
-  const Micros retry_within =
-      std::max<Micros>(kMaxListStaleness - kReconnectTime - elapsed, kMinRetryInterval);
-  // Discovery may have recovered while this watch, which was started before, kept waiting: retry soon.
-  end(state_ == State::connecting ? "connect timeout" : "no first line", retry_within);
+  switch (state_) {
+    case State::connecting:
+      return end("connect timeout");
+    case State::awaiting_first_line:
+      return owner_.on_first_line_overdue(*this);
+    case State::streaming:
+      return end("no heartbeat");
+  }
 }
 
 // A part of the body may hold several lines or a fragment of a line. Only the body prolongs a wait: a server
@@ -131,9 +130,10 @@
 void DiscoveryWatch::handle_line(const std::string& line) {
   const bool is_first = state_ != State::streaming;
   state_ = State::streaming;
+  if (is_first) schedule_silence_timeout();
   if (is_first) owner_.on_first_line(*this);
   if (!is_blank(line)) owner_.on_list_line(*this, line);
-  last_line_at_ = event_loop_.now();
+  current_until_ = event_loop_.now();
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/discovery_watch.hpp
+++ b/src/proxy/discovery_watch.hpp
@@ -22,6 +22,8 @@
   // Called before the first call of on_list_line(), also if the first line is a heartbeat, which is empty.
   virtual void on_first_line(const DiscoveryWatch& watch) = 0;
   virtual void on_list_line(DiscoveryWatch& watch, const std::string& line) = 0;
+  // Called once if the first line has not arrived in time. The watch goes on waiting.
+  virtual void on_first_line_overdue(const DiscoveryWatch& watch) = 0;
   // The last call, made once for each watch. The list has to be requested again within `retry_within`.
   virtual void on_watch_ended(const DiscoveryWatch& watch, const std::string& reason,
                               Micros retry_within) = 0;
@@ -38,7 +40,8 @@
   static constexpr Micros kNoRetryLimit = std::numeric_limits<Micros>::max();
 
   // `address` is host and port. Requests the changes after `version`, or the complete list if it is 0.
-  // `first_line_timeout` is the time from connecting to the first line. `owner` must outlive the watch.
+  // Without a first line `first_line_timeout` after connecting, the owner is notified. `owner` must outlive
+  // the watch.
   DiscoveryWatch(net::EventLoop& event_loop, DiscoveryWatchOwner& owner, std::string address,
                  std::int64_t version, Micros first_line_timeout);
   ~DiscoveryWatch();
@@ -49,9 +52,11 @@
   void start();
   // Closes the connection and notifies the owner.
   void end(const std::string& reason, Micros retry_within = kNoRetryLimit);
-  // When the latest line was received, 0 if none was. Does not count a line that is being passed to the
-  // owner.
-  [[nodiscard]] Micros last_line_at() const { return last_line_at_; }
+  [[nodiscard]] const std::string& address() const { return address_; }
+  // Until when the list is known to have been current: the arrival of the latest line, or the end of the
+  // connection if discovery ended it after a line. 0 before the first line. Does not count a line that is
+  // being passed to the owner.
+  [[nodiscard]] Micros current_until() const { return current_until_; }
 
   void on_connected() override;
   void on_received(std::string_view bytes) override;
@@ -65,6 +70,7 @@
   [[nodiscard]] Micros silence_deadline() const { return last_received_at_ + silence_timeout(); }
   void schedule_silence_timeout();
   void on_silence_timeout();
+  void end_by_peer(const std::string& reason);
   void read_body(std::string_view part);
   void handle_line(const std::string& line);
 
@@ -80,7 +86,7 @@
   State state_ = State::connecting;
   Micros started_at_ = 0;
   Micros last_received_at_ = 0;  // the latest part of the body; before the first, when the watch started
-  Micros last_line_at_ = 0;
+  Micros current_until_ = 0;
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -10,7 +10,7 @@
 // How long a successor that knows backends from its configuration waits for a current endpoint list.
 constexpr Micros kSuccessorListTimeout = kSecond;
 // First line timeout of a discovery server that all relays share: the server answers requests one by one.
-constexpr Micros kSharedDiscoveryFirstLineTimeout = 7 * kSecond / 2;
+constexpr Micros kSharedDiscoveryFirstLineTimeout = 3 * kSecond;
 // First line timeout of a discovery agent that serves this relay only.
 constexpr Micros kAgentDiscoveryFirstLineTimeout = kSecond;
 
--- a/tests/balancer/endpoint_list_refresh_test.cpp
+++ b/tests/balancer/endpoint_list_refresh_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <map>
 
+#include "balancer/endpoint_list_refresh.hpp"
 #include "support/balancer_fixture.hpp"
 
 namespace cherryrail::testing {
@@ -96,6 +97,16 @@
   }
 }
 
+// Discovery takes up to three seconds for an answer, and usually less than one.
+TEST(EndpointListRefresh, RetriesInTimeForAnAnswerBeforeTheListIsSixSecondsOld) {
+  for (Micros age = 0; age < 3 * kSecond; age += 100 * kMillisecond)
+    EXPECT_LE(age + EndpointListRefresh::max_retry_delay(age), 3 * kSecond + 200 * kMillisecond) << age;
+  for (Micros age = 3 * kSecond; age < 5 * kSecond; age += 100 * kMillisecond)
+    EXPECT_LE(age + EndpointListRefresh::max_retry_delay(age), 5 * kSecond + 200 * kMillisecond) << age;
+  for (const Micros age : {5 * kSecond, 60 * kSecond, 1'700'000'000 * kSecond})
+    EXPECT_EQ(EndpointListRefresh::max_retry_delay(age), 3 * kSecond) << age;
+}
+
 // The relay is expected to know what its own discovery agent knows, however long the agent was unreachable,
 // so the delay must not grow.
 TEST(EndpointListRefresh, RetriesItsOwnAgentWithoutBackoff) {
--- a/tests/proxy/discovery_test.cpp
+++ b/tests/proxy/discovery_test.cpp
@@ -1,8 +1,10 @@
 // The relay follows the endpoint list of a discovery server over sockets.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "support/loopback_relay.hpp"
@@ -74,7 +76,7 @@
 
   relay.watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
 
-  EXPECT_TRUE(relay.run_until([&] { return relay.watch.is_ended_by_peer(); }, 1500));
+  EXPECT_TRUE(relay.accept_from(relay.discovery, 1500));
 }
 
 // A lagging discovery server would bring back backends that are gone, but a server whose version counter has
@@ -117,21 +119,28 @@
 }
 
 // A watch request that was sent while discovery was recovering may hang. Timeout and retry have to fit into
-// six seconds each time, with two seconds left for the response.
+// six seconds each time, with two seconds left for the response. Once one is answered, the others end.
 TEST(Discovery, RenewsAHangingWatchInTimeAfterEachFailure) {
   LoopbackRelay relay(1, 500, R"(,"balancers":350,"discovery":"on_request",
       "invariants":{"warm_up":9000,"fall":3000,"ask_within":20000})");
-  TestSocket hanging = relay.accept_from(relay.discovery);
-  ASSERT_TRUE(hanging);
+  std::vector<TestSocket> hanging;
+  hanging.push_back(relay.accept_from(relay.discovery));
+  ASSERT_TRUE(hanging.back());
 
   for (int round = 0; round < 3; ++round) {
     const Micros requested_at = relay.event_loop.now();
-    TestSocket renewed = relay.accept_from(relay.discovery, 5500);
-    EXPECT_TRUE(renewed) << round;
+    relay.watch = relay.accept_from(relay.discovery, 5500);
+    EXPECT_TRUE(relay.watch) << round;
     EXPECT_LE(relay.event_loop.now() - requested_at, 5'200'000);
-    EXPECT_TRUE(hanging.is_ended_by_peer());
-    hanging = std::move(renewed);
+    EXPECT_FALSE(hanging.back().is_ended_by_peer());
+    hanging.push_back(std::move(relay.watch));
   }
+  TestSocket answered = std::move(hanging.back());
+  hanging.pop_back();
+  answer_watch(answered, endpoint_changes(5, {}));
+
+  EXPECT_TRUE(relay.run_until([&] { return std::ranges::all_of(hanging, &TestSocket::is_ended_by_peer); }));
+  EXPECT_FALSE(answered.is_ended_by_peer());
 }
 
 TEST(Discovery, RenewsAPushedWatchThatReceivesNoFirstLine) {
@@ -139,10 +148,12 @@
 
   TestSocket first = relay.accept_from(relay.discovery);
   EXPECT_TRUE(first);
-  const TestSocket renewed = relay.accept_from(relay.discovery, 1800);
+  TestSocket renewed = relay.accept_from(relay.discovery, 1800);
 
-  EXPECT_TRUE(renewed);
-  EXPECT_TRUE(first.is_ended_by_peer());
+  ASSERT_TRUE(renewed);
+  EXPECT_FALSE(first.is_ended_by_peer());
+  answer_watch(renewed, endpoint_changes(5, {}));
+  EXPECT_TRUE(relay.run_until([&] { return first.is_ended_by_peer(); }));
 }
 
 // The list in the configuration may be outdated at the start, and all its backends may be draining.
--- a/tests/support/loopback_relay.cpp
+++ b/tests/support/loopback_relay.cpp
@@ -154,6 +154,10 @@
   return index;
 }
 
+void answer_watch(const TestSocket& connection, const std::string& list) {
+  connection.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + http_chunk(list + "\n"));
+}
+
 std::string LoopbackRelay::accept_watch() {
   watch = TestSocket();
   watch = accept_from(discovery, 3000);
--- a/tests/support/loopback_relay.hpp
+++ b/tests/support/loopback_relay.hpp
@@ -22,6 +22,10 @@
 std::string endpoint_changes(int revision, const std::vector<std::string>& endpoints);
 std::string endpoint_snapshot(int revision, const std::vector<std::string>& endpoints);
 
+// Sends the head of discovery's response and its first list on a connection on which the relay has requested
+// a watch.
+void answer_watch(const TestSocket& connection, const std::string& list);
+
 // The peers of the relay's two connections for a session.
 struct EstablishedSession {
   TestSocket client;
