Reading, locking and replacing a state file are in a module of their own

They were private to DisabledBackends; the endpoint list of an earlier process, next, needs the same.

--- a/src/admin/disabled_backends.cpp
+++ b/src/admin/disabled_backends.cpp
@@ -1,17 +1,9 @@
 #include "admin/disabled_backends.hpp"
 
-#include <fcntl.h>
-#include <poll.h>
-#include <sys/file.h>
 #include <sys/stat.h>
-#include <unistd.h>
 
-#include <cerrno>
 #include <cstddef>
-#include <cstdio>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <string_view>
 #include <utility>
 
 #include "net/file_descriptor.hpp"
@@ -21,69 +13,11 @@
 
 // Enough for some ten thousand uids; a relay does not write longer files.
 constexpr std::size_t kMaxFileBytes = std::size_t{1} << 20;
-constexpr mode_t kOwnerOnly = 0600;
-// Another process holds the lock while it writes the file, which takes one or two milliseconds.
-constexpr int kLockAttempts = 20;
-constexpr int kLockPauseMilliseconds = 1;
 // The only key of the file. Earlier and later builds share the file, so the key must not change.
 constexpr const char* kUidsKey = "bans";
 
-std::error_code last_system_error() { return {errno, std::generic_category()}; }
-
-std::string read_text(std::ifstream& file) {
-  std::string text(kMaxFileBytes, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
-  return text;
-}
-
-// write() may write a part only, or be interrupted.
-std::error_code write_all(int fd, std::string_view text) {
-  while (!text.empty()) {
-    const ssize_t written = write(fd, text.data(), text.size());
-    if (written < 0 && errno == EINTR) continue;
-    if (written < 0) return last_system_error();
-    if (written == 0) return make_error_code(std::errc::no_space_on_device);
-    text.remove_prefix(static_cast<std::size_t>(written));
-  }
-  return {};
-}
-
-// Syncs the file to disk, because it replaces another file next.
-std::error_code write_file(const std::string& path, std::string_view text) {
-  net::FileDescriptor file(open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, kOwnerOnly));
-  if (!file) return last_system_error();
-  if (const std::error_code code = write_all(file.get(), text)) return code;
-  if (fsync(file.get()) != 0) return last_system_error();
-  if (close(file.release()) != 0) return last_system_error();
-  return {};
-}
-
-// Proceeds without the lock after a short wait: a process that was suspended while it held the lock must not
-// block this one.
-net::FileDescriptor lock_file(const std::string& path) {
-  net::FileDescriptor lock(open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, kOwnerOnly));
-  for (int attempt = 0; lock && attempt < kLockAttempts; ++attempt) {
-    if (flock(lock.get(), LOCK_EX | LOCK_NB) == 0) break;
-    poll(nullptr, 0, kLockPauseMilliseconds);
-  }
-  return lock;
-}
-
 }  // namespace
 
-std::string StorageError::message() const {
-  switch (operation) {
-    case Operation::read:
-      return path + " cannot be read";
-    case Operation::parse:
-      return path + " is damaged: " + detail;
-    case Operation::write:
-      return path + " cannot be written: " + code.message();
-  }
-  return path;
-}
-
 DisabledBackends::DisabledBackends(std::string path) : path_(std::move(path)) { reload_if_changed(); }
 
 DisabledBackends::FileVersion DisabledBackends::current_version() const {
@@ -104,16 +38,15 @@
 bool DisabledBackends::load() {
   const bool is_expected_to_exist = loaded_version_->size >= 0;
   error_.reset();
-  std::ifstream file(path_);
-  if (!file) {
-    const std::error_code code = last_system_error();
+  const FileContent file = read_file(path_, kMaxFileBytes);
+  if (!file.text) {
     if (!is_expected_to_exist) return false;
-    error_ = StorageError{StorageError::Operation::read, path_, code, ""};
+    error_ = StorageError{StorageError::Operation::read, path_, file.error, ""};
     loaded_version_.reset();
     return false;
   }
   try {
-    uids_ = nlohmann::json::parse(read_text(file)).at(kUidsKey).get<std::set<std::string>>();
+    uids_ = nlohmann::json::parse(*file.text).at(kUidsKey).get<std::set<std::string>>();
   } catch (const nlohmann::json::exception& error) {
     error_ = StorageError{StorageError::Operation::parse, path_, {}, error.what()};
     loaded_version_.reset();
@@ -158,13 +91,8 @@
   return true;
 }
 
-// Writes the file under another name, then renames it: if the process dies meanwhile, the old file is kept.
 std::error_code DisabledBackends::store() const {
-  const std::string new_path = path_ + ".new";
-  const std::string text = nlohmann::json{{kUidsKey, uids_}}.dump() + "\n";
-  if (const std::error_code code = write_file(new_path, text)) return code;
-  if (std::rename(new_path.c_str(), path_.c_str()) != 0) return last_system_error();
-  return {};
+  return replace_file(path_, nlohmann::json{{kUidsKey, uids_}}.dump() + "\n", FileSync::disk);
 }
 
 }  // namespace cherryrail::admin
--- a/src/admin/disabled_backends.hpp
+++ b/src/admin/disabled_backends.hpp
@@ -8,21 +8,9 @@
 #include <string>
 #include <system_error>
 
-namespace cherryrail::admin {
-
-// Why the file could not be used.
-struct StorageError {
-  enum class Operation : std::uint8_t { read, parse, write };
-
-  Operation operation = Operation::read;
-  std::string path;
-  std::error_code code;  // of the failed system call; none for a damaged file
-  std::string detail;    // the parse error of a damaged file
+#include "admin/state_file.hpp"
 
-  // For the log: the path and the reason.
-  [[nodiscard]] std::string message() const;
-  bool operator==(const StorageError&) const = default;
-};
+namespace cherryrail::admin {
 
 // The set in this process and its file. Several processes may change the file at once; a lock file prevents
 // one from overwriting what the other has stored. A change that cannot be stored applies in this process and
