A process that takes over knows the endpoint list that the one before was told

Cause: the list lived in one process. A successor began with the list of its configuration and waited 1 s for discovery; the state handed over named neither list, version, states nor starts.

Change: each process puts the complete list together from what it is told and passes it on by two ways, so that either may fail: over the socket of a hot restart (when the other process connects, at each change, and before the state at the end) and in a file in the state directory, written at each change and replaced as a whole, with a checksum. It counts unless the configuration, or discovery since, has told a higher version; the highest version ever told goes with it, because discovery may restart its counter. Earlier builds skip the message and never read the file; with an earlier build as predecessor the later start of a backend counts, as a backend that warms up must not become warm by a replacement.

A file that cannot be written is tried again each second and logged once.

--- a/src/admin/admin_services.cpp
+++ b/src/admin/admin_services.cpp
@@ -16,12 +16,19 @@
   return relay_config.state_directory + "/" + state_file_name(relay_config.name, kDisabledBackendsSuffix);
 }
 
+// Empty without a state directory.
+std::string endpoints_path(const config::RelayConfig& relay_config) {
+  if (relay_config.state_directory.empty()) return "";
+  return relay_config.state_directory + "/" + state_file_name(relay_config.name, kEndpointsSuffix);
+}
+
 }  // namespace
 
 AdminServices::AdminServices(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
                              const config::RelayConfig& relay_config)
     : disabled_backends_(event_loop, proxy, disabled_backends_path(relay_config)),
-      hot_restart_(event_loop, proxy, disabled_backends_, relay_config) {
+      endpoint_snapshots_(event_loop, proxy, endpoints_path(relay_config)),
+      hot_restart_(event_loop, proxy, disabled_backends_, endpoint_snapshots_, relay_config) {
   if (relay_config.admin.empty()) return;
   disabled_backends_.start();
   proxy.reserve_descriptors(AdminServer::kMaxConnections);
--- a/src/admin/admin_services.hpp
+++ b/src/admin/admin_services.hpp
@@ -5,6 +5,7 @@
 
 #include "admin/admin_server.hpp"
 #include "admin/disabled_backends_sync.hpp"
+#include "admin/endpoint_snapshot_sync.hpp"
 #include "admin/hot_restart_coordinator.hpp"
 #include "config/relay_config.hpp"
 #include "net/event_loop.hpp"
@@ -26,6 +27,7 @@
  private:
   DisabledBackendsSync disabled_backends_;
   std::unique_ptr<AdminServer> admin_server_;  // null if no admin address is configured
+  EndpointSnapshotSync endpoint_snapshots_;
   HotRestartCoordinator hot_restart_;
 };
 
--- /dev/null
+++ b/src/admin/endpoint_snapshot_sync.cpp
@@ -0,0 +1,95 @@
+#include "admin/endpoint_snapshot_sync.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "admin/endpoint_snapshot_codec.hpp"
+#include "admin/state_file.hpp"
+#include "net/file_descriptor.hpp"
+
+namespace cherryrail::admin {
+namespace {
+
+// Encoding and writing a megabyte takes some ten milliseconds, in which no client is served.
+constexpr Micros kIntervalPerMegabyte = kSecond / 4;
+constexpr std::size_t kMegabyte = 1'000'000;
+// How soon a file that could not be written is tried again.
+constexpr Micros kRetryInterval = kSecond;
+
+}  // namespace
+
+EndpointSnapshotSync::EndpointSnapshotSync(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
+                                           std::string path)
+    : event_loop_(event_loop), proxy_(proxy), path_(std::move(path)) {
+  load();
+  proxy_.on_endpoints_changed(
+      [this] { schedule_after(kIntervalPerMegabyte * static_cast<Micros>(published_bytes_) / kMegabyte); });
+}
+
+EndpointSnapshotSync::~EndpointSnapshotSync() { proxy_.on_endpoints_changed({}); }
+
+void EndpointSnapshotSync::load() {
+  if (path_.empty()) return;
+  const FileContent file = read_file(path_, kMaxEndpointSnapshotBytes);
+  if (file.text) return adopt(*file.text);
+  if (file.error == std::errc::no_such_file_or_directory) return;
+  const StorageError error{StorageError::Operation::read, path_, file.error, ""};
+  event_loop_.log().write(net::Topic::error, "endpoint list of an earlier process: {}", error.message());
+}
+
+std::string EndpointSnapshotSync::encode() const {
+  return encode_endpoint_snapshot(proxy_.endpoint_snapshot());
+}
+
+void EndpointSnapshotSync::adopt(const std::string& bytes) {
+  if (is_repeated(bytes)) return;
+  const auto snapshot = decode_endpoint_snapshot(bytes);
+  if (!snapshot) {
+    event_loop_.log().write(net::Topic::error,
+                            "endpoint list of another process refused: damaged or of another version");
+    return;
+  }
+  if (!proxy_.adopt_endpoints(*snapshot)) return;
+  event_loop_.log().write(net::Topic::discovery,
+                          "endpoint list of another process applied: version {}, {} backends",
+                          snapshot->list.version, snapshot->list.entries.size());
+}
+
+// The same snapshot may come from the file, at the connection of the other process and with its state. The
+// header identifies the content.
+bool EndpointSnapshotSync::is_repeated(const std::string& bytes) {
+  std::string header = bytes.substr(0, bytes.find('\n'));
+  std::swap(header, adopted_header_);
+  return header == adopted_header_;
+}
+
+void EndpointSnapshotSync::schedule_after(Micros interval) {
+  if (std::exchange(is_changed_, true)) return;
+  const Micros when = std::max(event_loop_.now(), published_at_ + interval);
+  timer_ = net::Timer(event_loop_, when, [this] { publish(); });
+}
+
+void EndpointSnapshotSync::publish() {
+  is_changed_ = false;
+  published_at_ = event_loop_.now();
+  const std::string bytes = encode();
+  published_bytes_ = bytes.size();
+  if (on_snapshot_) on_snapshot_(bytes);
+  store(bytes);
+}
+
+void EndpointSnapshotSync::store(const std::string& bytes) {
+  if (path_.empty()) return;
+  // Another process of this relay may store its list at the same time.
+  const net::FileDescriptor lock = lock_file(path_ + ".lock");
+  const std::error_code error = replace_file(path_, bytes, FileSync::none);
+  const bool is_new_error = error != std::exchange(error_, error);
+  if (!error) return;
+  if (is_new_error) {
+    const StorageError write_error{StorageError::Operation::write, path_, error, ""};
+    event_loop_.log().write(net::Topic::error, "endpoint list not stored: {}", write_error.message());
+  }
+  schedule_after(kRetryInterval);
+}
+
+}  // namespace cherryrail::admin
--- a/src/admin/handover_channel.cpp
+++ b/src/admin/handover_channel.cpp
@@ -71,9 +71,9 @@
 }
 
 bool descriptors_match_message(const proxy::IncomingHandover& handover) {
-  if (std::holds_alternative<StateSnapshot>(handover.message)) return true;
-  if (std::holds_alternative<proxy::DisabledBackendChanges>(handover.message)) return true;
-  if (std::holds_alternative<proxy::ClaimedSessionIds>(handover.message)) return true;
+  const bool needs_none = !std::holds_alternative<proxy::PendingClient>(handover.message) &&
+                          !std::holds_alternative<proxy::OpenSession>(handover.message);
+  if (needs_none) return true;
   const bool needs_upstream = std::holds_alternative<proxy::OpenSession>(handover.message);
   return handover.downstream && needs_upstream == static_cast<bool>(handover.upstream);
 }
--- a/src/admin/handover_codec.cpp
+++ b/src/admin/handover_codec.cpp
@@ -21,6 +21,12 @@
 // Earlier builds ignore messages with these keys.
 constexpr const char* kDisabledBackendsKey = "disabled_backends";
 constexpr const char* kClaimedSessionIdsKey = "session_ids";
+constexpr const char* kEndpointsKey = "endpoints";
+
+// The keys of a part of an endpoint snapshot.
+constexpr const char* kPartIndexKey = "index";
+constexpr const char* kPartCountKey = "count";
+constexpr const char* kPartBytesKey = "bytes";
 
 // The keys of the state snapshot.
 constexpr const char* kStartedAtKey = "born";
@@ -134,6 +140,12 @@
     map[kClaimedSessionIdsKey] = ids.hashes;
     return map;
   }
+  json operator()(const proxy::EndpointSnapshotPart& part) const {
+    json map = message_map("", "", "", 0);
+    map[kEndpointsKey] = {
+        {kPartIndexKey, part.index}, {kPartCountKey, part.count}, {kPartBytesKey, binary(part.bytes)}};
+    return map;
+  }
   json operator()(const StateSnapshot& state) const {
     json map = message_map("", "", "", 0);
     map[kStateKey] = encode_state(state);
@@ -147,6 +159,11 @@
     return proxy::DisabledBackendChanges{changes->get<std::map<std::string, bool>>()};
   if (const auto ids = map.find(kClaimedSessionIdsKey); ids != map.end())
     return proxy::ClaimedSessionIds{ids->get<std::vector<std::uint64_t>>()};
+  if (const auto part = map.find(kEndpointsKey); part != map.end()) {
+    return proxy::EndpointSnapshotPart{part->at(kPartIndexKey).get<std::size_t>(),
+                                       part->at(kPartCountKey).get<std::size_t>(),
+                                       text_at(*part, kPartBytesKey)};
+  }
   std::string received = text_at(map, kReceivedKey);
   std::string open_request = text_at(map, kOpenRequestKey);
   std::string backend = text_at(map, kBackendKey);
--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "admin/endpoint_snapshot_transfer.hpp"
 #include "admin/session_id_announcer.hpp"
 #include "admin/state_files.hpp"
 
@@ -46,21 +47,30 @@
   int process = 0;  // 0 if it is this process
   std::unique_ptr<net::IoWatch> watch;
   SessionIdAnnouncer session_ids;
+  EndpointSnapshotSender endpoints;
+  EndpointSnapshotReceiver received_endpoints;
 };
 
 HotRestartCoordinator::HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
                                              DisabledBackendsSync& disabled_backends,
+                                             EndpointSnapshotSync& endpoint_snapshots,
                                              const config::RelayConfig& relay_config)
     : event_loop_(event_loop), proxy_(proxy), disabled_backends_(disabled_backends),
+      endpoint_snapshots_(endpoint_snapshots),
       socket_(socket_folder(relay_config), state_file_name(relay_config.name, kServingProcessSuffix)) {
   if (!relay_config.inherited_listener) return;
   proxy_.on_session_id_claimed([this](std::uint64_t id_hash) { exchange_claims(id_hash); });
-  // Connected from the start, so that both processes can count each other's descriptors.
+  endpoint_snapshots_.on_snapshot([this](const std::string& bytes) { announce_endpoints(bytes); });
+  // Connected from the start, so that both processes can count each other's descriptors, and this one knows
+  // the predecessor's endpoint list before it serves.
   if (auto predecessor = socket_.connect_to_successor()) add_peer(std::move(*predecessor));
   proxy_.on_ready([this] { announce(); });
 }
 
-HotRestartCoordinator::~HotRestartCoordinator() { proxy_.on_session_id_claimed({}); }
+HotRestartCoordinator::~HotRestartCoordinator() {
+  proxy_.on_session_id_claimed({});
+  endpoint_snapshots_.on_snapshot({});
+}
 
 void HotRestartCoordinator::announce() {
   if (!socket_.announce()) {
@@ -83,7 +93,7 @@
     return process != 0 && other->process == process;
   };
   const bool has_been_told = std::ranges::any_of(peers_, is_same_process);
-  auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}});
+  auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}, {}, {}});
   peers_.push_back(peer);
   // A pending event may be delivered after its peer has been removed.
   const auto on_readable = [this, weak_peer = std::weak_ptr(peer)](bool, bool) {
@@ -92,8 +102,11 @@
   peer->watch = std::make_unique<net::IoWatch>(event_loop_, peer->channel.descriptor(), on_readable);
   peer->watch->set_interest(true, false);
   if (!std::exchange(is_polling_peers_, true)) poll_peer_descriptors();
-  if (!has_been_told) peer->session_ids.add(proxy_.claimed_session_ids());
-  announce_session_ids();
+  if (!has_been_told) {
+    peer->endpoints.set(endpoint_snapshots_.encode());
+    peer->session_ids.add(proxy_.claimed_session_ids());
+  }
+  flush_announcements();
   return peer;
 }
 
@@ -109,7 +122,7 @@
     ReceiveResult result = peer.channel.receive();
     if (result.is_peer_gone) return remove_peer(peer);
     if (!result.handover) return;
-    handle_handover(std::move(*result.handover));
+    handle_handover(peer, std::move(*result.handover));
   }
 }
 
@@ -126,7 +139,9 @@
   for (const auto& peer : peers_) peer->watch->set_interest(true, false);
 }
 
-void HotRestartCoordinator::handle_handover(proxy::IncomingHandover handover) {
+void HotRestartCoordinator::handle_handover(Peer& peer, proxy::IncomingHandover handover) {
+  if (const auto* part = std::get_if<proxy::EndpointSnapshotPart>(&handover.message))
+    return receive_endpoints(peer, *part);
   if (const auto* changes = std::get_if<proxy::DisabledBackendChanges>(&handover.message)) {
     disabled_backends_.take_over(changes->is_disabled);
     return;
@@ -138,6 +153,10 @@
   }
 }
 
+void HotRestartCoordinator::receive_endpoints(Peer& peer, const proxy::EndpointSnapshotPart& part) {
+  if (const auto bytes = peer.received_endpoints.add(part)) endpoint_snapshots_.adopt(*bytes);
+}
+
 void HotRestartCoordinator::remove_peer(const Peer& peer) {
   peer.watch->set_interest(false, false);  // the successor is kept although it is gone
   peers_.remove_if([&peer](const auto& other) { return other.get() == &peer; });
@@ -147,17 +166,28 @@
 // Tells the other process the id, then reads what that has claimed, so that the caller can compare.
 void HotRestartCoordinator::exchange_claims(std::uint64_t id_hash) {
   for (const auto& peer : peers_) peer->session_ids.add({&id_hash, 1});
-  announce_session_ids();
+  flush_announcements();
   const std::list<PeerPtr> peers = peers_;  // a peer that is gone is removed meanwhile
   for (const auto& peer : peers) receive_messages(*peer);
 }
 
-void HotRestartCoordinator::announce_session_ids() {
+// The successor gets the list together with the state.
+void HotRestartCoordinator::announce_endpoints(const std::string& bytes) {
+  for (const auto& peer : peers_) {
+    if (peer != successor_) peer->endpoints.set(bytes);
+  }
+  flush_announcements();
+}
+
+void HotRestartCoordinator::flush_announcements() {
   bool is_complete = true;
-  for (const auto& peer : peers_) is_complete = peer->session_ids.flush(peer->channel) && is_complete;
+  for (const auto& peer : peers_) {
+    is_complete = peer->endpoints.flush(peer->channel) && is_complete;
+    is_complete = peer->session_ids.flush(peer->channel) && is_complete;
+  }
   if (is_complete) return;
   announcement_timer_ =
-      net::Timer(event_loop_, event_loop_.now() + kRetryInterval, [this] { announce_session_ids(); });
+      net::Timer(event_loop_, event_loop_.now() + kRetryInterval, [this] { flush_announcements(); });
 }
 
 void HotRestartCoordinator::count_peer_descriptors() {
@@ -190,10 +220,13 @@
   successor_ = channel ? add_peer(std::move(*channel)) : nullptr;
 }
 
-// Disabled backends are sent first, because the successor may be serving already.
+// Disabled backends and the endpoint list are sent first, because the successor may be serving already. What
+// is known of a backend applies to its start on that list.
 void HotRestartCoordinator::collect_state() {
   if (!disabled_backends_.pending_changes().empty())
     state_.emplace_back(proxy::DisabledBackendChanges{disabled_backends_.pending_changes()});
+  for (proxy::EndpointSnapshotPart& part : split_endpoint_snapshot(endpoint_snapshots_.encode()))
+    state_.emplace_back(std::move(part));
   for (StateSnapshot& part : split(proxy_.export_state(), kBackendsPerMessage))
     state_.emplace_back(std::move(part));
 }
--- a/src/admin/hot_restart_coordinator.hpp
+++ b/src/admin/hot_restart_coordinator.hpp
@@ -5,9 +5,11 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "admin/disabled_backends_sync.hpp"
+#include "admin/endpoint_snapshot_sync.hpp"
 #include "admin/handover_channel.hpp"
 #include "admin/hot_restart_socket.hpp"
 #include "config/relay_config.hpp"
@@ -20,12 +22,14 @@
 // Announces this process once its proxy is ready, receives the handover of a predecessor, and at the end
 // hands the proxy's sessions over to a successor. While two processes run, each counts the other's
 // descriptors, since both share one descriptor limit, and tells the other the session ids that it claims,
-// since no request may be sent twice.
+// since no request may be sent twice, and which endpoint list it has, since a backend that one process knows
+// to drain gets nothing new from the other.
 class HotRestartCoordinator {
  public:
   // Hot restart requires an inherited listening socket; without one, only shut_down() has an effect.
   HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
-                        DisabledBackendsSync& disabled_backends, const config::RelayConfig& relay_config);
+                        DisabledBackendsSync& disabled_backends, EndpointSnapshotSync& endpoint_snapshots,
+                        const config::RelayConfig& relay_config);
   ~HotRestartCoordinator();
   HotRestartCoordinator(const HotRestartCoordinator&) = delete;
   HotRestartCoordinator& operator=(const HotRestartCoordinator&) = delete;
@@ -48,10 +52,13 @@
   void receive_messages(Peer& peer);
   void pause_receiving(const Peer& peer);
   void resume_receiving();
-  void handle_handover(proxy::IncomingHandover handover);
+  void handle_handover(Peer& peer, proxy::IncomingHandover handover);
+  void receive_endpoints(Peer& peer, const proxy::EndpointSnapshotPart& part);
   void remove_peer(const Peer& peer);
   void exchange_claims(std::uint64_t id_hash);
-  void announce_session_ids();
+  void announce_endpoints(const std::string& bytes);
+  // Sends to the peers what is queued for them.
+  void flush_announcements();
   void count_peer_descriptors();
   void poll_peer_descriptors();
   void collect_state();
@@ -61,6 +68,7 @@
   net::EventLoop& event_loop_;
   proxy::ProxyServer& proxy_;
   DisabledBackendsSync& disabled_backends_;
+  EndpointSnapshotSync& endpoint_snapshots_;
   HotRestartSocket socket_;
   PeerPtr successor_;                          // receives the sessions
   std::vector<proxy::HandoverMessage> state_;  // sent before the sessions
@@ -73,7 +81,7 @@
   net::Timer receive_timer_;          // until messages can be received again
   net::Timer peer_count_timer_;       // for the next count of the peers' descriptors
   net::Timer handover_timer_;         // for what could not be handed over yet
-  net::Timer announcement_timer_;     // for session ids that could not be sent yet
+  net::Timer announcement_timer_;     // for announcements that could not be sent yet
 };
 
 // The number of descriptors that a process has open; 0 if it cannot be determined.
--- a/src/admin/state_files.hpp
+++ b/src/admin/state_files.hpp
@@ -9,6 +9,7 @@
 
 inline constexpr std::string_view kDisabledBackendsSuffix = "bans";
 inline constexpr std::string_view kServingProcessSuffix = "serves";
+inline constexpr std::string_view kEndpointsSuffix = "endpoints";
 
 // Returns "cherryrail-NAME.SUFFIX", which differs between relays that share the directory. Characters of the
 // relay's name other than letters, digits and hyphens are replaced by "_".
--- a/src/balancer/state_snapshot.cpp
+++ b/src/balancer/state_snapshot.cpp
@@ -80,9 +80,11 @@
     const auto backend = fleet_.find(saved.name);
     if (backend == nullptr) continue;
     backend->slow_start.restore_admissions(saved);
-    if (backend->reported_started_at != saved.reported_started_at)
-      continue;  // restarted since the snapshot, so its other state no longer applies
+    // The other state no longer applies to a backend that has restarted since the snapshot. If the
+    // predecessor knew of the later start, the backend warms up since then.
+    if (backend->reported_started_at > saved.reported_started_at) continue;
     backend->slow_start.restore_start(saved);
+    if (backend->reported_started_at != saved.reported_started_at) continue;
     backend->capacity.restore(saved);
     outliers_.restore(*backend, saved);
   }
--- a/src/protocol/endpoint_list.cpp
+++ b/src/protocol/endpoint_list.cpp
@@ -13,6 +13,9 @@
 
 constexpr double kNumberLimit = 1e15;  // smaller numbers fit the integer types that they are cast to
 constexpr double kMaxCell = 1e9;
+constexpr const char* kReadyWord = "active";
+constexpr const char* kDrainingWord = "leaving";
+constexpr const char* kGoneWord = "left";
 constexpr std::size_t kMaxQuotedLength = 80;  // how much of an invalid message an error quotes
 
 // The number at `key`, or `fallback` if it is missing, negative, not finite or too large.
@@ -29,13 +32,31 @@
   return found != entry.end() && found->is_string() ? found->get<std::string>() : std::string();
 }
 
+// A whole number where possible, so that it is read back exactly.
+json milliseconds(Micros time) {
+  if (time % kMillisecond == 0) return time / kMillisecond;
+  return static_cast<double>(time) / static_cast<double>(kMillisecond);
+}
+
 std::optional<EndpointState> parse_state(std::string_view word) {
-  if (word == "active") return EndpointState::ready;
-  if (word == "leaving") return EndpointState::draining;
-  if (word == "left") return EndpointState::gone;
+  if (word == kReadyWord) return EndpointState::ready;
+  if (word == kDrainingWord) return EndpointState::draining;
+  if (word == kGoneWord) return EndpointState::gone;
   return {};
 }
 
+const char* word_for(EndpointState state) {
+  switch (state) {
+    case EndpointState::ready:
+      return kReadyWord;
+    case EndpointState::draining:
+      return kDrainingWord;
+    case EndpointState::gone:
+      return kGoneWord;
+  }
+  return kGoneWord;
+}
+
 // Returns nothing for an entry in an unknown state, which a later version of discovery may send.
 std::optional<EndpointEntry> parse_entry(const json& target) {
   EndpointEntry entry;
@@ -87,4 +108,18 @@
   }
 }
 
+json to_json(const EndpointList& list) {
+  json targets = json::array();
+  for (const EndpointEntry& entry : list.entries) {
+    targets.push_back({{"uid", entry.uid},
+                       {"endpoint", entry.address},
+                       {"az", entry.zone},
+                       {"pod_group", entry.cell},
+                       {"state", word_for(entry.state)},
+                       {"capacity_hint", entry.capacity_hint},
+                       {"boot_ms", milliseconds(entry.started_at)}});
+  }
+  return {{"rev", list.version}, {"all", list.is_complete}, {"targets", std::move(targets)}};
+}
+
 }  // namespace cherryrail::protocol
--- a/src/protocol/endpoint_list.hpp
+++ b/src/protocol/endpoint_list.hpp
@@ -1,4 +1,5 @@
-// Parses the endpoint list, in the JSON format that discovery sends and the relay's configuration file holds.
+// Parses and writes the endpoint list, in the JSON format that discovery sends and the relay's configuration
+// file holds.
 #pragma once
 
 #include <cstddef>
@@ -35,4 +36,7 @@
 EndpointList parse_endpoint_list(const nlohmann::json& json);
 EndpointList parse_endpoint_list(std::string_view text);
 
+// The list in the form that parse_endpoint_list() reads.
+nlohmann::json to_json(const EndpointList& list);
+
 }  // namespace cherryrail::protocol
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -20,8 +20,9 @@
 
 Discovery::Discovery(net::EventLoop& event_loop, std::string address, std::int64_t version,
                      Micros first_line_timeout, OnList on_list, OnFailed on_failed)
-    : event_loop_(event_loop), address_(std::move(address)), version_(version), on_list_(std::move(on_list)),
-      on_failed_(std::move(on_failed)), first_line_timeout_(first_line_timeout) {}
+    : event_loop_(event_loop), address_(std::move(address)), version_(version), highest_version_(version),
+      on_list_(std::move(on_list)), on_failed_(std::move(on_failed)),
+      first_line_timeout_(first_line_timeout) {}
 
 Discovery::~Discovery() = default;
 
@@ -49,6 +50,19 @@
   ensure_watching();
 }
 
+// What discovery has told this process itself is older only if the other process has a higher version. Until
+// then, this process has a list that a process before it was told, or that its configuration holds.
+bool Discovery::adopt(const EndpointSnapshot& snapshot) {
+  if (snapshot.list.version <= 0) return false;  // the other process has not received any list
+  const bool is_newer = has_received_list_ ? snapshot.list.version > highest_version_
+                                           : snapshot.highest_version >= highest_version_;
+  if (!is_newer) return false;
+  version_ = snapshot.list.version;
+  highest_version_ = snapshot.highest_version;
+  lower_version_since_.reset();
+  return true;
+}
+
 // With too many watches, the older half stays, because these are nearest to their answers. So do the latest,
 // because a server that was unreachable may have lost all earlier requests.
 void Discovery::retire_watch() {
@@ -93,6 +107,8 @@
   const bool is_newest = &watch == watch_.get() ? is_current(list) : list.version >= version_;
   if (!is_newest) return watch.end("endpoint list older than the current one");
   version_ = list.version;
+  highest_version_ = std::max(highest_version_, version_);
+  has_received_list_ = true;
   on_list_(list, list_current_until());
 }
 
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -12,6 +12,7 @@
 #include "net/event_loop.hpp"
 #include "protocol/endpoint_list.hpp"
 #include "proxy/discovery_watch.hpp"
+#include "proxy/endpoint_snapshot.hpp"
 
 namespace cherryrail::proxy {
 
@@ -36,6 +37,12 @@
 
   // Starts a watch at the current address, unless there is one.
   void ensure_watching();
+  // Whether a snapshot from another process of this relay is to be applied, because it is not older than the
+  // list that this process has. If so, only lists that are not older than the snapshot are followed from now
+  // on.
+  bool adopt(const EndpointSnapshot& snapshot);
+  // The highest version of any list received.
+  [[nodiscard]] std::int64_t highest_version() const { return highest_version_; }
   // Follows the list of the discovery server at `address` from now on.
   void set_address(const std::string& address);
 
@@ -54,6 +61,8 @@
   net::EventLoop& event_loop_;
   std::string address_;
   std::int64_t version_;
+  std::int64_t highest_version_;
+  bool has_received_list_ = false;  // from discovery
   OnList on_list_;
   OnFailed on_failed_;
   Micros first_line_timeout_;
--- a/src/proxy/handover_message.hpp
+++ b/src/proxy/handover_message.hpp
@@ -2,6 +2,7 @@
 // them; the admin module transfers them between the two processes.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -37,9 +38,17 @@
   std::vector<std::uint64_t> hashes;
 };
 
+// A part of an encoded EndpointSnapshot (admin/endpoint_snapshot_codec.hpp); sent without a socket, in both
+// directions. The parts are sent in order and without other parts between them.
+struct EndpointSnapshotPart {
+  std::size_t index = 0;
+  std::size_t count = 0;  // of parts
+  std::string bytes;
+};
+
 // The state snapshot holds the balancer's learned state and is sent without a socket.
-using HandoverMessage =
-    std::variant<PendingClient, OpenSession, StateSnapshot, DisabledBackendChanges, ClaimedSessionIds>;
+using HandoverMessage = std::variant<PendingClient, OpenSession, StateSnapshot, DisabledBackendChanges,
+                                     ClaimedSessionIds, EndpointSnapshotPart>;
 
 // A message to send. The sender keeps its sockets; the receiving process gets duplicates.
 struct OutgoingHandover {
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -58,7 +58,7 @@
       unlisted_backends_(event_loop, balancer_, endpoints_), request_reader_(settings_, balancer_),
       session_ids_(event_loop), config_reloader_(event_loop, config, balancer_, discovery_, descriptors_),
       unresponsive_sessions_(event_loop, upstream_, balancer_, shortest_attempt_objective(settings_)) {
-  endpoints_.apply(config.known_endpoints);
+  apply_endpoints(config.known_endpoints, 0);
   downstream_ =
       std::make_unique<DownstreamListener>(event_loop, listening_socket(config), downstream_callbacks());
   shutdown_ = std::make_unique<ShutdownSequence>(event_loop, *downstream_, has_inherited_listener_,
@@ -121,9 +121,25 @@
 }
 
 void ProxyServer::on_endpoint_list(const protocol::EndpointList& list, Micros current_until) {
-  endpoints_.apply(list, current_until);
+  apply_endpoints(list, current_until);
   unlisted_backends_.on_endpoint_list(list);
   if (endpoints_.size() > 0) start_accepting();
+  if (on_endpoints_changed_) on_endpoints_changed_();
+}
+
+void ProxyServer::apply_endpoints(const protocol::EndpointList& list, Micros current_until) {
+  endpoints_.apply(list, current_until);
+  endpoint_record_.apply(list);
+}
+
+// The snapshot may be older than a backend that a session waits for, so it ends no such wait.
+bool ProxyServer::adopt_endpoints(const EndpointSnapshot& snapshot) {
+  if (!discovery_.adopt(snapshot)) return false;
+  apply_endpoints(snapshot.list, 0);
+  protocol::EndpointList named = snapshot.list;
+  named.is_complete = false;
+  unlisted_backends_.on_endpoint_list(named);
+  return true;
 }
 
 Micros ProxyServer::longest_client_timeout() const {
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -18,6 +18,7 @@
 #include "proxy/discovery.hpp"
 #include "proxy/downstream_listener.hpp"
 #include "proxy/endpoint_registry.hpp"
+#include "proxy/endpoint_snapshot.hpp"
 #include "proxy/health_checker.hpp"
 #include "proxy/load_report_reader.hpp"
 #include "proxy/open_request_reader.hpp"
@@ -76,6 +77,16 @@
   bool can_receive_handover() const { return descriptors_.allows_use_of_reserve(); }
   void receive_handover(IncomingHandover handover);
 
+  // What this process has been told of its backends, for the relay's other processes. `callback` is called
+  // after each list from discovery.
+  EndpointSnapshot endpoint_snapshot() const {
+    return {endpoint_record_.complete_list(), discovery_.highest_version()};
+  }
+  void on_endpoints_changed(std::function<void()> callback) { on_endpoints_changed_ = std::move(callback); }
+  // Applies what another process of this relay has been told, unless this process knows a newer list. Returns
+  // whether it was applied.
+  bool adopt_endpoints(const EndpointSnapshot& snapshot);
+
   // Hot restart, on both sides: no request may be sent by both processes. See SessionIdRegistry.
   void on_session_id_claimed(SessionIdRegistry::OnClaim callback) {
     session_ids_.on_claim(std::move(callback));
@@ -104,6 +115,7 @@
   Micros longest_client_timeout() const;
   void start_accepting();
   void on_endpoint_list(const protocol::EndpointList& list, Micros current_until);
+  void apply_endpoints(const protocol::EndpointList& list, Micros current_until);
   void on_session_requested(const std::shared_ptr<ProxySession>& session);
   // Returns false if another session uses the id.
   bool register_id(ProxySession& session);
@@ -122,6 +134,8 @@
   Balancer balancer_;
   LoadReportReader load_reports_;
   EndpointRegistry endpoints_;
+  EndpointListRecord endpoint_record_;
+  std::function<void()> on_endpoints_changed_;
   UnlistedBackendQueue unlisted_backends_;
   OpenRequestReader request_reader_;
   SessionIdRegistry session_ids_;
--- /dev/null
+++ b/tests/admin/endpoint_handover_test.cpp
@@ -0,0 +1,177 @@
+// What a process has been told of its backends reaches the process that takes its place, whatever fails.
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "support/fault_plan.hpp"
+#include "support/restarting_relay.hpp"
+
+namespace cherryrail::testing {
+namespace {
+
+constexpr std::size_t kDraining = 0;  // the backend that drains
+constexpr int kSessions = 8;
+constexpr const char* kEndpointsFile = "cherryrail-n.endpoints";
+
+// Starts a process that hears nothing from discovery.
+std::unique_ptr<RestartingRelay::Process> start_without_discovery(RestartingRelay& relay) {
+  relay.relay_config.inherited_listener = dup(relay.listener.fd());
+  auto process = std::make_unique<RestartingRelay::Process>(relay.event_loop, relay.relay_config);
+  EXPECT_TRUE(relay.run_until([&] { return process->proxy.is_ready(); }));
+  relay.run_for(20);
+  return process;
+}
+
+// Sends a list to the first process.
+void tell_first(RestartingRelay& relay, const std::string& list) {
+  relay.watches[0].send(http_chunk(list + "\n"));
+  relay.run_for(20);
+}
+
+void expect_no_session_at(RestartingRelay& relay, std::size_t index) {
+  for (int i = 0; i < kSessions; ++i) {
+    const auto session = relay.establish_session(std::to_string(i));
+    EXPECT_NE(relay.backend_index(session.upstream), index) << i;
+  }
+}
+
+// Guards against a successor that sends new sessions to a backend whose drain only its predecessor has heard
+// of (review/8).
+TEST(EndpointHandover, ASuccessorWithoutDiscoveryKnowsWhichBackendDrains) {
+  RestartingRelay relay(3);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+
+  relay.second = start_without_discovery(relay);
+  relay.first->admin_services->shut_down();
+
+  expect_no_session_at(relay, kDraining);
+}
+
+// The state directory cannot be written, and the socket between the processes is full at first.
+TEST(EndpointHandover, TheListReachesTheSuccessorWhileWritesFail) {
+  const FaultPlanScope scope;
+  fault_plan().storage.error_number = ENOSPC;
+  fault_plan().storage.per_mille = 1000;
+  RestartingRelay relay(3);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  ASSERT_FALSE(std::filesystem::exists(relay.folder.file(kEndpointsFile)));
+
+  fault_plan().hand_over.error_number = EAGAIN;
+  fault_plan().hand_over.remaining = 3;
+  relay.second = start_without_discovery(relay);
+  relay.first->admin_services->shut_down();
+  relay.run_for(60);
+
+  expect_no_session_at(relay, kDraining);
+}
+
+TEST(EndpointHandover, TheListOfAKilledProcessReachesTheNextOne) {
+  RestartingRelay relay(3);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  relay.first.reset();
+
+  relay.second = start_without_discovery(relay);
+
+  expect_no_session_at(relay, kDraining);
+}
+
+// The disk is full when the change comes, and has room again a second later.
+TEST(EndpointHandover, AListThatCouldNotBeStoredIsStoredLater) {
+  const FaultPlanScope scope;
+  RestartingRelay relay(3);
+  fault_plan().storage.error_number = ENOSPC;
+  fault_plan().storage.per_mille = 1000;
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  relay.run_for(1200);
+  fault_plan().storage.per_mille = 0;
+  relay.run_for(1200);
+  relay.first.reset();
+
+  relay.second = start_without_discovery(relay);
+
+  expect_no_session_at(relay, kDraining);
+}
+
+// The successor has connected to its predecessor already when that hears of the drain.
+TEST(EndpointHandover, AChangeWhileBothProcessesServeReachesTheSuccessor) {
+  RestartingRelay relay(3);
+  relay.second = start_without_discovery(relay);
+
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  relay.first.reset();
+
+  expect_no_session_at(relay, kDraining);
+}
+
+// The backends of the configuration have all been replaced since it was written.
+TEST(EndpointHandover, ASuccessorServesWithBackendsThatItsConfigurationDoesNotName) {
+  RestartingRelay relay(1);
+  const std::string uid = R"("uid":"s-0")";
+  std::string replacement = relay.endpoint(0, "active");
+  replacement.replace(replacement.find(uid), uid.size(), R"("uid":"s-new")");
+  tell_first(relay, endpoint_snapshot(6, {replacement}));
+  relay.relay_config.known_endpoints.entries[0].address = "127.0.0.1:1";
+
+  relay.second = start_without_discovery(relay);
+  relay.first->admin_services->shut_down();
+
+  for (int i = 0; i < kSessions; ++i) relay.establish_session(std::to_string(i));
+}
+
+// Discovery has restarted its version counter since the configuration was written.
+TEST(EndpointHandover, AListOfARestartedVersionCounterIsNewerThanTheConfiguration) {
+  RestartingRelay relay(3);
+  const std::string list = endpoint_snapshot(
+      2, {relay.endpoint(0, "leaving"), relay.endpoint(1, "active"), relay.endpoint(2, "active")});
+  tell_first(relay, list);
+  relay.run_for(1600);
+  relay.accept_watch();
+  relay.publish_endpoints(list);
+  relay.run_for(20);
+
+  relay.second = start_without_discovery(relay);
+  relay.first->admin_services->shut_down();
+
+  expect_no_session_at(relay, kDraining);
+}
+
+TEST(EndpointHandover, ANewerConfigurationCountsBeforeAnEarlierProcess) {
+  RestartingRelay relay(2);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(0, "leaving")}));
+  relay.first.reset();
+  relay.relay_config.known_endpoints.version = 7;
+  relay.relay_config.known_endpoints.entries[1].state = EndpointState::draining;
+
+  relay.second = start_without_discovery(relay);
+
+  expect_no_session_at(relay, 1);
+}
+
+// A kill or a full disk may leave a file that is incomplete.
+TEST(EndpointHandover, ADamagedFileIsRefusedAndReplaced) {
+  RestartingRelay relay(2);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  relay.first.reset();
+  const std::string path = relay.folder.file(kEndpointsFile);
+  std::filesystem::resize_file(path, std::filesystem::file_size(path) / 2);
+
+  ::testing::internal::CaptureStderr();
+  relay.second = start_without_discovery(relay);
+  const std::string log = ::testing::internal::GetCapturedStderr();
+
+  EXPECT_NE(log.find("endpoint list of another process refused"), std::string::npos) << log;
+  relay.establish_session("1");
+  relay.publish_endpoints(endpoint_changes(7, {}));
+  relay.run_for(50);
+  EXPECT_GT(std::filesystem::file_size(path), 0u);
+  EXPECT_FALSE(std::filesystem::exists(path + ".new"));
+}
+
+}  // namespace
+}  // namespace cherryrail::testing
--- a/tests/admin/handover_compatibility_test.cpp
+++ b/tests/admin/handover_compatibility_test.cpp
@@ -107,6 +107,10 @@
   return text;
 }
 
+std::string describe(const proxy::EndpointSnapshotPart& part) {
+  return fmt::format("part {} of {} of an endpoint snapshot: {}", part.index, part.count, part.bytes);
+}
+
 std::string describe(const proxy::PendingClient& client) {
   return fmt::format("pending client, waited {}: {}", client.waited, client.received);
 }
--- a/tests/balancer/state_snapshot_test.cpp
+++ b/tests/balancer/state_snapshot_test.cpp
@@ -54,6 +54,21 @@
   EXPECT_FALSE(better_informed.backends[0]->outlier.is_ejected());
 }
 
+// Guards against a warming-up backend that counts as warm after a hot restart, because the successor's
+// endpoint list is older than the backend's start.
+TEST(StateSnapshot, TheLaterStartOfABackendCounts) {
+  BalancerFixture fixture(2);
+  const Micros started_at = fixture.actions.current_time - kSecond;
+  fixture.balancer.update_endpoint(fixture.backends[0], EndpointState::ready, 1, started_at);
+  BalancerFixture successor(2);
+  successor.actions.current_time = fixture.actions.current_time;
+  successor.balancer.update_endpoint(successor.backends[0], EndpointState::ready, 1, 5 * kSecond);
+
+  successor.balancer.import_state(fixture.balancer.export_state());
+
+  EXPECT_EQ(successor.backends[0]->slow_start.started_at(), started_at);
+}
+
 // Both processes read the wall clock when they started, and it was set back by an hour in between.
 TEST(StateSnapshot, ShiftsTimesToTheSuccessorsClockExceptReservedValues) {
   constexpr Micros kShift = -3600 * kSecond;
