A relay with a pushed list waits at its start also for a slow answer

Cause: the wait for the list was the shorter of the drain grace and half an attempt's objective. Now it is half of the shortest client timeout, 1 s at most, so that clients that wait in the backlog still get their answer. Where no drain grace is stated, nothing waits, as before. A list that comes ends the wait, as before.

Test: ClientsWaitAtTheStartForAPushedListThatTakesHalfASecond.

--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -1,14 +1,15 @@
 #include "proxy/proxy_server.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <variant>
 
 namespace cherryrail::proxy {
 namespace {
 
-// How long a successor that knows backends from its configuration waits for a current endpoint list.
-constexpr Micros kSuccessorListTimeout = kSecond;
+// How long a process that knows backends already waits at most for a current endpoint list.
+constexpr Micros kStartupListTimeout = kSecond;
 // First line timeout of a discovery server that all relays share: the server answers requests one by one.
 constexpr Micros kSharedDiscoveryFirstLineTimeout = 3 * kSecond;
 // First line timeout of a discovery agent that serves this relay only.
@@ -26,6 +27,15 @@
   return shortest;
 }
 
+// Of any traffic class that has one.
+Micros shortest_client_timeout(const config::SiteSettings& settings) {
+  Micros shortest = std::numeric_limits<Micros>::max();
+  for (const TrafficClass& traffic_class : settings.config.traffic_classes) {
+    if (traffic_class.client_timeout > 0) shortest = std::min(shortest, traffic_class.client_timeout);
+  }
+  return shortest;
+}
+
 HealthCheckConfig health_check_config(const config::SiteSettings& settings) {
   HealthCheckConfig config;
   config.request = settings.reports_on_health_check ? "STATS" : "PING";
@@ -100,12 +110,13 @@
 // How long the relay waits for an endpoint list before it accepts clients. With an outdated list, attempts go
 // to backends that have left; but discovery may be down for long, and a relay that never accepts serves
 // nobody. Where a local agent pushes the list, the agent already knows which backends drain, so the relay has
-// to heed this from its start. The wait is short because clients may connect at once, and time spent in the
-// listen backlog does not extend a client's timeout.
+// to heed this from its start, also if the agent is slow to answer. Clients may connect at once, and time
+// spent in the listen backlog does not extend a client's timeout, so half of it is left to serve them.
 Micros ProxyServer::startup_wait(const config::RelayConfig& config) const {
-  if (has_inherited_listener_) return kSuccessorListTimeout;
-  if (!config.is_list_pushed) return 0;
-  return std::min(settings_.drain_grace, shortest_attempt_objective(settings_) / 2);
+  if (has_inherited_listener_) return kStartupListTimeout;
+  const bool must_heed_drains = config.is_list_pushed && settings_.drain_grace > 0;
+  if (!must_heed_drains) return 0;
+  return std::min(kStartupListTimeout, shortest_client_timeout(settings_) / 2);
 }
 
 void ProxyServer::start_accepting() {
--- a/tests/balancer/endpoint_list_refresh_test.cpp
+++ b/tests/balancer/endpoint_list_refresh_test.cpp
@@ -1,11 +1,12 @@
 // Tests of when the endpoint list is requested again after a failure. A relay must know a change six seconds
 // after discovery has it and can be reached; the backoff and the call, which takes two seconds, must fit in.
+#include "balancer/endpoint_list_refresh.hpp"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <map>
 
-#include "balancer/endpoint_list_refresh.hpp"
 #include "support/balancer_fixture.hpp"
 
 namespace cherryrail::testing {
--- a/tests/proxy/slow_discovery_test.cpp
+++ b/tests/proxy/slow_discovery_test.cpp
@@ -69,6 +69,24 @@
   }
 }
 
+// Guards against a start by an outdated list where the list is pushed: what the agent knows binds from the
+// start of the process, also if the agent takes a while to answer.
+TEST(SlowDiscovery, ClientsWaitAtTheStartForAPushedListThatTakesHalfASecond) {
+  LoopbackRelay relay(2, 500, kPushedLists);
+  std::vector<TestSocket> clients;
+  for (int i = 0; i < 6; ++i)
+    clients.push_back(relay.connect_client("OPEN " + std::to_string(i) + " 1 c=talk,d=1200\r\n"));
+
+  relay.run_for(500);
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(0, "leaving")}));
+
+  for (int i = 0; i < 6; ++i) {
+    const TestSocket attempt = relay.accept_from(relay.backends[1]);
+    EXPECT_TRUE(attempt) << i;
+  }
+  EXPECT_FALSE(relay.backends[0].accept());
+}
+
 // Guards against an answer that comes too late because the request was sent too long after the silence began.
 TEST(SlowDiscovery, ASilentWatchIsRenewedWithTimeForASlowAnswer) {
   LoopbackRelay relay(1, 500, kRequestedLists);
