A refused file does not hide the predecessor's intact endpoint list

GET /stats: endpoint_list_version, endpoint_list_not_stored. A predecessor that sends no list is named in one line.

Test: EndpointHandover.TheListOfThePredecessorCountsIfItsFileIsDamaged.

--- a/src/admin/admin_api.cpp
+++ b/src/admin/admin_api.cpp
@@ -58,7 +58,8 @@
   return object;
 }
 
-AdminResponse get_statistics(const proxy::ProxyServer& proxy, const DisabledBackendsSync& disabled_backends) {
+AdminResponse get_statistics(const proxy::ProxyServer& proxy, const DisabledBackendsSync& disabled_backends,
+                             const EndpointSnapshotSync& endpoint_snapshots) {
   const proxy::ProxyStatistics statistics = proxy.statistics();
   return {HttpStatus::ok,
           nlohmann::json{{"downstream", counts_by_result(statistics.downstream)},
@@ -70,7 +71,9 @@
                          {"ended_session_ids", statistics.ended_session_ids},
                          {"wall_clock_step_ms", statistics.wall_clock_step / kMillisecond},
                          {"lost_log_lines", statistics.lost_log_lines},
-                         {"disabled_backends_not_stored", disabled_backends.pending_changes().size()}}
+                         {"disabled_backends_not_stored", disabled_backends.pending_changes().size()},
+                         {"endpoint_list_version", proxy.endpoint_list_version()},
+                         {"endpoint_list_not_stored", endpoint_snapshots.is_stored() ? 0 : 1}}
               .dump()};
 }
 
@@ -86,11 +89,14 @@
 
 }  // namespace
 
-std::vector<Route> admin_api_routes(proxy::ProxyServer& proxy, DisabledBackendsSync& disabled_backends) {
+std::vector<Route> admin_api_routes(proxy::ProxyServer& proxy, DisabledBackendsSync& disabled_backends,
+                                    const EndpointSnapshotSync& endpoint_snapshots) {
   return {
       {"GET", "/ready", [&proxy](const std::string&) { return get_ready(proxy); }},
       {"GET", "/stats",
-       [&proxy, &disabled_backends](const std::string&) { return get_statistics(proxy, disabled_backends); }},
+       [&proxy, &disabled_backends, &endpoint_snapshots](const std::string&) {
+         return get_statistics(proxy, disabled_backends, endpoint_snapshots);
+       }},
       {"POST", "/backends/disable",
        [&disabled_backends](const std::string& body) { return set_disabled(disabled_backends, body, true); }},
       {"POST", "/backends/enable", [&disabled_backends](const std::string& body) {
--- a/src/admin/admin_services.cpp
+++ b/src/admin/admin_services.cpp
@@ -33,8 +33,9 @@
   disabled_backends_.start();
   proxy.reserve_descriptors(AdminServer::kMaxConnections);
   try {
-    admin_server_ = std::make_unique<AdminServer>(event_loop, relay_config.admin_address,
-                                                  admin_api_routes(proxy, disabled_backends_));
+    admin_server_ =
+        std::make_unique<AdminServer>(event_loop, relay_config.admin_address,
+                                      admin_api_routes(proxy, disabled_backends_, endpoint_snapshots_));
   } catch (const std::runtime_error& error) {
     throw config::ConfigError(config::ConfigSource::file, {"mgmt", relay_config.admin}, error.what());
   }
--- a/src/admin/endpoint_snapshot_sync.cpp
+++ b/src/admin/endpoint_snapshot_sync.cpp
@@ -1,6 +1,7 @@
 #include "admin/endpoint_snapshot_sync.hpp"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "admin/endpoint_snapshot_codec.hpp"
@@ -12,7 +13,7 @@
 
 // Encoding and writing a megabyte takes some ten milliseconds, in which no client is served.
 constexpr Micros kIntervalPerMegabyte = kSecond / 4;
-constexpr std::size_t kMegabyte = 1'000'000;
+constexpr Micros kMegabyte = 1'000'000;
 // How soon a file that could not be written is tried again.
 constexpr Micros kRetryInterval = kSecond;
 
@@ -22,8 +23,7 @@
                                            std::string path)
     : event_loop_(event_loop), proxy_(proxy), path_(std::move(path)) {
   load();
-  proxy_.on_endpoints_changed(
-      [this] { schedule_after(kIntervalPerMegabyte * static_cast<Micros>(published_bytes_) / kMegabyte); });
+  proxy_.on_endpoints_changed([this] { schedule_after(min_interval()); });
 }
 
 EndpointSnapshotSync::~EndpointSnapshotSync() { proxy_.on_endpoints_changed({}); }
@@ -42,25 +42,25 @@
 }
 
 void EndpointSnapshotSync::adopt(const std::string& bytes) {
-  if (is_repeated(bytes)) return;
+  // The same snapshot may come from the file, at the connection of the other process and with its state. The
+  // header identifies the content.
+  const std::string_view header = std::string_view(bytes).substr(0, bytes.find('\n'));
+  if (header == adopted_header_) return;
   const auto snapshot = decode_endpoint_snapshot(bytes);
   if (!snapshot) {
     event_loop_.log().write(net::Topic::error,
                             "endpoint list of another process refused: damaged or of another version");
     return;
   }
+  adopted_header_ = header;
   if (!proxy_.adopt_endpoints(*snapshot)) return;
   event_loop_.log().write(net::Topic::discovery,
                           "endpoint list of another process applied: version {}, {} backends",
                           snapshot->list.version, snapshot->list.entries.size());
 }
 
-// The same snapshot may come from the file, at the connection of the other process and with its state. The
-// header identifies the content.
-bool EndpointSnapshotSync::is_repeated(const std::string& bytes) {
-  std::string header = bytes.substr(0, bytes.find('\n'));
-  std::swap(header, adopted_header_);
-  return header == adopted_header_;
+Micros EndpointSnapshotSync::min_interval() const {
+  return kIntervalPerMegabyte * static_cast<Micros>(published_bytes_) / kMegabyte;
 }
 
 void EndpointSnapshotSync::schedule_after(Micros interval) {
--- a/src/admin/endpoint_snapshot_sync.hpp
+++ b/src/admin/endpoint_snapshot_sync.hpp
@@ -38,10 +38,10 @@
 
  private:
   void load();
+  [[nodiscard]] Micros min_interval() const;
   void schedule_after(Micros interval);
   void publish();
   void store(const std::string& bytes);
-  bool is_repeated(const std::string& bytes);
 
   net::EventLoop& event_loop_;
   proxy::ProxyServer& proxy_;
--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -49,6 +49,7 @@
   SessionIdAnnouncer session_ids;
   EndpointSnapshotSender endpoints;
   EndpointSnapshotReceiver received_endpoints;
+  bool has_sent_endpoints = false;
 };
 
 HotRestartCoordinator::HotRestartCoordinator(net::EventLoop& event_loop, proxy::ProxyServer& proxy,
@@ -93,7 +94,7 @@
     return process != 0 && other->process == process;
   };
   const bool has_been_told = std::ranges::any_of(peers_, is_same_process);
-  auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}, {}, {}});
+  auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}, {}, {}, false});
   peers_.push_back(peer);
   // A pending event may be delivered after its peer has been removed.
   const auto on_readable = [this, weak_peer = std::weak_ptr(peer)](bool, bool) {
@@ -102,10 +103,9 @@
   peer->watch = std::make_unique<net::IoWatch>(event_loop_, peer->channel.descriptor(), on_readable);
   peer->watch->set_interest(true, false);
   if (!std::exchange(is_polling_peers_, true)) poll_peer_descriptors();
-  if (!has_been_told) {
-    peer->endpoints.set(endpoint_snapshots_.encode());
-    peer->session_ids.add(proxy_.claimed_session_ids());
-  }
+  if (!has_been_told) peer->session_ids.add(proxy_.claimed_session_ids());
+  // At the end, the list is part of the state.
+  if (!has_been_told && !is_shutting_down_) peer->endpoints.set(endpoint_snapshots_.encode());
   flush_announcements();
   return peer;
 }
@@ -142,6 +142,11 @@
 void HotRestartCoordinator::handle_handover(Peer& peer, proxy::IncomingHandover handover) {
   if (const auto* part = std::get_if<proxy::EndpointSnapshotPart>(&handover.message))
     return receive_endpoints(peer, *part);
+  const bool is_state = std::holds_alternative<StateSnapshot>(handover.message);
+  if (is_state && !std::exchange(peer.has_sent_endpoints, true)) {
+    event_loop_.log().write(net::Topic::lifecycle,
+                            "hot restart: the predecessor has not sent its endpoint list");
+  }
   if (const auto* changes = std::get_if<proxy::DisabledBackendChanges>(&handover.message)) {
     disabled_backends_.take_over(changes->is_disabled);
     return;
@@ -154,7 +159,10 @@
 }
 
 void HotRestartCoordinator::receive_endpoints(Peer& peer, const proxy::EndpointSnapshotPart& part) {
-  if (const auto bytes = peer.received_endpoints.add(part)) endpoint_snapshots_.adopt(*bytes);
+  const auto bytes = peer.received_endpoints.add(part);
+  if (!bytes) return;
+  peer.has_sent_endpoints = true;
+  endpoint_snapshots_.adopt(*bytes);
 }
 
 void HotRestartCoordinator::remove_peer(const Peer& peer) {
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -41,6 +41,8 @@
   // list that this process has. If so, only lists that are not older than the snapshot are followed from now
   // on.
   bool adopt(const EndpointSnapshot& snapshot);
+  // The version of the list that is known.
+  [[nodiscard]] std::int64_t version() const { return version_; }
   // The highest version of any list received.
   [[nodiscard]] std::int64_t highest_version() const { return highest_version_; }
   // Follows the list of the discovery server at `address` from now on.
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -82,6 +82,7 @@
   EndpointSnapshot endpoint_snapshot() const {
     return {endpoint_record_.complete_list(), discovery_.highest_version()};
   }
+  std::int64_t endpoint_list_version() const { return discovery_.version(); }
   void on_endpoints_changed(std::function<void()> callback) { on_endpoints_changed_ = std::move(callback); }
   // Applies what another process of this relay has been told, unless this process knows a newer list. Returns
   // whether it was applied.
--- a/tests/admin/endpoint_handover_test.cpp
+++ b/tests/admin/endpoint_handover_test.cpp
@@ -1,13 +1,10 @@
 // What a process has been told of its backends reaches the process that takes its place, whatever fails.
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <cerrno>
+#include <cstddef>
 #include <filesystem>
-#include <fstream>
-#include <memory>
 #include <string>
-#include <utility>
 
 #include "support/fault_plan.hpp"
 #include "support/restarting_relay.hpp"
@@ -19,15 +16,6 @@
 constexpr int kSessions = 8;
 constexpr const char* kEndpointsFile = "cherryrail-n.endpoints";
 
-// Starts a process that hears nothing from discovery.
-std::unique_ptr<RestartingRelay::Process> start_without_discovery(RestartingRelay& relay) {
-  relay.relay_config.inherited_listener = dup(relay.listener.fd());
-  auto process = std::make_unique<RestartingRelay::Process>(relay.event_loop, relay.relay_config);
-  EXPECT_TRUE(relay.run_until([&] { return process->proxy.is_ready(); }));
-  relay.run_for(20);
-  return process;
-}
-
 // Sends a list to the first process.
 void tell_first(RestartingRelay& relay, const std::string& list) {
   relay.watches[0].send(http_chunk(list + "\n"));
@@ -47,7 +35,7 @@
   RestartingRelay relay(3);
   tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
 
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
   relay.first->admin_services->shut_down();
 
   expect_no_session_at(relay, kDraining);
@@ -58,13 +46,17 @@
   const FaultPlanScope scope;
   fault_plan().storage.error_number = ENOSPC;
   fault_plan().storage.per_mille = 1000;
-  RestartingRelay relay(3);
+  RestartingRelay relay(3, true);
   tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
   ASSERT_FALSE(std::filesystem::exists(relay.folder.file(kEndpointsFile)));
+  TestSocket admin_client = TestSocket::connected_to(relay.admin_ports[0]);
+  admin_client.send("GET /stats HTTP/1.1\r\nHost: x\r\n\r\n");
+  EXPECT_TRUE(relay.run_until(
+      [&] { return admin_client.received().find(R"("endpoint_list_not_stored":1)") != std::string::npos; }));
 
   fault_plan().hand_over.error_number = EAGAIN;
   fault_plan().hand_over.remaining = 3;
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
   relay.first->admin_services->shut_down();
   relay.run_for(60);
 
@@ -76,7 +68,7 @@
   tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
   relay.first.reset();
 
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
 
   expect_no_session_at(relay, kDraining);
 }
@@ -93,7 +85,7 @@
   relay.run_for(1200);
   relay.first.reset();
 
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
 
   expect_no_session_at(relay, kDraining);
 }
@@ -101,7 +93,7 @@
 // The successor has connected to its predecessor already when that hears of the drain.
 TEST(EndpointHandover, AChangeWhileBothProcessesServeReachesTheSuccessor) {
   RestartingRelay relay(3);
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
 
   tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
   relay.first.reset();
@@ -118,7 +110,7 @@
   tell_first(relay, endpoint_snapshot(6, {replacement}));
   relay.relay_config.known_endpoints.entries[0].address = "127.0.0.1:1";
 
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
   relay.first->admin_services->shut_down();
 
   for (int i = 0; i < kSessions; ++i) relay.establish_session(std::to_string(i));
@@ -135,7 +127,7 @@
   relay.publish_endpoints(list);
   relay.run_for(20);
 
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
   relay.first->admin_services->shut_down();
 
   expect_no_session_at(relay, kDraining);
@@ -148,7 +140,7 @@
   relay.relay_config.known_endpoints.version = 7;
   relay.relay_config.known_endpoints.entries[1].state = EndpointState::draining;
 
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
 
   expect_no_session_at(relay, 1);
 }
@@ -162,15 +154,30 @@
   std::filesystem::resize_file(path, std::filesystem::file_size(path) / 2);
 
   ::testing::internal::CaptureStderr();
-  relay.second = start_without_discovery(relay);
+  relay.second = relay.start_without_discovery();
   const std::string log = ::testing::internal::GetCapturedStderr();
 
   EXPECT_NE(log.find("endpoint list of another process refused"), std::string::npos) << log;
   relay.establish_session("1");
   relay.publish_endpoints(endpoint_changes(7, {}));
   relay.run_for(50);
-  EXPECT_GT(std::filesystem::file_size(path), 0u);
-  EXPECT_FALSE(std::filesystem::exists(path + ".new"));
+  relay.second.reset();
+
+  relay.second = relay.start_without_discovery();
+  EXPECT_EQ(relay.second->proxy.endpoint_list_version(), 7);
+}
+
+// Guards against a refused file that makes the intact list of the predecessor count as known already.
+TEST(EndpointHandover, TheListOfThePredecessorCountsIfItsFileIsDamaged) {
+  RestartingRelay relay(3);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  const std::string path = relay.folder.file(kEndpointsFile);
+  std::filesystem::resize_file(path, std::filesystem::file_size(path) - 1);
+
+  relay.second = relay.start_without_discovery();
+  relay.first->admin_services->shut_down();
+
+  expect_no_session_at(relay, kDraining);
 }
 
 }  // namespace
--- a/tests/support/restarting_relay.cpp
+++ b/tests/support/restarting_relay.cpp
@@ -25,14 +25,18 @@
   first = start_process();
 }
 
-std::unique_ptr<RestartingRelay::Process> RestartingRelay::start_process() {
+std::unique_ptr<RestartingRelay::Process> RestartingRelay::create_process() {
   relay_config.inherited_listener = dup(listener.fd());
   if (has_admin_server) {
     admin_ports.push_back(TestSocket::listening().port());
     relay_config.admin = "127.0.0.1:" + std::to_string(admin_ports.back());
     relay_config.admin_address = net::parse_address(relay_config.admin);
   }
-  auto process = std::make_unique<Process>(event_loop, relay_config);
+  return std::make_unique<Process>(event_loop, relay_config);
+}
+
+std::unique_ptr<RestartingRelay::Process> RestartingRelay::start_process() {
+  auto process = create_process();
   accept_watch();
   publish_endpoints(endpoint_changes(5, {}));
   watches.push_back(std::exchange(watch, TestSocket()));
@@ -41,6 +45,13 @@
   return process;
 }
 
+std::unique_ptr<RestartingRelay::Process> RestartingRelay::start_without_discovery() {
+  auto process = create_process();
+  EXPECT_TRUE(run_until([&] { return process->proxy.is_ready(); }));
+  run_for(20);
+  return process;
+}
+
 void RestartingRelay::replace() {
   second = start_process();
   first->admin_services->shut_down();
--- a/tests/support/restarting_relay.hpp
+++ b/tests/support/restarting_relay.hpp
@@ -37,8 +37,14 @@
 
   // Starts a process, sends it an endpoint list and waits until it is ready.
   std::unique_ptr<Process> start_process();
+  // Starts a process that hears nothing from discovery, and waits until it is ready.
+  std::unique_ptr<Process> start_without_discovery();
   // Starts the second process and shuts the first one down.
   void replace();
+
+ private:
+  // Creates a process with its own admin address.
+  std::unique_ptr<Process> create_process();
 };
 
 }  // namespace cherryrail::testing
