--- a/src/admin/endpoint_snapshot_sync.cpp
+++ b/src/admin/endpoint_snapshot_sync.cpp
@@ -11,8 +11,8 @@
 namespace cherryrail::admin {
 namespace {
 
-// Encoding and writing a megabyte takes some ten milliseconds, in which no client is served.
-constexpr Micros kIntervalPerMegabyte = kSecond / 4;
+// No client is served while a snapshot is encoded and written, so larger ones are made less often.
+constexpr Micros kIntervalPerMegabyte = kSecond / 2;
 constexpr Micros kMegabyte = 1'000'000;
 // How soon a file that could not be written is tried again.
 constexpr Micros kRetryInterval = kSecond;
