A list file that cannot be read at the start is read as soon as it can be

An error of the disk or a shortage of descriptors in that moment lost what a killed process had been told.

Test: EndpointHandover.AFileThatCannotBeReadAtTheStartIsReadLater.

--- a/src/admin/endpoint_snapshot_sync.cpp
+++ b/src/admin/endpoint_snapshot_sync.cpp
@@ -14,8 +14,9 @@
 // No client is served while a snapshot is encoded and written, so larger ones are made less often.
 constexpr Micros kIntervalPerMegabyte = kSecond / 2;
 constexpr Micros kMegabyte = 1'000'000;
-// How soon a file that could not be written is tried again.
-constexpr Micros kRetryInterval = kSecond;
+// How soon a file that could not be read, or written, is tried again.
+constexpr Micros kReadRetryInterval = kSecond / 50;
+constexpr Micros kWriteRetryInterval = kSecond;
 
 }  // namespace
 
@@ -28,13 +29,18 @@
 
 EndpointSnapshotSync::~EndpointSnapshotSync() { proxy_.on_endpoints_changed({}); }
 
+// A brief shortage of descriptors or an error of the disk must not lose what an earlier process was told.
+// Once discovery has told this process itself, the file is not needed any more.
 void EndpointSnapshotSync::load() {
   if (path_.empty()) return;
   const FileContent file = read_file(path_, kMaxEndpointSnapshotBytes);
   if (file.text) return adopt(*file.text);
   if (file.error == std::errc::no_such_file_or_directory) return;
-  const StorageError error{StorageError::Operation::read, path_, file.error, ""};
-  event_loop_.log().write(net::Topic::error, "endpoint list of an earlier process: {}", error.message());
+  if (!std::exchange(has_logged_read_error_, true)) {
+    const StorageError error{StorageError::Operation::read, path_, file.error, ""};
+    event_loop_.log().write(net::Topic::error, "endpoint list of an earlier process: {}", error.message());
+  }
+  load_timer_ = net::Timer(event_loop_, event_loop_.now() + kReadRetryInterval, [this] { load(); });
 }
 
 std::string EndpointSnapshotSync::encode() const {
@@ -70,6 +76,7 @@
 }
 
 void EndpointSnapshotSync::publish() {
+  load_timer_.cancel();
   is_changed_ = false;
   published_at_ = event_loop_.now();
   const std::string bytes = encode();
@@ -89,7 +96,7 @@
     const StorageError write_error{StorageError::Operation::write, path_, error, ""};
     event_loop_.log().write(net::Topic::error, "endpoint list not stored: {}", write_error.message());
   }
-  schedule_after(kRetryInterval);
+  schedule_after(kWriteRetryInterval);
 }
 
 }  // namespace cherryrail::admin
--- a/src/admin/endpoint_snapshot_sync.hpp
+++ b/src/admin/endpoint_snapshot_sync.hpp
@@ -52,7 +52,9 @@
   std::string adopted_header_;  // of the latest snapshot from another process
   Micros published_at_ = 0;
   std::size_t published_bytes_ = 0;
-  net::Timer timer_;  // for the next snapshot
+  bool has_logged_read_error_ = false;
+  net::Timer load_timer_;  // for the next attempt to read the file
+  net::Timer timer_;       // for the next snapshot
 };
 
 }  // namespace cherryrail::admin
--- a/src/admin/state_file.cpp
+++ b/src/admin/state_file.cpp
@@ -64,7 +64,8 @@
   std::string text(std::min(max_bytes, static_cast<std::size_t>(size)), '\0');
   file.seekg(0);
   file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  text.resize(static_cast<std::size_t>(file.gcount()));
+  const bool is_complete = static_cast<std::size_t>(file.gcount()) == text.size();
+  if (!is_complete) return {{}, make_error_code(std::errc::io_error)};
   return {std::move(text), {}};
 }
 
--- a/tests/admin/endpoint_handover_test.cpp
+++ b/tests/admin/endpoint_handover_test.cpp
@@ -145,6 +145,23 @@
   expect_no_session_at(relay, 1);
 }
 
+// Guards against an error of the disk at the start that loses what the process before was told.
+TEST(EndpointHandover, AFileThatCannotBeReadAtTheStartIsReadLater) {
+  RestartingRelay relay(3);
+  tell_first(relay, endpoint_changes(6, {relay.endpoint(kDraining, "leaving")}));
+  relay.first.reset();
+  const std::string path = relay.folder.file(kEndpointsFile);
+  std::filesystem::rename(path, path + ".kept");
+  std::filesystem::create_symlink(path, path);  // a loop
+
+  relay.second = relay.start_without_discovery();
+  std::filesystem::remove(path);
+  std::filesystem::rename(path + ".kept", path);
+  relay.run_for(100);
+
+  expect_no_session_at(relay, kDraining);
+}
+
 // A kill or a full disk may leave a file that is incomplete.
 TEST(EndpointHandover, ADamagedFileIsRefusedAndReplaced) {
   RestartingRelay relay(2);
--- a/tests/admin/endpoint_snapshot_codec_test.cpp
+++ b/tests/admin/endpoint_snapshot_codec_test.cpp
@@ -4,12 +4,15 @@
 #include <gtest/gtest.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <random>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "admin/endpoint_snapshot_transfer.hpp"
+#include "admin/handover_codec.hpp"
 
 namespace cherryrail::testing {
 namespace {
@@ -93,6 +96,29 @@
   }
 }
 
+// The snapshot that a process takes from the bytes of one message, if any.
+std::optional<proxy::EndpointSnapshot> snapshot_of_message(const std::string& message) {
+  const auto handover = admin::decode_handover(std::vector<std::uint8_t>(message.begin(), message.end()));
+  const auto* part = handover ? std::get_if<proxy::EndpointSnapshotPart>(&*handover) : nullptr;
+  if (part == nullptr) return std::nullopt;
+  const auto bytes = admin::EndpointSnapshotReceiver().add(*part);
+  return bytes ? admin::decode_endpoint_snapshot(*bytes) : std::nullopt;
+}
+
+TEST(EndpointSnapshotTransfer, TenThousandMutatedMessagesYieldTheSnapshotOrNothing) {
+  std::mt19937 random(66);
+  const std::string bytes = admin::encode_endpoint_snapshot(snapshot_of(4));
+  const auto encoded = admin::encode_handover(admin::split_endpoint_snapshot(bytes).at(0));
+  const std::string message(encoded.begin(), encoded.end());
+  ASSERT_TRUE(snapshot_of_message(message));
+
+  for (int i = 0; i < 10'000; ++i) {
+    const auto snapshot = snapshot_of_message(mutated(message, random));
+    if (!snapshot) continue;
+    EXPECT_EQ(admin::encode_endpoint_snapshot(*snapshot), bytes);
+  }
+}
+
 // Returns what the receiver has put together after the last of these parts.
 std::optional<std::string> receive(const std::vector<proxy::EndpointSnapshotPart>& parts) {
   admin::EndpointSnapshotReceiver receiver;
