Only the first two requests after a failure hurry for the age of the list

The limit shrank with the time that was left, so the last moments before the list was too old held many requests. Now the first request after a failure leaves in time for a slow answer, the second in time for a usual one and at least a second is drawn from; then no hurry.

--- a/src/balancer/endpoint_list_refresh.cpp
+++ b/src/balancer/endpoint_list_refresh.cpp
@@ -14,13 +14,14 @@
 }
 
 // The next call has to be answered before the list is too old, even if discovery is slow. If that call fails
-// as well, there may still be time for one more that is answered as usual. An older list has been missed
-// already: what discovery tells once it can be reached again has to arrive in time.
-Micros EndpointListRefresh::max_retry_delay(Micros list_age) {
+// as well, there may still be time for one more that is answered as usual. Beyond, what discovery tells once
+// it can be reached again has to arrive in time.
+Micros EndpointListRefresh::max_retry_delay(Micros list_age, unsigned failures) {
   constexpr Micros kSlowCallAge = kMaxListAge - kSlowCallDuration;
   constexpr Micros kUsualCallAge = kMaxListAge - kUsualCallDuration;
-  if (list_age < kSlowCallAge) return std::max(kSlowCallAge - list_age, kMinRetryLimit);
-  if (list_age < kUsualCallAge) return std::max(kUsualCallAge - list_age, kMinRetryLimit);
+  if (failures <= 1 && list_age < kSlowCallAge) return std::max(kSlowCallAge - list_age, kMinFirstRetryLimit);
+  if (failures <= 2 && list_age < kUsualCallAge)
+    return std::max(kUsualCallAge - list_age, kMinSecondRetryLimit);
   return kSlowCallAge;
 }
 
--- a/src/balancer/endpoint_list_refresh.hpp
+++ b/src/balancer/endpoint_list_refresh.hpp
@@ -25,8 +25,9 @@
   // first may also have been lost. `initial` applies to the first request; each of the `unanswered` requests
   // before this one doubles it, so that a slow discovery gets few requests.
   static Micros answer_timeout(Micros initial, unsigned unanswered);
-  // The longest delay until the list is requested again, if it was last known to be current `list_age` ago.
-  static Micros max_retry_delay(Micros list_age);
+  // The longest delay until the list is requested again, if it was last known to be current `list_age` ago
+  // and `failures` requests in a row have failed since, or the watch and the requests after it.
+  static Micros max_retry_delay(Micros list_age, unsigned failures);
 
  private:
   static constexpr Micros kInitialBackoff = kSecond / 4;  // for up to kUnscaledRelays relays
@@ -37,8 +38,9 @@
   // The time for a call until discovery answers or fails it: while it is crowded, and usually.
   static constexpr Micros kSlowCallDuration = 3 * kSecond;
   static constexpr Micros kUsualCallDuration = kSecond;
-  // The shortest limit, even for an older list, so that discovery is not asked too often.
-  static constexpr Micros kMinRetryLimit = kSecond / 5;
+  // The shortest limits, even for an older list, so that discovery is not asked too often.
+  static constexpr Micros kMinFirstRetryLimit = kSecond / 5;
+  static constexpr Micros kMinSecondRetryLimit = kSecond;
   static constexpr Micros kMaxBackoff = 4 * kSecond;
 
   Micros backoff(Micros max_delay);
--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -76,6 +76,7 @@
 // same list later.
 void Discovery::on_first_line(const DiscoveryWatch& watch) {
   unanswered_requests_ = 0;
+  failures_ = 0;
   const auto is_same = [&watch](const auto& earlier) { return earlier.get() == &watch; };
   const auto found = std::ranges::find_if(earlier_watches_, is_same);
   if (found == earlier_watches_.end() || watch.address() != address_) {
@@ -143,7 +144,7 @@
   if (&watch != watch_.get()) return;
   watch_.reset();
   const Micros list_age = event_loop_.now() - list_current_until();
-  on_failed_(std::min(retry_within, EndpointListRefresh::max_retry_delay(list_age)));
+  on_failed_(std::min(retry_within, EndpointListRefresh::max_retry_delay(list_age, ++failures_)));
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -71,6 +71,7 @@
   std::shared_ptr<DiscoveryWatch> watch_;  // the latest, at the current address
   // Oldest first. Each is kept until a later watch receives its first line.
   std::vector<std::shared_ptr<DiscoveryWatch>> earlier_watches_;
+  unsigned failures_ = 0;                      // of watches since the latest first line
   unsigned unanswered_requests_ = 0;           // since the latest first line
   Micros ended_watches_current_until_ = 0;     // 0: none has received a line
   std::optional<Micros> lower_version_since_;  // since when the current address sends a lower version
--- a/tests/support/restarting_relay.cpp
+++ b/tests/support/restarting_relay.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <filesystem>
 #include <string>
 #include <utility>
 
@@ -52,6 +53,11 @@
   return process;
 }
 
+void RestartingRelay::kill(Process& process) const {
+  process.proxy.export_state();
+  std::filesystem::remove(folder.file("cherryrail-n.serves"));
+}
+
 void RestartingRelay::replace() {
   second = start_process();
   first->admin_services->shut_down();
--- a/tests/support/restarting_relay.hpp
+++ b/tests/support/restarting_relay.hpp
@@ -39,6 +39,9 @@
   std::unique_ptr<Process> start_process();
   // Starts a process that hears nothing from discovery, and waits until it is ready.
   std::unique_ptr<Process> start_without_discovery();
+  // Stands in for a kill, since a proxy must not be destroyed while the event loop runs: from now on the
+  // process accepts and hands over nothing, and none that starts later can reach it.
+  void kill(Process& process) const;
   // Starts the second process and shuts the first one down.
   void replace();
 
