A successor neither applies nor sends back what both processes know already

The list was applied as a whole beside the configuration's, sent back to the predecessor and stored again at the first line from discovery. Now only what differs is applied, the process that has just started sends nothing, and a line that changes nothing is not stored. A list received over the socket is stored as it came, since the predecessor's disk may have failed.

--- a/src/admin/endpoint_snapshot_sync.cpp
+++ b/src/admin/endpoint_snapshot_sync.cpp
@@ -34,7 +34,10 @@
 void EndpointSnapshotSync::load() {
   if (path_.empty()) return;
   const FileContent file = read_file(path_, kMaxEndpointSnapshotBytes);
-  if (file.text) return adopt(*file.text);
+  if (file.text) {
+    adopt(*file.text);
+    return;
+  }
   if (file.error == std::errc::no_such_file_or_directory) return;
   if (!std::exchange(has_logged_read_error_, true)) {
     const StorageError error{StorageError::Operation::read, path_, file.error, ""};
@@ -47,22 +50,27 @@
   return encode_endpoint_snapshot(proxy_.endpoint_snapshot());
 }
 
-void EndpointSnapshotSync::adopt(const std::string& bytes) {
+void EndpointSnapshotSync::receive(const std::string& bytes) {
+  if (adopt(bytes)) store(bytes);
+}
+
+bool EndpointSnapshotSync::adopt(const std::string& bytes) {
   // The same snapshot may come from the file, at the connection of the other process and with its state. The
   // header identifies the content.
   const std::string_view header = std::string_view(bytes).substr(0, bytes.find('\n'));
-  if (header == adopted_header_) return;
+  if (header == adopted_header_) return false;
   const auto snapshot = decode_endpoint_snapshot(bytes);
   if (!snapshot) {
     event_loop_.log().write(net::Topic::error,
                             "endpoint list of another process refused: damaged or of another version");
-    return;
+    return false;
   }
   adopted_header_ = header;
-  if (!proxy_.adopt_endpoints(*snapshot)) return;
+  if (!proxy_.adopt_endpoints(*snapshot)) return false;
   event_loop_.log().write(net::Topic::discovery,
                           "endpoint list of another process applied: version {}, {} backends",
                           snapshot->list.version, snapshot->list.entries.size());
+  return true;
 }
 
 Micros EndpointSnapshotSync::min_interval() const {
--- a/src/admin/endpoint_snapshot_sync.hpp
+++ b/src/admin/endpoint_snapshot_sync.hpp
@@ -30,14 +30,17 @@
   void on_snapshot(OnSnapshot callback) { on_snapshot_ = std::move(callback); }
   // The snapshot of what this process knows now, encoded.
   [[nodiscard]] std::string encode() const;
-  // Applies an encoded snapshot of another process, unless this process knows a newer list.
-  void adopt(const std::string& bytes);
+  // Applies an encoded snapshot of another process, unless this process knows a newer list, and stores it:
+  // the other process may have failed to.
+  void receive(const std::string& bytes);
 
   // Whether the latest snapshot is in the file.
   [[nodiscard]] bool is_stored() const { return !is_changed_ && !error_; }
 
  private:
   void load();
+  // Returns whether the snapshot was applied.
+  bool adopt(const std::string& bytes);
   [[nodiscard]] Micros min_interval() const;
   void schedule_after(Micros interval);
   void publish();
--- a/src/admin/hot_restart_coordinator.cpp
+++ b/src/admin/hot_restart_coordinator.cpp
@@ -44,7 +44,8 @@
 // A connection to a predecessor or successor, kept until that process ends.
 struct HotRestartCoordinator::Peer {
   HandoverChannel channel;
-  int process = 0;  // 0 if it is this process
+  int process = 0;                // 0 if it is this process
+  bool is_known_process = false;  // another connection to it exists
   std::unique_ptr<net::IoWatch> watch;
   SessionIdAnnouncer session_ids;
   EndpointSnapshotSender endpoints;
@@ -85,7 +86,12 @@
 }
 
 void HotRestartCoordinator::accept_predecessor() {
-  if (auto channel = socket_.accept()) add_peer(std::move(*channel));
+  auto channel = socket_.accept();
+  if (!channel) return;
+  const auto peer = add_peer(std::move(*channel));
+  // A process that has just started knows no newer list than this one, so only this one sends its list.
+  if (!peer->is_known_process) peer->endpoints.set(endpoint_snapshots_.encode());
+  flush_announcements();
 }
 
 HotRestartCoordinator::PeerPtr HotRestartCoordinator::add_peer(HandoverChannel channel) {
@@ -93,8 +99,9 @@
   const auto is_same_process = [process](const PeerPtr& other) {
     return process != 0 && other->process == process;
   };
-  const bool has_been_told = std::ranges::any_of(peers_, is_same_process);
-  auto peer = std::make_shared<Peer>(Peer{std::move(channel), process, nullptr, {}, {}, {}, false});
+  const bool is_known_process = std::ranges::any_of(peers_, is_same_process);
+  auto peer =
+      std::make_shared<Peer>(Peer{std::move(channel), process, is_known_process, nullptr, {}, {}, {}, false});
   peers_.push_back(peer);
   // A pending event may be delivered after its peer has been removed.
   const auto on_readable = [this, weak_peer = std::weak_ptr(peer)](bool, bool) {
@@ -103,9 +110,7 @@
   peer->watch = std::make_unique<net::IoWatch>(event_loop_, peer->channel.descriptor(), on_readable);
   peer->watch->set_interest(true, false);
   if (!std::exchange(is_polling_peers_, true)) poll_peer_descriptors();
-  if (!has_been_told) peer->session_ids.add(proxy_.claimed_session_ids());
-  // At the end, the list is part of the state.
-  if (!has_been_told && !is_shutting_down_) peer->endpoints.set(endpoint_snapshots_.encode());
+  if (!is_known_process) peer->session_ids.add(proxy_.claimed_session_ids());
   flush_announcements();
   return peer;
 }
@@ -162,7 +167,7 @@
   const auto bytes = peer.received_endpoints.add(part);
   if (!bytes) return;
   peer.has_sent_endpoints = true;
-  endpoint_snapshots_.adopt(*bytes);
+  endpoint_snapshots_.receive(*bytes);
 }
 
 void HotRestartCoordinator::remove_peer(const Peer& peer) {
--- a/src/protocol/endpoint_list.hpp
+++ b/src/protocol/endpoint_list.hpp
@@ -22,6 +22,8 @@
   EndpointState state = EndpointState::ready;
   double capacity_hint = 1;  // relative to other backends
   Micros started_at = 0;     // Unix time; 0 if missing
+
+  bool operator==(const EndpointEntry&) const = default;
 };
 
 struct EndpointList {
--- a/src/proxy/endpoint_snapshot.hpp
+++ b/src/proxy/endpoint_snapshot.hpp
@@ -20,12 +20,17 @@
 // Puts the complete endpoint list together from the lists received: complete ones and changes.
 class EndpointListRecord {
  public:
-  void apply(const protocol::EndpointList& list);
+  // Returns whether the list has changed anything, also if only the version.
+  bool apply(const protocol::EndpointList& list);
   [[nodiscard]] protocol::EndpointList complete_list() const;
+  // The changes that lead from this list to `complete`.
+  [[nodiscard]] protocol::EndpointList changes_to(const protocol::EndpointList& complete) const;
 
  private:
+  using Entries = std::map<std::string, protocol::EndpointEntry, std::less<>>;
+
   std::int64_t version_ = 0;
-  std::map<std::string, protocol::EndpointEntry, std::less<>> entries_;  // by uid, without those gone
+  Entries entries_;  // by uid, without those gone
 };
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/proxy_server.cpp
+++ b/src/proxy/proxy_server.cpp
@@ -132,24 +132,24 @@
 }
 
 void ProxyServer::on_endpoint_list(const protocol::EndpointList& list, Micros current_until) {
-  apply_endpoints(list, current_until);
+  const bool is_changed = apply_endpoints(list, current_until);
   unlisted_backends_.on_endpoint_list(list);
   if (endpoints_.size() > 0) start_accepting();
-  if (on_endpoints_changed_) on_endpoints_changed_();
+  if (is_changed && on_endpoints_changed_) on_endpoints_changed_();
 }
 
-void ProxyServer::apply_endpoints(const protocol::EndpointList& list, Micros current_until) {
+bool ProxyServer::apply_endpoints(const protocol::EndpointList& list, Micros current_until) {
   endpoints_.apply(list, current_until);
-  endpoint_record_.apply(list);
+  return endpoint_record_.apply(list);
 }
 
-// The snapshot may be older than a backend that a session waits for, so it ends no such wait.
+// The changes are no complete list: the snapshot may be older than a backend that a session waits for, so it
+// ends no such wait.
 bool ProxyServer::adopt_endpoints(const EndpointSnapshot& snapshot) {
   if (!discovery_.adopt(snapshot)) return false;
-  apply_endpoints(snapshot.list, 0);
-  protocol::EndpointList named = snapshot.list;
-  named.is_complete = false;
-  unlisted_backends_.on_endpoint_list(named);
+  const protocol::EndpointList changes = endpoint_record_.changes_to(snapshot.list);
+  apply_endpoints(changes, 0);
+  unlisted_backends_.on_endpoint_list(changes);
   return true;
 }
 
--- a/src/proxy/proxy_server.hpp
+++ b/src/proxy/proxy_server.hpp
@@ -78,7 +78,7 @@
   void receive_handover(IncomingHandover handover);
 
   // What this process has been told of its backends, for the relay's other processes. `callback` is called
-  // after each list from discovery.
+  // after each change of the list by discovery.
   EndpointSnapshot endpoint_snapshot() const {
     return {endpoint_record_.complete_list(), discovery_.highest_version()};
   }
@@ -116,7 +116,8 @@
   Micros longest_client_timeout() const;
   void start_accepting();
   void on_endpoint_list(const protocol::EndpointList& list, Micros current_until);
-  void apply_endpoints(const protocol::EndpointList& list, Micros current_until);
+  // Returns whether the list has changed anything.
+  bool apply_endpoints(const protocol::EndpointList& list, Micros current_until);
   void on_session_requested(const std::shared_ptr<ProxySession>& session);
   // Returns false if another session uses the id.
   bool register_id(ProxySession& session);
