--- a/src/proxy/discovery.cpp
+++ b/src/proxy/discovery.cpp
@@ -77,6 +77,7 @@
 void Discovery::on_first_line(const DiscoveryWatch& watch) {
   unanswered_requests_ = 0;
   failures_ = 0;
+  has_fallen_silent_ = false;
   const auto is_same = [&watch](const auto& earlier) { return earlier.get() == &watch; };
   const auto found = std::ranges::find_if(earlier_watches_, is_same);
   if (found == earlier_watches_.end() || watch.address() != address_) {
@@ -137,14 +138,22 @@
   return true;
 }
 
+// Only after a silence may changes have been missed for seconds already. Watches that are reset are often
+// those of all relays at once, and calls that hurry would keep discovery too busy to answer any.
+Micros Discovery::max_retry_delay() const {
+  if (!has_fallen_silent_) return DiscoveryWatch::kNoRetryLimit;
+  return EndpointListRefresh::max_retry_delay(event_loop_.now() - list_current_until(), failures_);
+}
+
 void Discovery::on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) {
   event_loop_.log().write(net::Topic::discovery, "watch ended: {}", reason);
   ended_watches_current_until_ = std::max(ended_watches_current_until_, watch.current_until());
   std::erase_if(earlier_watches_, [&watch](const auto& earlier) { return earlier.get() == &watch; });
   if (&watch != watch_.get()) return;
   watch_.reset();
-  const Micros list_age = event_loop_.now() - list_current_until();
-  on_failed_(std::min(retry_within, EndpointListRefresh::max_retry_delay(list_age, ++failures_)));
+  ++failures_;
+  has_fallen_silent_ = has_fallen_silent_ || watch.has_fallen_silent();
+  on_failed_(std::min(retry_within, max_retry_delay()));
 }
 
 }  // namespace cherryrail::proxy
--- a/src/proxy/discovery.hpp
+++ b/src/proxy/discovery.hpp
@@ -57,6 +57,7 @@
   void on_first_line_overdue(const DiscoveryWatch& watch) override;
   void on_watch_ended(const DiscoveryWatch& watch, const std::string& reason, Micros retry_within) override;
   Micros list_current_until() const;
+  Micros max_retry_delay() const;
   void retire_watch();
   bool is_current(const protocol::EndpointList& list);
 
@@ -71,6 +72,7 @@
   std::shared_ptr<DiscoveryWatch> watch_;  // the latest, at the current address
   // Oldest first. Each is kept until a later watch receives its first line.
   std::vector<std::shared_ptr<DiscoveryWatch>> earlier_watches_;
+  bool has_fallen_silent_ = false;             // a watch since the latest first line
   unsigned failures_ = 0;                      // of watches since the latest first line
   unsigned unanswered_requests_ = 0;           // since the latest first line
   Micros ended_watches_current_until_ = 0;     // 0: none has received a line
--- a/src/proxy/discovery_watch.cpp
+++ b/src/proxy/discovery_watch.cpp
@@ -109,6 +109,7 @@
     case State::awaiting_first_line:
       return owner_.on_first_line_overdue(*this);
     case State::streaming:
+      has_fallen_silent_ = true;
       return end("no heartbeat");
   }
 }
--- a/src/proxy/discovery_watch.hpp
+++ b/src/proxy/discovery_watch.hpp
@@ -57,6 +57,8 @@
   // connection if discovery ended it after a line. 0 before the first line. Does not count a line that is
   // being passed to the owner.
   [[nodiscard]] Micros current_until() const { return current_until_; }
+  // Whether the watch has ended because no heartbeat came.
+  [[nodiscard]] bool has_fallen_silent() const { return has_fallen_silent_; }
 
   void on_connected() override;
   void on_received(std::string_view bytes) override;
@@ -84,6 +86,7 @@
   std::string partial_line_;
   net::Timer silence_timer_;
   State state_ = State::connecting;
+  bool has_fallen_silent_ = false;
   Micros started_at_ = 0;
   Micros last_received_at_ = 0;  // the latest part of the body; before the first, when the watch started
   Micros current_until_ = 0;
