The soak counts no process as notified by a request that has ended

Cause: the soak's discovery answers a request up to 0.8 s late (slow_discovery). It looked up the relay's process only then, and did not look whether the request was still open. So a process that had been killed while its request waited had its successor counted as notified, and a process that had ended its request counted as notified by an answer that it never read.

Change: the process is the one that opened the connection, and a request that ends while it waits is not answered.

--- a/tests/soak/discovery.py
+++ b/tests/soak/discovery.py
@@ -5,6 +5,8 @@
 from fault_proxy import abort
 from oracle import NOTIFICATION_LIMIT_S
 
+HEARTBEAT_INTERVAL_S = 2.0
+
 
 class Watch:
     """The open watch of a relay process."""
@@ -95,35 +97,45 @@
             watch.is_silent = True
 
     async def _serve(self, get_process, reader, writer):
+        # A process that is killed while its request waits must not have its successor counted as notified.
+        process = get_process()
+        ended = None
         try:
             request = (await reader.readuntil(b"\r\n\r\n")).decode()
-            if self.delay:
-                await asyncio.sleep(self._rng.uniform(0, self.delay))
-            if not self.is_up:
+            ended = asyncio.create_task(reader.read())
+            delay = self._rng.uniform(0, self.delay) if self.delay else 0
+            if await self._ends_within(ended, delay) or not self.is_up:
                 return
-            await self._watch(get_process(), request, reader, writer)
+            await self._watch(process, request, ended, writer)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            if ended:
+                ended.cancel()
             abort(writer)
 
-    async def _watch(self, process, request, reader, writer):
+    @staticmethod
+    async def _ends_within(ended, seconds):
+        """Whether the relay ends its request within so many seconds; at 0, whether it has ended it already."""
+        done, _ = await asyncio.wait([ended], timeout=seconds)
+        for task in done:
+            task.exception()  # a reset is an end as well
+        return bool(done)
+
+    async def _watch(self, process, request, ended, writer):
         after = int(request.split("after=")[1].split(" ")[0])
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         watch = Watch(process, writer)
         self._send_initial_list(watch, after)
         self._watches.add(watch)
-        ended = asyncio.create_task(reader.read())
         try:
             while not writer.transport.is_closing():
-                done, _ = await asyncio.wait([ended], timeout=2)
-                if done:
+                if await self._ends_within(ended, HEARTBEAT_INTERVAL_S):
                     return
                 if not watch.is_silent:
                     watch.send("")
                     await writer.drain()
         finally:
-            ended.cancel()
             self._watches.discard(watch)
 
     def _send_initial_list(self, watch, after):
