Earlier attempts no longer keep an established session from migrating

Cause: to migrate, a session needs a backend, and RetryPolicy::is_safe refused all of them by the attempt long over: every one after the deduplication window, and those of other zones or cells at any time. A moved client sends an open request of its own, though.

Change: what may have run is forgotten once the session is established.

--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -195,8 +195,10 @@
   record_established(*session);
 }
 
+// The client reconnects with a new open request, so earlier attempts do not limit where this session migrates.
 void Balancer::record_established(Session& session) {
   send_final_answer(session, FinalAnswer::established);
+  session.may_have_run_on = nullptr;
   fleet_.mark_established(session);
   session.on_backend_ended = [this, backend = session.backend.get()](const AttemptOutcome& outcome) {
     on_established_session_ended(*backend, outcome);
--- a/tests/balancer/migration_test.cpp
+++ b/tests/balancer/migration_test.cpp
@@ -106,5 +106,45 @@
   EXPECT_EQ(fixture.actions.migrated_sessions.size(), 30u);
 }
 
+struct EarlierAttemptCase {
+  const char* name;
+  DeduplicationScope scope;
+  Micros window;
+};
+
+class MigrationAfterAnEarlierAttempt : public ::testing::TestWithParam<EarlierAttemptCase> {};
+
+// Guards against clients that are never told to reconnect and are cut off with their draining backend
+// (review/7): the attempts before a session was established restrict no later session of its client.
+TEST_P(MigrationAfterAnEarlierAttempt, MigratesTheSession) {
+  BalancerConfig config = default_config(Idempotency::idempotency_key);
+  config.traffic_classes[0].deduplication_scope = GetParam().scope;
+  config.traffic_classes[0].deduplication_window = GetParam().window;
+  BalancerFixture fixture(2, config);
+  for (const auto& backend : fixture.backends) backend->zone = backend->cell = 0;
+  Session& session = fixture.request_session(1);
+  fixture.end_attempt(session, AttemptResult::reset);
+  ASSERT_EQ(fixture.actions.attempts.size(), 2u);
+  fixture.balancer.on_established(session, 20 * kMillisecond);
+  ASSERT_TRUE(session.is_established);
+  Backend& other_zone = fixture.add_backend(0, 1);
+  other_zone.cell = 1;
+  fixture.actions.advance(kSecond);
+
+  const std::size_t own_index = session.backend == fixture.backends[0] ? 0 : 1;
+  fixture.set_endpoint_state(1 - own_index, EndpointState::draining);
+  fixture.set_endpoint_state(own_index, EndpointState::draining);
+  fixture.actions.advance(kSecond);
+
+  EXPECT_EQ(fixture.actions.migrated_sessions, std::vector<Session*>{&session});
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Scopes, MigrationAfterAnEarlierAttempt,
+    ::testing::Values(EarlierAttemptCase{"WindowHasPassed", DeduplicationScope::all, 500 * kMillisecond},
+                      EarlierAttemptCase{"OtherZone", DeduplicationScope::zone, 60 * kSecond},
+                      EarlierAttemptCase{"OtherCell", DeduplicationScope::cell, 60 * kSecond}),
+    [](const auto& test) { return test.param.name; });
+
 }  // namespace
 }  // namespace cherryrail::testing
--- a/tests/proxy/proxy_session_test.cpp
+++ b/tests/proxy/proxy_session_test.cpp
@@ -222,7 +222,6 @@
   EXPECT_EQ(session.client.received(), "UP r\r\nMOVE\r\n");
 }
 
-// Guards against a backend that hangs in the middle of a line: the beginning of a line is no answer.
 // Guards against silence for as long as a draining backend hangs while no other can accept its clients
 // (review/6); the backend has begun a line for each of them.
 TEST(ProxySession, MigratesTheClientsOfADrainingBackendThatHangsThoughThereIsNoOther) {
@@ -244,6 +243,25 @@
   EXPECT_TRUE(relay.run_until([&] { return std::ranges::all_of(sessions, is_migrated); }, 7000));
 }
 
+// Guards against clients of a draining backend that are never told to reconnect, since an attempt before their
+// session was established may have run elsewhere (review/7).
+TEST(ProxySession, MigratesAClientWhoseFirstAttemptWasResetWhenItsBackendDrains) {
+  LoopbackRelay relay(3, 500, R"(,"profiles":[{"name":"talk","setup_goal":300.0,"client_timeout":1200.0,
+      "payoff":1.0,"semantics":"deduplicated","key_scope":"all","window":500.0}])");
+  TestSocket client = relay.connect_client("OPEN 1 7f c=talk,d=1200\r\n");
+  relay.accept_attempt().reset();
+  TestSocket upstream = relay.accept_attempt();
+  upstream.send("UP r\r\n");
+  ASSERT_TRUE(relay.run_until([&] { return client.received() == "UP r\r\n"; }));
+  relay.run_for(600);
+
+  relay.publish_endpoints(endpoint_changes(5, {relay.endpoint(relay.backend_index(upstream), "leaving")}));
+
+  EXPECT_TRUE(relay.run_until([&] { return client.is_ended_by_peer(); }));
+  EXPECT_EQ(client.received(), "UP r\r\nMOVE\r\n");
+}
+
+// Guards against a backend that hangs in the middle of a line: the beginning of a line is no answer.
 TEST(ProxySession, MigratesAClientWhoseAnswerIsNeverCompleted) {
   LoopbackRelay relay(2);
   auto session = relay.establish_session("1");
