The soak takes overlapping pauses of a proxy for one pause

Cause: FaultProxy.pause_accepting overwrote the time from which a waiting connection may have sent its bytes, and the end of the first pause let the listener accept while the second went on.

Change: AcceptPauses counts from the start of the first of overlapping pauses, and the listener accepts again after the last one.

--- a/tests/soak/fault_proxy.py
+++ b/tests/soak/fault_proxy.py
@@ -5,6 +5,7 @@
 
 READ_SIZE = 65536
 BACKLOG = 100
+ACCEPT_DELAY_AFTER_PAUSE_S = 0.1  # connections that waited during a pause are accepted within this time after it
 
 
 class Link:
@@ -22,6 +23,35 @@
         writer.transport.abort()
 
 
+class AcceptPauses:
+    """When a listener accepted no connections. Pauses may overlap: the listener accepts again after the last one."""
+
+    def __init__(self):
+        self._active_count = 0
+        self._began_at = self._ended_at = -math.inf
+
+    @property
+    def is_active(self):
+        return self._active_count > 0
+
+    def begin(self, now):
+        if not self.may_have_delayed(now):
+            self._began_at = now
+        self._active_count += 1
+
+    def end(self, now):
+        self._active_count -= 1
+        self._ended_at = now
+
+    def may_have_delayed(self, now):
+        """Whether a connection that is accepted now may have waited in the accept queue during a pause."""
+        return self.is_active or now < self._ended_at + ACCEPT_DELAY_AFTER_PAUSE_S
+
+    def earliest_write_at(self, now):
+        """When a connection that is accepted now may have sent its first bytes; infinite if it has not waited."""
+        return self._began_at if self.may_have_delayed(now) else math.inf
+
+
 class FaultProxy:
     """Forwards connections to one backend, with the faults of its mode.
 
@@ -36,8 +66,7 @@
         self._rng = rng
         self.mode = "ok"
         self._listener = socket.socket()
-        self._is_accept_paused = False
-        self._paused_since = self._paused_until = -math.inf
+        self._pauses = AcceptPauses()
         self._writers = set()
         self.port = 0
         self._broken_at = -math.inf
@@ -52,27 +81,24 @@
     async def _accept_all(self):
         loop = asyncio.get_running_loop()
         while True:
-            while self._is_accept_paused:
+            while self._pauses.is_active:
                 await asyncio.sleep(0.01)
             connection, _ = await loop.sock_accept(self._listener)
             reader, writer = await asyncio.open_connection(sock=connection)
-            # A connection that waited in the accept queue may have sent its first bytes when the pause began.
-            has_waited = self._is_accept_paused or self._world.now() < self._paused_until + 0.1
-            self._world.spawn(self._accept(reader, writer, self._paused_since if has_waited else math.inf))
+            self._world.spawn(self._accept(reader, writer, self._pauses.earliest_write_at(self._world.now())))
 
     async def pause_accepting(self, seconds):
         """Fills the accept queue, so that the system drops SYNs; clients retransmit them a second later."""
-        self._is_accept_paused = True
-        self._paused_since = self._world.now()
+        self._pauses.begin(self._world.now())
         self._listener.listen(0)
         queue_fillers = [socket.socket() for _ in range(3)]
         for queue_filler in queue_fillers:
             queue_filler.setblocking(False)
             queue_filler.connect_ex(("127.0.0.1", self.port))
         await asyncio.sleep(seconds)
-        self._paused_until = self._world.now()
-        self._listener.listen(BACKLOG)
-        self._is_accept_paused = False
+        self._pauses.end(self._world.now())
+        if not self._pauses.is_active:
+            self._listener.listen(BACKLOG)
         for queue_filler in queue_fillers:
             queue_filler.close()
 
