A rejection after the deduplication window no longer invites a retry

Cause: RetryPolicy::is_rejection_harmless did not look at the window, while is_safe beside it does.

Change: both ask is_within_deduplication_window, the rejection for the time of the longest retry-after that it may carry.

Evidence: of the six cases of RejectionOfADeduplicatedRequest, WindowHasPassed and WindowHasPassedDuringTheAttempt failed without the change. The case of the advised retry was written with the change to it.

--- a/src/balancer/retry_policy.cpp
+++ b/src/balancer/retry_policy.cpp
@@ -9,8 +9,7 @@
   const Backend* earlier_backend = session.may_have_run_on;
   if (earlier_backend == nullptr || traffic_class.idempotency == Idempotency::idempotent) return true;
   if (traffic_class.idempotency == Idempotency::non_idempotent) return false;
-  const Micros deduplicated_until = session.may_have_run_since + traffic_class.deduplication_window;
-  if (actions_.now() + parameters_.answer_margin >= deduplicated_until) return false;
+  if (!is_within_deduplication_window(session, session.may_have_run_since, actions_.now())) return false;
   if (traffic_class.deduplication_scope == DeduplicationScope::zone)
     return backend.zone == earlier_backend->zone;
   if (traffic_class.deduplication_scope == DeduplicationScope::cell)
@@ -18,13 +17,23 @@
   return true;
 }
 
+bool RetryPolicy::is_within_deduplication_window(const Session& session, Micros first_run_since,
+                                                 Micros retry_at) const {
+  const Micros deduplicated_until = first_run_since + session.traffic_class->deduplication_window;
+  return retry_at + parameters_.answer_margin < deduplicated_until;
+}
+
 bool RetryPolicy::is_rejection_harmless(const Session& session) const {
   const TrafficClass& traffic_class = *session.traffic_class;
   // An attempt that is still under way may yet take effect.
   const bool may_have_run = session.may_have_run_on != nullptr || session.backend != nullptr;
   if (!may_have_run || traffic_class.idempotency == Idempotency::idempotent) return true;
-  return traffic_class.idempotency == Idempotency::idempotency_key &&
-         traffic_class.deduplication_scope == DeduplicationScope::all;
+  if (traffic_class.idempotency == Idempotency::non_idempotent) return false;
+  if (traffic_class.deduplication_scope != DeduplicationScope::all) return false;
+  const Micros first_run_since =
+      session.may_have_run_on != nullptr ? session.may_have_run_since : session.attempt_started_at;
+  const Micros retry_after = parameters_.may_send_retry_after ? parameters_.max_retry_after : 0;
+  return is_within_deduplication_window(session, first_run_since, actions_.now() + retry_after);
 }
 
 bool RetryPolicy::is_within_budget(const Session& session) const {
--- a/src/balancer/retry_policy.hpp
+++ b/src/balancer/retry_policy.hpp
@@ -18,8 +18,8 @@
   // effect is retried only at backends that would recognise the duplicate, and only within the deduplication
   // window.
   bool is_safe(const Session& session, const Backend& backend) const;
-  // Whether the client may be told that nothing has happened: no attempt can have taken effect, or a repeat
-  // does no harm.
+  // Whether the client may be told that a retry is harmless: no attempt can have taken effect, or backends
+  // would still recognise the duplicate.
   bool is_rejection_harmless(const Session& session) const;
   // Whether the retry budget allows the session's next attempt. In any window the budget is a fixed number of
   // retries plus a share of the sessions admitted; a first attempt does not use it. Every session may use the
@@ -42,6 +42,10 @@
   }
 
  private:
+  // Whether backends recognise a duplicate at `retry_at` of an attempt that may have taken effect since
+  // `first_run_since`.
+  bool is_within_deduplication_window(const Session& session, Micros first_run_since, Micros retry_at) const;
+
   static constexpr double kTimeoutPerMeanDuration = 4;
   static constexpr Micros kPinnedAnswerMargin = kSecond / 50;
   static constexpr Micros kFirstPinnedRetryDelay = kSecond / 40;
--- a/tests/balancer/retry_policy_test.cpp
+++ b/tests/balancer/retry_policy_test.cpp
@@ -96,6 +96,48 @@
   EXPECT_EQ(fixture.actions.attempts.size(), 1u);
 }
 
+struct UnansweredRequestCase {
+  const char* name;
+  Micros window;
+  bool is_attempt_under_way;
+  bool has_retry_after;  // up to a second
+  bool is_rejected;
+};
+
+class RejectionOfADeduplicatedRequest : public ::testing::TestWithParam<UnansweredRequestCase> {};
+
+// Guards against effects that run twice: a rejection invites the client to retry, also after its
+// deduplication window, when no backend recognises the duplicate any more.
+TEST_P(RejectionOfADeduplicatedRequest, IsGivenOnlyWithinTheDeduplicationWindow) {
+  BalancerConfig config = default_config(Idempotency::idempotency_key);
+  config.traffic_classes[0].deduplication_window = GetParam().window;
+  config.may_send_retry_after = GetParam().has_retry_after;
+  config.max_attempts = 2;
+  BalancerFixture fixture(3, config);
+  Session& session = fixture.request_session(1);
+  if (!GetParam().is_attempt_under_way) {
+    fixture.end_attempt(session, AttemptResult::timed_out);
+    fixture.actions.advance(600 * kMillisecond);
+    fixture.end_attempt(session, AttemptResult::timed_out);
+  }
+
+  fixture.actions.advance(2 * kSecond);
+
+  EXPECT_EQ(fixture.actions.rejections.size(), GetParam().is_rejected ? 1u : 0u);
+  EXPECT_EQ(fixture.actions.failed_sessions.size(), GetParam().is_rejected ? 0u : 1u);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Windows, RejectionOfADeduplicatedRequest,
+    ::testing::Values(
+        UnansweredRequestCase{"WindowIsOpen", 5 * kSecond, false, true, true},
+        UnansweredRequestCase{"WindowHasPassed", 500 * kMillisecond, false, false, false},
+        UnansweredRequestCase{"WindowIsOpenDuringTheAttempt", 5 * kSecond, true, true, true},
+        UnansweredRequestCase{"WindowHasPassedDuringTheAttempt", 500 * kMillisecond, true, false, false},
+        UnansweredRequestCase{"WindowIsOpenWithoutAdvice", 2500 * kMillisecond, true, false, true},
+        UnansweredRequestCase{"WindowPassesBeforeTheAdvisedRetry", 2500 * kMillisecond, true, true, false}),
+    [](const auto& test) { return test.param.name; });
+
 // Connecting may take longer than the deduplication window, so the check is repeated before the request is
 // sent.
 TEST(RetryPolicy, RefusesRequestOfARetryAfterItsDeduplicationWindow) {
