The soak sends reload signals to a starting process once it handles them

What was seen: in a trial on a loaded machine a process ended with SIGHUP, its log empty: 'no crash: relay 11 (process 230, log-4) ended by itself with code -1'. reload_during_startup sent the signal 10 to 40 ms after the start, before main() had run.

Change: the first signal comes as soon as the process blocks or catches it, still within its start and as fast as before otherwise.

--- a/tests/soak/fault_injector.py
+++ b/tests/soak/fault_injector.py
@@ -94,9 +94,13 @@
         await self._with_relay(stop_during_startup)
 
     async def reload_during_startup(self):
+        """Sends reload signals to a process that starts, from when it handles them; the platform waits a second."""
         async def reload_during_startup(relay):
             await relay.kill(0)
             await self._start_after(relay, 0.01)
+            process = relay.newest_process()
+            while process.is_running() and not process.handles_signal(signal.SIGHUP):
+                await asyncio.sleep(0.002)
             for _ in range(4):
                 await asyncio.sleep(self._rng.uniform(0.01, 0.04))
                 relay.newest_process().signal(signal.SIGHUP)
--- a/tests/soak/relays.py
+++ b/tests/soak/relays.py
@@ -47,6 +47,15 @@
     def is_running(self):
         return self.popen.poll() is None
 
+    def handles_signal(self, number):
+        """Whether it has been started far enough to block or catch a signal, instead of being ended by it."""
+        try:
+            status = pathlib.Path("/proc", str(self.popen.pid), "status").read_text()
+        except OSError:
+            return False
+        masks = [line.split()[1] for line in status.splitlines() if line.startswith(("SigBlk:", "SigCgt:"))]
+        return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
+
     def possible_processes(self):
         """The processes that may serve this one's requests; a hot restart may have handed its connections over."""
         if not self.relay.has_inherited_listener:
