--- a/src/balancer/balancer.cpp
+++ b/src/balancer/balancer.cpp
@@ -195,7 +195,8 @@
   record_established(*session);
 }
 
-// The client reconnects with a new open request, so earlier attempts do not limit where this session migrates.
+// The client reconnects with a new open request, so earlier attempts do not limit where this session
+// migrates.
 void Balancer::record_established(Session& session) {
   send_final_answer(session, FinalAnswer::established);
   session.may_have_run_on = nullptr;
--- a/tests/proxy/proxy_session_test.cpp
+++ b/tests/proxy/proxy_session_test.cpp
@@ -243,8 +243,8 @@
   EXPECT_TRUE(relay.run_until([&] { return std::ranges::all_of(sessions, is_migrated); }, 7000));
 }
 
-// Guards against clients of a draining backend that are never told to reconnect, since an attempt before their
-// session was established may have run elsewhere (review/7).
+// Guards against clients of a draining backend that are never told to reconnect, since an attempt before
+// their session was established may have run elsewhere (review/7).
 TEST(ProxySession, MigratesAClientWhoseFirstAttemptWasResetWhenItsBackendDrains) {
   LoopbackRelay relay(3, 500, R"(,"profiles":[{"name":"talk","setup_goal":300.0,"client_timeout":1200.0,
       "payoff":1.0,"semantics":"deduplicated","key_scope":"all","window":500.0}])");
