The log no longer waits for a reader that takes no lines

Cause: poll tells that a pipe takes one page; a longer line waits for the rest of its room. Two processes of a hot restart that share the pipe may also both find the last page free. A socket that is full may make even a short line wait.

Change: a line is cut at 4,096 bytes, which a pipe takes whole or not at all; a pipe is opened once more without waiting, and a socket is written with MSG_DONTWAIT, so that the descriptor's own flags, which others share, stay as they are. Lost lines are counted and told as before.

Evidence: with poll and write alone, the two tests of LogToAnAlmostFullPipe fail after 2 s each; now they take 1 and 17 ms. A regular file on a disk that hangs may still hold the relay up.

--- a/src/net/log.cpp
+++ b/src/net/log.cpp
@@ -1,12 +1,13 @@
 #include "net/log.hpp"
 
-#include <poll.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cerrno>
 #include <chrono>
 #include <string>
+#include <string_view>
+
+#include "net/nonblocking_write.hpp"
 
 namespace cherryrail::net {
 namespace {
@@ -25,22 +26,12 @@
   return std::chrono::duration<double>(now).count();
 }
 
-// Whether a write would not block: a pipe whose reader has stopped would otherwise block the relay.
-bool can_write_now(int fd) {
-  pollfd target{fd, POLLOUT, 0};
-  const int ready = poll(&target, 1, 0);
-  if (ready < 0) return true;  // unknown: the write reports any error
-  return ready > 0 && (target.revents & POLLOUT) != 0;
-}
-
-// Returns false if the line is lost, entirely or partly.
-bool write_line(int fd, std::string_view line) {
-  if (!can_write_now(fd)) return false;
-  ssize_t written = 0;
-  do {
-    written = ::write(fd, line.data(), line.size());
-  } while (written < 0 && errno == EINTR);
-  return written == static_cast<ssize_t>(line.size());
+// Cuts a text that is longer than `max_size` bytes, and marks it as cut.
+void limit_size(std::string& text, std::size_t max_size) {
+  constexpr std::string_view kCutMark = "...";
+  if (text.size() <= max_size) return;
+  text.resize(max_size - kCutMark.size());
+  text += kCutMark;
 }
 
 }  // namespace
@@ -64,8 +55,10 @@
   std::size_t& omitted_lines = limits_[index].omitted_lines;
   const std::string note = omitted_lines > 0 ? fmt::format(" ({} lines left out before)", omitted_lines) : "";
   // A single write for the whole line, so that the lines of two processes on one stream do not mix.
-  const std::string line = fmt::format("{:.3f} {} {}{}\n", unix_seconds(), kTopicNames[index], text, note);
-  if (write_line(STDERR_FILENO, line)) {
+  std::string line = fmt::format("{:.3f} {} {}", unix_seconds(), kTopicNames[index], text);
+  limit_size(line, kMaxAtomicWrite - note.size() - 1);
+  line += note + '\n';
+  if (write_without_waiting(STDERR_FILENO, line)) {
     omitted_lines = 0;
     return;
   }
