The soak's clients read an answer that comes before their request is written

Cause: the relay rejects a client before its request is complete when it is short of descriptors or at the request timeout. The client's next write fails, and asyncio's reader then raises instead of returning the BUSY that it holds.

Change: the soak's clients wait for the first line while they write.

--- a/src/net/log.hpp
+++ b/src/net/log.hpp
@@ -19,7 +19,8 @@
 // and 100 lines per second on average, so that a flood of events does not take time from sessions. Lines over
 // the limit are omitted, and the next line that is written states how many. A line that standard error does
 // not accept immediately (a full disk, a pipe that nobody reads) is omitted as well: the log neither throws
-// nor blocks. A line is cut at 4096 bytes, which a pipe takes whole or not at all. The event loop owns the log of its process; it must be used on that thread only.
+// nor blocks. A line is cut at 4096 bytes, which a pipe takes whole or not at all. The event loop owns the
+// log of its process; it must be used on that thread only.
 class Log {
  public:
   // Writes one line; `format` is a format string of the {fmt} library, checked at compile time.
--- a/tests/net/log_test.cpp
+++ b/tests/net/log_test.cpp
@@ -114,7 +114,9 @@
 
   for (int i = 0; i < kRounds; ++i) read_page();
   is_reading = false;
-  const auto is_ready = [kTimeout](auto& writer) { return writer.wait_for(kTimeout) == std::future_status::ready; };
+  const auto is_ready = [kTimeout](auto& writer) {
+    return writer.wait_for(kTimeout) == std::future_status::ready;
+  };
   EXPECT_TRUE(is_ready(one) && is_ready(other));
 
   while (one.wait_for(std::chrono::seconds(0)) != std::future_status::ready ||
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -77,13 +77,19 @@
 
     async def _session(self, relay, process, reader, writer, is_retry):
         request, line = self._make_request(relay, process, is_retry)
-        if not await self._write_request(writer, line, request):
-            return False
+        # Reads while it writes: a relay that is short of descriptors answers before the request is complete, and after
+        # the write that fails then, asyncio's reader would raise in place of returning the answer.
+        first_line = asyncio.create_task(reader.readline())
+        first_line.add_done_callback(lambda task: task.cancelled() or task.exception())  # may be nobody's concern
         try:
-            answer = await self._wait_for_answer(request, reader, writer)
-        except CONNECTION_ERRORS as error:
             answer = None
+            if not await self._write_request(writer, line, request):
+                return False
+            answer = await self._wait_for_answer(request, first_line, reader, writer)
+        except CONNECTION_ERRORS as error:
             self._world.oracle.answer_missing(request, f"connection ended: {type(error).__name__}")
+        finally:
+            first_line.cancel()
         if not answer:
             return True
         if answer.startswith("UP"):
@@ -124,13 +130,13 @@
         except OSError:
             return False
 
-    async def _wait_for_answer(self, request, reader, writer):
+    async def _wait_for_answer(self, request, first_line, reader, writer):
         limit = request.timeout + 0.6 + self._world.oracle.slack()
         if self._rng.random() < self.early_departure_probability:
-            await self._leave_early(request, reader, writer)
+            await self._leave_early(request, first_line, reader, writer)
             return None
         try:
-            line = await asyncio.wait_for(reader.readline(), limit)
+            line = await asyncio.wait_for(first_line, limit)
         except asyncio.TimeoutError:
             self._world.oracle.answer_missing(request, f"no answer in {limit:.2f} s")
             return None
@@ -140,8 +146,10 @@
         self._world.oracle.answer_received(request, line.decode(errors="replace").strip())
         return line.decode(errors="replace")
 
-    async def _leave_early(self, request, reader, writer):
+    async def _leave_early(self, request, first_line, reader, writer):
         await asyncio.sleep(self._rng.uniform(0, 0.3))
+        first_line.cancel()
+        await asyncio.wait([first_line])
         request.client_left_at = self._world.now()
         if self._rng.random() < 0.5:
             with contextlib.suppress(OSError):
